Add the design page, the module workspace and the kernel

Cause: the repository was empty; the modules need agreed interfaces before parts can be built in parallel. Change: design page, eleven Maven modules with formatter, linter, Error Prone and NullAway as build failures, typed identifiers, list types, the command messages of the replicated log, the events and actions of admission, and the micro-kernel (named services, closer, bounded rings, duty threads, numbered log events). Conclusion: the skeleton builds; no request is served yet.

--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
@@ -0,0 +1,31 @@
+package org.teaseltrestle.control;
+
+import java.util.concurrent.CompletableFuture;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+
+/**
+ * Access to the replicated control state from any instance. Registered as service {@value #NAME}.
+ */
+public interface ControlGateway {
+
+  /** Name in the kernel's service registry. */
+  String NAME = "control";
+
+  /** Returns the newest view of this instance; its applied index never decreases. */
+  ControlView view();
+
+  /**
+   * Proposes a command through the current leader. The future fails with a {@code TrestleException}
+   * of {@link ErrorCode#UNREACHABLE} when no answer came in time: the command may still be
+   * committed, and a resend under the same request id is safe.
+   */
+  CompletableFuture<CommandAnswer> propose(Command command);
+
+  /** Returns whether this instance has confirmed the committed state since its start. */
+  boolean isReady();
+
+  /** Returns the monotonic time in nanoseconds at which this instance's key lease ends. */
+  long keyLeaseEndsAtNanos();
+}
--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -0,0 +1,51 @@
+package org.teaseltrestle.control;
+
+import java.util.Collection;
+import java.util.Optional;
+import org.teaseltrestle.model.lists.ServingLists;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.InstanceRecord;
+import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.PlanChange;
+import org.teaseltrestle.wire.PlatformOrder;
+
+/** Immutable view of the control state at one log index; safe for use by any thread. */
+public interface ControlView {
+
+  /** Returns the index of the last applied log entry; views are ordered by it. */
+  long appliedIndex();
+
+  /** Returns the revision of the lists, 0 before the first accepted change. */
+  long listsRevision();
+
+  /** Returns the lists in force. */
+  ServingLists lists();
+
+  /** Returns the list of accounts as its author wrote it. */
+  String accountsJson();
+
+  /** Returns the list of plans as its author wrote it. */
+  String plansJson();
+
+  /** Returns the record of a key, withdrawn ones included. */
+  Optional<KeyRecord> key(String keyId);
+
+  /** Returns the records of all keys, withdrawn ones included. */
+  Collection<KeyRecord> keys();
+
+  /** Returns the registered instances. */
+  Collection<InstanceRecord> instances();
+
+  /** Returns the backend servers in the committed fleet. */
+  Collection<BackendServerRecord> backendServers();
+
+  /** Returns the planned changes in force. */
+  Collection<PlanChange> plannedChanges();
+
+  /** Returns the engine orders that are not settled. */
+  Collection<EngineOrder> openEngineOrders();
+
+  /** Returns the platform orders that are not settled. */
+  Collection<PlatformOrder> openPlatformOrders();
+}
--- /dev/null
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/BoundedRing.java
@@ -0,0 +1,52 @@
+package org.teaseltrestle.kernel;
+
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.MpscArrayQueue;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Bounded queue from many producers to one duty thread. A full ring refuses the item at once, so
+ * that a slow duty never blocks a producer.
+ *
+ * @param <T> item type
+ */
+public final class BoundedRing<T> {
+
+  private final MpscArrayQueue<T> queue;
+  private volatile @Nullable Thread consumer;
+
+  /** Creates a ring; the capacity is rounded up to a power of two. */
+  public BoundedRing(int capacity) {
+    this.queue = new MpscArrayQueue<>(Math.max(2, capacity));
+  }
+
+  /** Adds an item; returns false, without waiting, if the ring is full. */
+  public boolean offer(T item) {
+    if (!queue.offer(item)) {
+      return false;
+    }
+    Thread waiting = consumer;
+    if (waiting != null) {
+      LockSupport.unpark(waiting);
+    }
+    return true;
+  }
+
+  /** Takes the next item, or returns null if the ring is empty. Consumer thread only. */
+  public @Nullable T poll() {
+    return queue.poll();
+  }
+
+  /** Waits until an item is present or the timeout has passed. Consumer thread only. */
+  public void await(long timeoutNanos) {
+    consumer = Thread.currentThread();
+    if (queue.isEmpty()) {
+      LockSupport.parkNanos(this, timeoutNanos);
+    }
+  }
+
+  /** Returns the number of items waiting, which may be stale. */
+  public int size() {
+    return queue.size();
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/DutyThread.java
@@ -0,0 +1,108 @@
+package org.teaseltrestle.kernel;
+
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs one duty on its own thread: handles the items of its ring one after the other and calls a
+ * tick at regular intervals.
+ *
+ * @param <T> item type
+ */
+public final class DutyThread<T> implements AutoCloseable {
+
+  private static final long JOIN_TIMEOUT_MILLISECONDS = 5_000;
+  private static final int MAXIMUM_BATCH = 256;
+
+  private final String name;
+  private final BoundedRing<T> ring;
+  private final Consumer<T> handler;
+  private final LongConsumer tick;
+  private final long tickIntervalNanos;
+  private final MonotonicClock clock;
+  private final Thread thread;
+  private volatile boolean stopped;
+
+  /**
+   * Creates a duty; {@link #start()} starts its thread.
+   *
+   * @param tick called with the current monotonic time in nanoseconds
+   * @param tickIntervalNanos time between two ticks, in nanoseconds
+   */
+  public DutyThread(
+      String name,
+      int ringCapacity,
+      Consumer<T> handler,
+      LongConsumer tick,
+      long tickIntervalNanos,
+      MonotonicClock clock) {
+    this.name = name;
+    this.ring = new BoundedRing<>(ringCapacity);
+    this.handler = handler;
+    this.tick = tick;
+    this.tickIntervalNanos = tickIntervalNanos;
+    this.clock = clock;
+    this.thread = new Thread(this::run, "duty-" + name);
+    this.thread.setDaemon(true);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Hands an item to the duty; returns false, without waiting, if the ring is full. */
+  public boolean offer(T item) {
+    return !stopped && ring.offer(item);
+  }
+
+  /** Returns the number of items waiting, which may be stale. */
+  public int backlog() {
+    return ring.size();
+  }
+
+  /** Stops the thread and waits for it, unless called from the duty itself. */
+  @Override
+  public void close() {
+    stopped = true;
+    if (Thread.currentThread() == thread) {
+      return;
+    }
+    thread.interrupt();
+    try {
+      thread.join(JOIN_TIMEOUT_MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void run() {
+    long nextTickNanos = clock.nowNanos();
+    while (!stopped) {
+      for (int i = 0; i < MAXIMUM_BATCH; i++) {
+        @Nullable T item = ring.poll();
+        if (item == null) {
+          break;
+        }
+        guarded(() -> handler.accept(item));
+      }
+      long now = clock.nowNanos();
+      if (now - nextTickNanos >= 0) {
+        nextTickNanos = now + tickIntervalNanos;
+        guarded(() -> tick.accept(now));
+      }
+      ring.await(Math.max(0, nextTickNanos - clock.nowNanos()));
+    }
+  }
+
+  private void guarded(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      if (!stopped) {
+        EventLog.of(DutyThread.class).error(KernelEvent.DUTY_FAILED, e, "duty", name);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/WallClock.java
@@ -0,0 +1,12 @@
+package org.teaseltrestle.kernel;
+
+/** Clock for timestamps shown to people and sent in records; never used for leases. */
+@FunctionalInterface
+public interface WallClock {
+
+  /** The clock of the operating system. */
+  WallClock SYSTEM = System::currentTimeMillis;
+
+  /** Returns milliseconds since 1970-01-01T00:00:00Z. */
+  long nowMillis();
+}
--- /dev/null
+++ b/kernel/src/test/java/org/teaseltrestle/kernel/KernelTest.java
@@ -0,0 +1,90 @@
+package org.teaseltrestle.kernel;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.model.TrestleException;
+import org.testng.annotations.Test;
+
+/** Tests of the micro-kernel. */
+public final class KernelTest {
+
+  /** Guards against resources closed in the wrong order or left open after a failure. */
+  public static final class CloserTest {
+
+    @Test
+    public void closesInReverseOrderAndGoesOnAfterFailure() {
+      List<String> closed = new ArrayList<>();
+      Closer closer = new Closer();
+      closer.register(() -> closed.add("first"));
+      closer.register(
+          () -> {
+            throw new IllegalStateException("deliberate");
+          });
+      closer.register(() -> closed.add("last"));
+      closer.close();
+      assertEquals(closed, List.of("last", "first"));
+    }
+  }
+
+  /** Guards against a producer blocked, or an item lost, by a full ring. */
+  public static final class BoundedRingTest {
+
+    @Test
+    public void refusesWhenFull() {
+      BoundedRing<Integer> ring = new BoundedRing<>(4);
+      for (int i = 0; i < 4; i++) {
+        assertTrue(ring.offer(i));
+      }
+      assertFalse(ring.offer(4));
+      assertEquals(ring.poll(), Integer.valueOf(0));
+      assertTrue(ring.offer(4));
+    }
+  }
+
+  /** Guards against a duty that stops after an error in one item. */
+  public static final class DutyThreadTest {
+
+    @Test
+    public void goesOnAfterFailingItem() throws InterruptedException {
+      CountDownLatch handled = new CountDownLatch(1);
+      try (DutyThread<String> duty =
+          new DutyThread<>(
+              "test",
+              8,
+              item -> {
+                if (item.equals("bad")) {
+                  throw new IllegalStateException("deliberate");
+                }
+                handled.countDown();
+              },
+              now -> {},
+              1_000_000,
+              MonotonicClock.SYSTEM)) {
+        duty.start();
+        assertTrue(duty.offer("bad"));
+        assertTrue(duty.offer("good"));
+        assertTrue(handled.await(10, TimeUnit.SECONDS));
+      }
+    }
+  }
+
+  /** Guards against two services under one name. */
+  public static final class ServiceRegistryTest {
+
+    @Test
+    public void refusesTakenNameAndUnknownName() {
+      ServiceRegistry registry = new ServiceRegistry();
+      registry.register("name", "service");
+      assertEquals(registry.find("name", String.class), "service");
+      assertThrows(TrestleException.class, () -> registry.register("name", "other"));
+      assertThrows(TrestleException.class, () -> registry.find("missing", String.class));
+    }
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/package-info.java
@@ -0,0 +1,5 @@
+/** Typed identifiers, the operators' lists and the error family shared by all modules. */
+@NullMarked
+package org.teaseltrestle.model;
+
+import org.jspecify.annotations.NullMarked;
