Add the relay's ports, adapters and request path

Cause: the node needs its callers' HTTP front. Change: ports of engines, services and the platform with OkHttp adapters that never resend, the admission duty with a mailbox for each request, token-by-token checks of engine answers, whole checks of service answers, idempotency claims, one form for all refusals, and RelayService.

--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/EventStreamReader.java
@@ -0,0 +1,67 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.EngineStream;
+import org.teaseltrestle.policy.FailureKind;
+
+/** Reads server-sent events of one engine answer. */
+final class EventStreamReader implements EngineStream {
+
+  private static final long MAXIMUM_LINE_BYTES = 1024 * 1024;
+  private static final String DATA = "data:";
+
+  private final Response response;
+  private final BufferedSource source;
+  private final AttemptProgress progress;
+
+  EventStreamReader(Response response, ResponseBody body, AttemptProgress progress) {
+    this.response = response;
+    this.source = body.source();
+    this.progress = progress;
+  }
+
+  @Override
+  public @Nullable String next(Duration timeout) {
+    source.timeout().timeout(timeout.toNanos(), TimeUnit.NANOSECONDS);
+    try {
+      return nextData();
+    } catch (IOException e) {
+      throw progress.failure(e);
+    }
+  }
+
+  @Override
+  public boolean hasBuffered() {
+    return source.getBuffer().size() > 1;
+  }
+
+  @Override
+  public void close() {
+    response.close();
+  }
+
+  private @Nullable String nextData() throws IOException {
+    StringBuilder data = null;
+    while (!source.exhausted()) {
+      String line = source.readUtf8LineStrict(MAXIMUM_LINE_BYTES);
+      if (line.isEmpty() && data != null) {
+        return data.toString();
+      }
+      if (line.startsWith(DATA)) {
+        String value = line.substring(line.startsWith(" ", DATA.length()) ? 6 : 5);
+        data = data == null ? new StringBuilder(value) : data.append('\n').append(value);
+      }
+    }
+    if (data != null) {
+      throw new AttemptFailure(FailureKind.LOST_DURING_ANSWER, "event stream ends inside an event");
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpEngineClient.java
@@ -0,0 +1,122 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import okhttp3.Call;
+import okhttp3.Request;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.CacheEvents;
+import org.teaseltrestle.node.port.CacheListing;
+import org.teaseltrestle.node.port.EngineCall;
+import org.teaseltrestle.node.port.EngineClient;
+import org.teaseltrestle.node.port.EngineLoad;
+import org.teaseltrestle.node.port.EngineStream;
+import org.teaseltrestle.policy.FailureKind;
+
+/** Speaks the engines' HTTP protocol. */
+public final class HttpEngineClient implements EngineClient {
+
+  private static final String REQUEST_ID = "X-Request-Id";
+
+  private final BackendHttp http;
+  private final StatusReader status;
+
+  /** Creates the adapter. */
+  public HttpEngineClient(BackendHttp http) {
+    this.http = http;
+    this.status = new StatusReader(http);
+  }
+
+  @Override
+  public EngineStream open(EngineCall call) {
+    AttemptProgress progress = new AttemptProgress(call.handle());
+    Request request =
+        new Request.Builder()
+            .url(BackendAddress.url(call.address(), call.path()))
+            .header("Content-Type", "application/json")
+            .header("Accept", "text/event-stream")
+            .header("Accept-Encoding", "identity")
+            .header("User-Agent", "teaseltrestle")
+            .header(REQUEST_ID, call.request().value())
+            .header("X-Trestle-Attempt", Integer.toString(call.attempt()))
+            .header("X-Trestle-Priority", Integer.toString(call.priority()))
+            .tag(AttemptProgress.class, progress)
+            .post(new OneShotBody(call.body()))
+            .build();
+    Call wire = http.pooled(call.answerTimeout()).newCall(request);
+    call.handle().onCancel(wire::cancel);
+    try {
+      return checked(call, wire.execute(), progress);
+    } catch (IOException e) {
+      throw progress.failure(e);
+    }
+  }
+
+  @Override
+  public void cancel(String address, RequestId request) {
+    Request cancel =
+        new Request.Builder()
+            .url(BackendAddress.url(address, "/v1/cancel/" + request.value()))
+            .header(REQUEST_ID, request.value())
+            .post(new OneShotBody(new byte[0]))
+            .build();
+    try {
+      http.polling().newCall(cancel).execute().close();
+    } catch (IOException e) {
+      // The engine also notices the closed connection; the call only shortens the delay.
+      return;
+    }
+  }
+
+  @Override
+  public EngineLoad load(String address) {
+    return status.engineLoad(address);
+  }
+
+  @Override
+  public CacheEvents cacheEvents(String address, long after) {
+    return status.cacheEvents(address, after);
+  }
+
+  @Override
+  public CacheListing cachePrefixes(String address) {
+    return status.cachePrefixes(address);
+  }
+
+  private static EngineStream checked(EngineCall call, Response response, AttemptProgress progress)
+      throws IOException {
+    @Nullable AttemptFailure failure = failureOf(call, response);
+    ResponseBody body = response.body();
+    if (failure != null || body == null) {
+      response.close();
+      throw failure != null
+          ? failure
+          : new AttemptFailure(FailureKind.SERVER_ERROR, "engine answered without a body");
+    }
+    return new EventStreamReader(response, body, progress);
+  }
+
+  private static @Nullable AttemptFailure failureOf(EngineCall call, Response response)
+      throws IOException {
+    String answered = response.header(REQUEST_ID);
+    if (answered != null && !answered.equals(call.request().value())) {
+      return new AttemptFailure(
+          FailureKind.ANSWER_MISMATCH, "answer bears another request's identifier");
+    }
+    if (response.code() != 200) {
+      FailureKind refusal = BackendRefusal.of(response);
+      return new AttemptFailure(
+          refusal == null ? FailureKind.SERVER_ERROR : refusal,
+          "engine answered with status " + response.code(),
+          response.code());
+    }
+    if (answered == null) {
+      return new AttemptFailure(
+          FailureKind.ANSWER_MISMATCH, "answer bears no request identifier", response.code());
+    }
+    return null;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpPlatformInstances.java
@@ -0,0 +1,70 @@
+package org.teaseltrestle.node.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.fleet.FleetEvent;
+import org.teaseltrestle.node.port.ListedServer;
+import org.teaseltrestle.node.port.PlatformInstances;
+import org.teaseltrestle.policy.BackendServer;
+
+/** Reads the platform's instance list. */
+public final class HttpPlatformInstances implements PlatformInstances {
+
+  private static final EventLog LOG = EventLog.of(HttpPlatformInstances.class);
+
+  private final StatusReader status;
+  private final String address;
+
+  /** Creates the adapter for the platform's base URL. */
+  public HttpPlatformInstances(BackendHttp http, String address) {
+    this.status = new StatusReader(http);
+    this.address = address;
+  }
+
+  @Override
+  public List<ListedServer> instances() {
+    List<ListedServer> servers = new ArrayList<>();
+    for (JsonNode entry : status.get(address, "/instances").path("instances")) {
+      try {
+        servers.add(parse(entry));
+      } catch (TrestleException e) {
+        LOG.warn(FleetEvent.INSTANCE_ENTRY_INVALID, "reason", String.valueOf(e.getMessage()));
+      }
+    }
+    return servers;
+  }
+
+  private static ListedServer parse(JsonNode entry) {
+    Set<ItemName> models = new HashSet<>();
+    for (JsonNode model : entry.path("models")) {
+      models.add(new ItemName(model.asText()));
+    }
+    BackendServer server =
+        new BackendServer(
+            new BackendServerId(entry.path("id").asText()),
+            new PoolId(entry.path("pool").asText()),
+            new FailureDomain(entry.path("failureDomain").asText()),
+            entry.path("address").asText(),
+            models,
+            entry.path("capacity").asText().equals("cheap")
+                ? BackendServer.Capacity.CHEAP
+                : BackendServer.Capacity.REGULAR,
+            entry.path("state").asText().equals("live")
+                ? BackendServer.State.LIVE
+                : BackendServer.State.LEAVING);
+    return new ListedServer(
+        server,
+        entry.path("kind").asText().equals("service")
+            ? ListedServer.Kind.SERVICE
+            : ListedServer.Kind.ENGINE);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceAnswer.java
@@ -0,0 +1,77 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.ServiceAnswer;
+import org.teaseltrestle.policy.FailureKind;
+
+/** Answer of a plain service, read from its connection. */
+final class HttpServiceAnswer implements ServiceAnswer {
+
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
+  private final Response response;
+  private final AttemptProgress progress;
+
+  HttpServiceAnswer(Response response, AttemptProgress progress) {
+    this.response = response;
+    this.progress = progress;
+  }
+
+  @Override
+  public int status() {
+    return response.code();
+  }
+
+  @Override
+  public List<HeaderField> headers() {
+    List<HeaderField> fields = new ArrayList<>();
+    response
+        .headers()
+        .forEach(
+            pair -> {
+              boolean hidden = pair.getFirst().equals(BackendHttp.HIDDEN_RETRY_AFTER);
+              fields.add(
+                  new HeaderField(hidden ? "Retry-After" : pair.getFirst(), pair.getSecond()));
+            });
+    return fields;
+  }
+
+  @Override
+  public int read(byte[] buffer) {
+    ResponseBody body = response.body();
+    if (body == null) {
+      return -1;
+    }
+    if (!hasCheckableEnd()) {
+      throw new AttemptFailure(
+          FailureKind.LOST_DURING_ANSWER, "answer has no length, so that a cut would not be seen");
+    }
+    try {
+      return body.source().read(buffer);
+    } catch (IOException e) {
+      throw progress.failure(e);
+    }
+  }
+
+  @Override
+  public void close() {
+    response.close();
+  }
+
+  private boolean hasCheckableEnd() {
+    boolean bodyless =
+        response.request().method().equals("HEAD")
+            || response.code() == NO_CONTENT
+            || response.code() == NOT_MODIFIED;
+    return bodyless
+        || response.header("Content-Length") != null
+        || "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceClient.java
@@ -0,0 +1,102 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import java.util.Locale;
+import okhttp3.Call;
+import okhttp3.Headers;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.ServiceAnswer;
+import org.teaseltrestle.node.port.ServiceCall;
+import org.teaseltrestle.node.port.ServiceClient;
+import org.teaseltrestle.node.port.ServiceLoad;
+import org.teaseltrestle.policy.FailureKind;
+
+/** Speaks HTTP with replicas of plain services. */
+public final class HttpServiceClient implements ServiceClient {
+
+  private static final String REQUEST_ID = "X-Request-Id";
+
+  private final BackendHttp http;
+  private final StatusReader status;
+
+  /** Creates the adapter. */
+  public HttpServiceClient(BackendHttp http) {
+    this.http = http;
+    this.status = new StatusReader(http);
+  }
+
+  @Override
+  public ServiceAnswer call(ServiceCall call) {
+    AttemptProgress progress = new AttemptProgress(call.handle());
+    Request request = request(call, progress);
+    OkHttpClient client =
+        call.connectionUse() == ServiceCall.ConnectionUse.FRESH
+            ? http.fresh(call.timeout())
+            : http.pooled(call.timeout());
+    Call wire = client.newCall(request);
+    call.handle().onCancel(wire::cancel);
+    try {
+      return checked(request, wire.execute(), progress);
+    } catch (IOException e) {
+      throw progress.failure(e);
+    }
+  }
+
+  @Override
+  public ServiceLoad load(String address) {
+    return status.serviceLoad(address);
+  }
+
+  private static Request request(ServiceCall call, AttemptProgress progress) {
+    Headers.Builder headers = new Headers.Builder();
+    for (HeaderField field : call.headers()) {
+      headers.addUnsafeNonAscii(field.name(), field.value());
+    }
+    // Without these OkHttp would add its own values, and unpack an answer it asked to be packed.
+    if (headers.get("Accept-Encoding") == null) {
+      headers.set("Accept-Encoding", "identity");
+    }
+    if (headers.get("User-Agent") == null) {
+      headers.set("User-Agent", "teaseltrestle");
+    }
+    return new Request.Builder()
+        .url(BackendAddress.url(call.address(), call.target()))
+        .headers(headers.build())
+        .tag(AttemptProgress.class, progress)
+        .method(call.method(), body(call))
+        .build();
+  }
+
+  private static @Nullable RequestBody body(ServiceCall call) {
+    boolean bodyless =
+        switch (call.method().toUpperCase(Locale.ROOT)) {
+          case "GET", "HEAD" -> true;
+          case "POST", "PUT", "PATCH", "PROPPATCH", "REPORT" -> false;
+          default -> call.body().length == 0;
+        };
+    return bodyless ? null : new OneShotBody(call.body());
+  }
+
+  private static ServiceAnswer checked(Request request, Response response, AttemptProgress progress)
+      throws IOException {
+    String answered = response.header(REQUEST_ID);
+    if (answered != null && !answered.equals(request.header(REQUEST_ID))) {
+      response.close();
+      throw new AttemptFailure(
+          FailureKind.ANSWER_MISMATCH, "answer bears another request's identifier");
+    }
+    // Only this refusal states that nothing ran; every other status is an answer.
+    if (BackendRefusal.of(response) == FailureKind.REFUSED_LEAVING) {
+      response.close();
+      throw new AttemptFailure(
+          FailureKind.REFUSED_LEAVING, "service refused to run the request", response.code());
+    }
+    return new HttpServiceAnswer(response, progress);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/package-info.java
@@ -0,0 +1,5 @@
+/** OkHttp adapters of the ports. */
+@NullMarked
+package org.teaseltrestle.node.backend;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/CacheListing.java
@@ -0,0 +1,17 @@
+package org.teaseltrestle.node.port;
+
+import java.util.Set;
+
+/**
+ * All prefixes in an engine's cache.
+ *
+ * @param sequence number of the last change included
+ * @param prefixHashes prefixes in hexadecimal
+ */
+public record CacheListing(long sequence, Set<String> prefixHashes) {
+
+  /** Copies the prefixes. */
+  public CacheListing {
+    prefixHashes = Set.copyOf(prefixHashes);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/EngineCall.java
@@ -0,0 +1,26 @@
+package org.teaseltrestle.node.port;
+
+import java.time.Duration;
+import org.teaseltrestle.model.RequestId;
+
+/**
+ * One attempt at an engine; the engine always answers as a stream.
+ *
+ * @param address base URL of the engine
+ * @param path path of the completion endpoint
+ * @param request identifier that binds every chunk
+ * @param attempt attempt number, from 1
+ * @param priority 0 is the highest
+ * @param body request body, JSON in UTF-8
+ * @param answerTimeout longest wait for the first byte of the answer
+ * @param handle cancels the attempt
+ */
+public record EngineCall(
+    String address,
+    String path,
+    RequestId request,
+    int attempt,
+    int priority,
+    byte[] body,
+    Duration answerTimeout,
+    AttemptHandle handle) {}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/UsageRecorder.java
@@ -0,0 +1,12 @@
+package org.teaseltrestle.node.port;
+
+/** Keeps the usage of completed answers until it is committed. */
+@FunctionalInterface
+public interface UsageRecorder {
+
+  /**
+   * Records a completed answer. Called before the answer's last chunk is released; returns when the
+   * record survives the loss of this instance, or after a bounded wait.
+   */
+  void record(CompletedAnswer answer);
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/package-info.java
@@ -0,0 +1,5 @@
+/** Small interfaces towards engines, plain services, the platform and the usage duty. */
+@NullMarked
+package org.teaseltrestle.node.port;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -0,0 +1,155 @@
+package org.teaseltrestle.node.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.kernel.DutyThread;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.policy.AdmissionAction;
+import org.teaseltrestle.policy.AdmissionEvent;
+import org.teaseltrestle.policy.AttemptOutcome;
+import org.teaseltrestle.policy.FailureKind;
+
+/**
+ * Owns the admission decisions on one thread. Relay threads hand events in and wait at their
+ * request's mailbox.
+ */
+public final class AdmissionDuty implements AutoCloseable {
+
+  private static final int RING_CAPACITY = 8_192;
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+
+  private static final long ROOM_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long ROOM_POLL_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
+
+  private final AdmissionDecisions decisions;
+  private final ControlGateway control;
+  private final MonotonicClock clock;
+  private final RelayCounters counters;
+  private final DutyThread<AdmissionEvent> thread;
+  private final Map<RequestId, RequestMailbox> mailboxes = new ConcurrentHashMap<>();
+  private long listsRevision = -1;
+  private long appliedIndex = -1;
+
+  /** Creates the duty; {@link #start()} starts its thread. */
+  public AdmissionDuty(
+      AdmissionDecisions decisions,
+      ControlGateway control,
+      MonotonicClock clock,
+      MetricRegistry metrics) {
+    this.decisions = decisions;
+    this.control = control;
+    this.clock = clock;
+    this.counters = new RelayCounters(metrics);
+    this.thread =
+        new DutyThread<>("admission", RING_CAPACITY, this::handle, this::tick, TICK_NANOS, clock);
+  }
+
+  /** Starts the thread. */
+  public void start() {
+    thread.start();
+  }
+
+  /** Hands in an event; returns false, without waiting, if the ring is full. */
+  public boolean offer(AdmissionEvent event) {
+    return thread.offer(event);
+  }
+
+  /**
+   * Hands in an event whose loss would leak a backend server's slot: waits a short time for room.
+   */
+  boolean offerWaiting(AdmissionEvent event) {
+    long deadlineNanos = clock.nowNanos() + ROOM_WAIT_NANOS;
+    while (!thread.offer(event)) {
+      if (clock.nowNanos() - deadlineNanos >= 0) {
+        return false;
+      }
+      LockSupport.parkNanos(ROOM_POLL_NANOS);
+    }
+    return true;
+  }
+
+  @Override
+  public void close() {
+    thread.close();
+  }
+
+  void register(RequestMailbox mailbox) {
+    mailboxes.put(mailbox.request(), mailbox);
+  }
+
+  void deregister(RequestMailbox mailbox) {
+    mailboxes.remove(mailbox.request());
+  }
+
+  private void handle(AdmissionEvent event) {
+    for (AdmissionAction action : decisions.handle(event, clock.nowNanos())) {
+      perform(action);
+    }
+  }
+
+  private void tick(long nowNanos) {
+    ControlView view = control.view();
+    if (view.listsRevision() != listsRevision) {
+      listsRevision = view.listsRevision();
+      handle(new AdmissionEvent.ListsChanged(AccountLimits.of(view.lists())));
+    }
+    if (view.appliedIndex() != appliedIndex) {
+      appliedIndex = view.appliedIndex();
+      revokeWithdrawn(view);
+    }
+    handle(new AdmissionEvent.Tick());
+  }
+
+  private void revokeWithdrawn(ControlView view) {
+    Set<RequestId> revoked = new HashSet<>();
+    for (RequestMailbox mailbox : mailboxes.values()) {
+      String keyId = mailbox.keyId();
+      if (keyId != null
+          && view.key(keyId).map(key -> key.getWithdrawnAtMillis() != 0).orElse(true)) {
+        revoked.add(mailbox.request());
+      }
+    }
+    if (!revoked.isEmpty()) {
+      handle(new AdmissionEvent.RequestsRevoked(revoked));
+    }
+  }
+
+  private void perform(AdmissionAction action) {
+    if (action instanceof AdmissionAction.Dispatch dispatch) {
+      RequestMailbox mailbox = mailboxes.get(dispatch.request());
+      if (mailbox == null || !mailbox.post(dispatch)) {
+        giveBack(dispatch);
+      }
+    } else if (action instanceof AdmissionAction.Refuse refuse) {
+      RequestMailbox mailbox = mailboxes.get(refuse.request());
+      if (mailbox != null) {
+        mailbox.post(refuse);
+      }
+    } else if (action instanceof AdmissionAction.CancelAttempt cancel) {
+      RequestMailbox mailbox = mailboxes.get(cancel.request());
+      if (mailbox != null) {
+        mailbox.cancelAttempt(cancel.attempt());
+      }
+    } else if (action instanceof AdmissionAction.CountRetry retry) {
+      counters.retry(retry.reason());
+    }
+  }
+
+  /** The request ended before the decision reached it: the chosen server's slot is free again. */
+  private void giveBack(AdmissionAction.Dispatch dispatch) {
+    handle(
+        new AdmissionEvent.AttemptFinished(
+            dispatch.request(),
+            dispatch.attempt(),
+            dispatch.server(),
+            new AttemptOutcome(FailureKind.CANCELLED, 0, 0)));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/Caller.java
@@ -0,0 +1,17 @@
+package org.teaseltrestle.node.relay;
+
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.lists.Plan;
+
+/**
+ * Who a request runs for.
+ *
+ * @param account client account
+ * @param keyId identifier of the key, null on a route that needs none
+ * @param plan plan of the account, null on a route that needs no key
+ */
+record Caller(ClientAccount account, @Nullable String keyId, @Nullable Plan plan) {
+
+  static final Caller OPEN = new Caller(AccountLimits.OPEN_ROUTES, null, null);
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerGate.java
@@ -0,0 +1,80 @@
+package org.teaseltrestle.node.relay;
+
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.model.lists.Plan;
+
+/** Admits callers: readiness, key lease, key and plan. */
+final class CallerGate {
+
+  private final ControlGateway control;
+  private final KeyCheck keys;
+  private final MonotonicClock clock;
+
+  CallerGate(ControlGateway control, KeyCheck keys, MonotonicClock clock) {
+    this.control = control;
+    this.keys = keys;
+    this.clock = clock;
+  }
+
+  /**
+   * Refuses everything before this instance has confirmed the committed state.
+   *
+   * @throws RefusalException if the instance is not ready
+   */
+  void requireReady() {
+    if (!control.isReady()) {
+      throw new RefusalException(RefusalCode.NOT_READY, "this instance is not ready");
+    }
+  }
+
+  /**
+   * Returns the account that a key belongs to.
+   *
+   * @throws RefusalException if the key is missing or not valid, or cannot be checked
+   */
+  Caller identify(CallerCredentials credentials, ControlView view) {
+    String keyText = credentials.keyText();
+    if (keyText == null) {
+      throw new RefusalException(RefusalCode.KEY_MISSING, "the request bears no key");
+    }
+    if (leaseEnded()) {
+      throw new RefusalException(
+          RefusalCode.KEY_LEASE_EXPIRED, "this instance cannot check keys at present");
+    }
+    KeyCheck.Result result = keys.check(keyText, view);
+    if (result instanceof KeyCheck.Invalid invalid) {
+      throw new RefusalException(invalid.code(), "the key is not valid");
+    }
+    KeyCheck.Valid valid = (KeyCheck.Valid) result;
+    Plan plan =
+        view.lists()
+            .planOf(valid.account())
+            .orElseThrow(
+                () ->
+                    new RefusalException(
+                        RefusalCode.ACCOUNT_WITHOUT_PLAN, "the client account has no plan"));
+    return new Caller(valid.account(), valid.keyId(), plan);
+  }
+
+  /** Returns why a request that has waited must not be sent any more, or null if it may. */
+  @Nullable RefusalCode changedSince(Caller caller) {
+    String keyId = caller.keyId();
+    if (keyId == null) {
+      return null;
+    }
+    if (leaseEnded()) {
+      return RefusalCode.KEY_LEASE_EXPIRED;
+    }
+    boolean valid =
+        control.view().key(keyId).filter(key -> key.getWithdrawnAtMillis() == 0).isPresent();
+    return valid ? null : RefusalCode.KEY_WITHDRAWN;
+  }
+
+  private boolean leaseEnded() {
+    return control.keyLeaseEndsAtNanos() - clock.nowNanos() <= 0;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerWatch.java
@@ -0,0 +1,131 @@
+package org.teaseltrestle.node.relay;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.AttachmentKey;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+import org.xnio.ChannelListener;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
+
+/**
+ * Notices that a caller closes its connection while its request is under way.
+ *
+ * <p>Undertow reads nothing between the end of a request and the end of its answer, so a close in
+ * that time reaches its close listeners only at the next write. While a request waits silently,
+ * this class reads the connection itself. A byte of a pipelined request is handed back, and the
+ * watch ends there.
+ */
+final class CallerWatch implements AutoCloseable {
+
+  private static final AttachmentKey<AtomicReference<Runnable>> CLOSE_LISTENER =
+      AttachmentKey.create(AtomicReference.class);
+
+  private final HttpServerConnection connection;
+  private final ConduitStreamSourceChannel channel;
+  private final StreamSourceConduit conduit;
+  private final Runnable onClose;
+  private final ChannelListener<? super ConduitStreamSourceChannel> previous;
+  private boolean active = true;
+
+  private CallerWatch(HttpServerConnection connection, Runnable onClose) {
+    this.connection = connection;
+    this.channel = connection.getChannel().getSourceChannel();
+    this.conduit = connection.getOriginalSourceConduit();
+    this.onClose = onClose;
+    this.previous = channel.getReadListener();
+  }
+
+  /**
+   * Starts a watch after the request body was read; returns null for another kind of connection.
+   */
+  static @Nullable CallerWatch start(HttpServerExchange exchange, Runnable onClose) {
+    if (!(exchange.getConnection() instanceof HttpServerConnection connection)) {
+      return null;
+    }
+    AtomicReference<Runnable> listener = closeListener(connection);
+    listener.set(onClose);
+    if (connection.getExtraBytes() != null) {
+      return null;
+    }
+    CallerWatch watch = new CallerWatch(connection, onClose);
+    connection.getIoThread().execute(watch::begin);
+    return watch;
+  }
+
+  /** Ends the watch; must come before the answer's end. */
+  @Override
+  public synchronized void close() {
+    closeListener(connection).set(() -> {});
+    if (active) {
+      end();
+    }
+  }
+
+  /** One listener serves all requests of a kept-alive connection. */
+  private static AtomicReference<Runnable> closeListener(HttpServerConnection connection) {
+    AtomicReference<Runnable> listener = connection.getAttachment(CLOSE_LISTENER);
+    if (listener == null) {
+      AtomicReference<Runnable> added = new AtomicReference<>(() -> {});
+      connection.putAttachment(CLOSE_LISTENER, added);
+      connection.addCloseListener(
+          closed -> {
+            Runnable current = added.get();
+            if (current != null) {
+              current.run();
+            }
+          });
+      return added;
+    }
+    return listener;
+  }
+
+  private synchronized void begin() {
+    if (active) {
+      channel.setReadListener(source -> probe());
+      conduit.resumeReads();
+    }
+  }
+
+  private void probe() {
+    if (readOne()) {
+      onClose.run();
+    }
+  }
+
+  /** Returns true if the caller closed its side. */
+  private synchronized boolean readOne() {
+    if (!active) {
+      return false;
+    }
+    PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+    ByteBuffer buffer = pooled.getBuffer();
+    buffer.clear().limit(1);
+    int count;
+    try {
+      count = conduit.read(buffer);
+    } catch (IOException e) {
+      count = -1;
+    }
+    if (count > 0) {
+      buffer.flip();
+      connection.ungetRequestBytes(pooled);
+    } else {
+      pooled.close();
+    }
+    if (count != 0) {
+      end();
+    }
+    return count < 0;
+  }
+
+  private void end() {
+    active = false;
+    conduit.suspendReads();
+    channel.setReadListener(previous);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayContext.java
@@ -0,0 +1,23 @@
+package org.teaseltrestle.node.relay;
+
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.node.port.EngineClient;
+import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.port.ServiceClient;
+import org.teaseltrestle.node.port.UsageRecorder;
+
+/** Collaborators shared by all requests of a relay. */
+record RelayContext(
+    RelaySettings settings,
+    ControlGateway control,
+    CallerGate gate,
+    AdmissionDuty admission,
+    ServerDirectory directory,
+    EngineClient engines,
+    ServiceClient services,
+    UsageRecorder usage,
+    RelayCounters counters,
+    MonotonicClock clock,
+    WallClock wallClock) {}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -0,0 +1,291 @@
+package org.teaseltrestle.node.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.EngineClient;
+import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.port.ServiceClient;
+import org.teaseltrestle.node.port.UsageRecorder;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/**
+ * The callers' HTTP front: checks keys, relays requests to backend servers chosen by the admission
+ * duty, and answers refusals. Made by {@link #builder()}.
+ */
+public final class RelayService implements AutoCloseable {
+
+  private static final EventLog LOG = EventLog.of(RelayService.class);
+  private static final int IO_THREADS = 2;
+  private static final int IDLE_CONNECTION_MILLISECONDS = 60_000;
+  private static final int HEADER_TIMEOUT_MILLISECONDS = 10_000;
+
+  private final RelaySettings settings;
+  private final RelayThreads threads;
+  private final BackgroundCancels cancels;
+  private final ScheduledExecutorService resends;
+  private final Drain drain = new Drain();
+  private final CallerRouter router;
+  private @Nullable XnioWorker worker;
+  private @Nullable Undertow server;
+
+  private RelayService(Builder builder) {
+    this.settings = builder.settings;
+    RelayContext context = builder.context();
+    this.threads = new RelayThreads(settings.relayThreads());
+    this.cancels = new BackgroundCancels(context.engines());
+    this.resends =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "relay-resend");
+              thread.setDaemon(true);
+              return thread;
+            });
+    BodyReader bodies = new BodyReader(settings, context.clock());
+    IdempotencyClaims claims =
+        new IdempotencyClaims(
+            context.control(),
+            require(builder.instance, "instance"),
+            builder.boot,
+            settings.claimTimeout().toMillis(),
+            context.wallClock(),
+            resends);
+    this.router =
+        new CallerRouter(
+            context,
+            builder.metrics,
+            threads,
+            new CompletionHandler(context, bodies, cancels),
+            new ServiceHandler(context, bodies, claims),
+            drain);
+  }
+
+  /** Returns a builder. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /**
+   * Opens the caller port.
+   *
+   * @throws TrestleException with {@link ErrorCode#INVALID_SETTINGS} if it cannot be opened
+   */
+  public synchronized void start() {
+    try {
+      worker =
+          Xnio.getInstance()
+              .createWorker(
+                  OptionMap.builder()
+                      .set(Options.WORKER_IO_THREADS, IO_THREADS)
+                      .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                      .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                      .set(Options.THREAD_DAEMON, true)
+                      .set(Options.TCP_NODELAY, true)
+                      .getMap());
+      server = build(worker);
+      server.start();
+    } catch (java.io.IOException | RuntimeException e) {
+      throw new TrestleException(
+          ErrorCode.INVALID_SETTINGS,
+          "caller port " + settings.host() + ":" + settings.port() + " cannot be opened",
+          e);
+    }
+    LOG.info(RelayEvent.RELAY_LISTENING, "host", settings.host(), "port", port());
+  }
+
+  /** Returns the port that is open. */
+  public synchronized int port() {
+    Undertow running = server;
+    if (running == null || running.getListenerInfo().isEmpty()) {
+      return settings.port();
+    }
+    return ((InetSocketAddress) running.getListenerInfo().get(0).getAddress()).getPort();
+  }
+
+  /**
+   * Stops without cutting a request: not ready at once, no new connections after the shutdown
+   * delay, and the end only when all requests have ended or the drain bound, if set, is over.
+   */
+  public void shutdown() {
+    if (drain.isDraining()) {
+      return;
+    }
+    drain.start();
+    LOG.info(RelayEvent.RELAY_DRAINING);
+    try {
+      Drain.pause(settings.shutdownDelay().toNanos());
+      stopListening();
+      Duration bound = settings.drainBound();
+      int left = drain.await(bound == null ? Long.MAX_VALUE : bound.toNanos());
+      if (left > 0) {
+        LOG.warn(RelayEvent.DRAIN_BOUND_REACHED, "requests", left);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    close();
+  }
+
+  /** Stops at once; running requests are cut. */
+  @Override
+  public void close() {
+    drain.start();
+    stopListening();
+    threads.close();
+    cancels.close();
+    resends.shutdownNow();
+    synchronized (this) {
+      if (worker != null) {
+        worker.shutdownNow();
+        worker = null;
+      }
+    }
+    LOG.info(RelayEvent.RELAY_CLOSED);
+  }
+
+  private synchronized void stopListening() {
+    if (server != null) {
+      server.stop();
+      server = null;
+    }
+  }
+
+  private Undertow build(XnioWorker ioWorker) {
+    return Undertow.builder()
+        .setWorker(ioWorker)
+        .addHttpListener(settings.port(), settings.host(), router)
+        .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 4 * settings.maximumHeaderBytes())
+        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 4L * settings.maximumBodyBytes())
+        .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLISECONDS)
+        .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLISECONDS)
+        .setServerOption(UndertowOptions.DECODE_URL, false)
+        .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+        .setSocketOption(Options.REUSE_ADDRESSES, true)
+        .build();
+  }
+
+  private static <T> T require(@Nullable T value, String name) {
+    if (value == null) {
+      throw new TrestleException(ErrorCode.INVALID_SETTINGS, "relay needs its " + name);
+    }
+    return value;
+  }
+
+  /** Collects the collaborators. */
+  public static final class Builder {
+
+    private RelaySettings settings = RelaySettings.builder().build();
+    private MetricRegistry metrics = new MetricRegistry();
+    private MonotonicClock clock = MonotonicClock.SYSTEM;
+    private WallClock wallClock = WallClock.SYSTEM;
+    private @Nullable ControlGateway control;
+    private @Nullable KeyCheck keys;
+    private @Nullable AdmissionDuty admission;
+    private @Nullable ServerDirectory directory;
+    private @Nullable EngineClient engines;
+    private @Nullable ServiceClient services;
+    private @Nullable UsageRecorder usage;
+    private @Nullable InstanceId instance;
+    private long boot;
+
+    private Builder() {}
+
+    /** Sets the settings. */
+    public Builder settings(RelaySettings value) {
+      settings = value;
+      return this;
+    }
+
+    /** Sets where metrics are registered. */
+    public Builder metrics(MetricRegistry value) {
+      metrics = value;
+      return this;
+    }
+
+    /** Sets the clocks. */
+    public Builder clocks(MonotonicClock monotonic, WallClock wall) {
+      clock = monotonic;
+      wallClock = wall;
+      return this;
+    }
+
+    /** Sets the access to the control state and the check of keys. */
+    public Builder control(ControlGateway gateway, KeyCheck keyCheck) {
+      control = gateway;
+      keys = keyCheck;
+      return this;
+    }
+
+    /** Sets the admission duty, which the caller starts and closes. */
+    public Builder admission(AdmissionDuty value) {
+      admission = value;
+      return this;
+    }
+
+    /** Sets the view of the backend servers. */
+    public Builder directory(ServerDirectory value) {
+      directory = value;
+      return this;
+    }
+
+    /** Sets the clients of backend servers. */
+    public Builder backends(EngineClient engineClient, ServiceClient serviceClient) {
+      engines = engineClient;
+      services = serviceClient;
+      return this;
+    }
+
+    /** Sets where completed answers are recorded. */
+    public Builder usage(UsageRecorder value) {
+      usage = value;
+      return this;
+    }
+
+    /** Sets the identity under which idempotency claims are made. */
+    public Builder identity(InstanceId instanceId, long bootId) {
+      instance = instanceId;
+      boot = bootId;
+      return this;
+    }
+
+    /**
+     * Returns the service.
+     *
+     * @throws TrestleException with {@link ErrorCode#INVALID_SETTINGS} if a collaborator is missing
+     */
+    public RelayService build() {
+      return new RelayService(this);
+    }
+
+    private RelayContext context() {
+      ControlGateway gateway = require(control, "control gateway");
+      return new RelayContext(
+          settings,
+          gateway,
+          new CallerGate(gateway, require(keys, "key check"), clock),
+          require(admission, "admission duty"),
+          require(directory, "server directory"),
+          require(engines, "engine client"),
+          require(services, "service client"),
+          require(usage, "usage recorder"),
+          new RelayCounters(metrics),
+          clock,
+          wallClock);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ServiceHandler.java
@@ -0,0 +1,232 @@
+package org.teaseltrestle.node.relay;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.NotRun;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.model.lists.ServiceEntry;
+import org.teaseltrestle.node.port.CompletedAnswer;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.policy.WorkRequest;
+
+/** Serves calls of plain services. */
+final class ServiceHandler {
+
+  private static final EventLog LOG = EventLog.of(ServiceHandler.class);
+  private static final Set<String> REFUSED_METHODS = Set.of("CONNECT", "TRACE");
+  private static final int MAXIMUM_IDEMPOTENCY_KEY = 255;
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final RelayContext context;
+  private final BodyReader bodies;
+  private final IdempotencyClaims claims;
+
+  ServiceHandler(RelayContext context, BodyReader bodies, IdempotencyClaims claims) {
+    this.context = context;
+    this.bodies = bodies;
+    this.claims = claims;
+  }
+
+  /**
+   * Serves one call.
+   *
+   * @throws RefusalException if it is refused
+   * @throws CallerGoneException if the caller left
+   */
+  void handle(Exchange exchange) {
+    HttpServerExchange http = exchange.http();
+    String method = http.getRequestMethod().toString();
+    ServiceTarget target = ServiceTarget.parse(exchange.path());
+    if (REFUSED_METHODS.contains(method)) {
+      throw new RefusalException(RefusalCode.METHOD_NOT_ALLOWED, "this method is not relayed");
+    }
+    ControlView view = context.control().view();
+    ServiceEntry service = view.lists().services().get(target.service());
+    boolean open = service != null && service.isOpen(method, target.path());
+    Caller caller = open ? Caller.OPEN : context.gate().identify(exchange.credentials(), view);
+    if (service == null) {
+      throw new RefusalException(RefusalCode.UNKNOWN_SERVICE, "no such service");
+    }
+    if (caller.plan() != null && !caller.plan().services().contains(service.service())) {
+      throw new RefusalException(
+          RefusalCode.NOT_IN_PLAN, "the account's plan does not include this service");
+    }
+    ServiceRequest call = read(exchange, method, target, service);
+    serve(exchange, caller, service, call);
+  }
+
+  private ServiceRequest read(
+      Exchange exchange, String method, ServiceTarget target, ServiceEntry service) {
+    CallerCredentials credentials = exchange.credentials();
+    byte[] body = bodies.read(exchange.http());
+    if (credentials.isRepeatedIn(body) || credentials.isRepeatedIn(target.path())) {
+      throw new RefusalException(
+          RefusalCode.MALFORMED_REQUEST, "the key may stand in headers or query only");
+    }
+    if (body.length > 0 && (method.equals("GET") || method.equals("HEAD"))) {
+      throw new RefusalException(
+          RefusalCode.MALFORMED_REQUEST, "a " + method + " request must not have a body");
+    }
+    HeaderMap headers = exchange.http().getRequestHeaders();
+    List<HeaderField> kept = HeaderRules.towardsService(headers, credentials);
+    boolean idempotent = service.isIdempotent(method, target.path());
+    return new ServiceRequest(
+        exchange.request(),
+        target.service(),
+        method,
+        target.rawPath() + (credentials.query().isEmpty() ? "" : "?" + credentials.query()),
+        kept,
+        body,
+        idempotent ? WorkRequest.Repeatable.IDEMPOTENT : WorkRequest.Repeatable.AT_MOST_ONCE,
+        idempotencyKey(kept));
+  }
+
+  private static @Nullable String idempotencyKey(List<HeaderField> headers) {
+    List<String> keys =
+        headers.stream()
+            .filter(field -> field.name().equalsIgnoreCase("Idempotency-Key"))
+            .map(HeaderField::value)
+            .distinct()
+            .toList();
+    if (keys.isEmpty()) {
+      return null;
+    }
+    String key = keys.get(0);
+    if (keys.size() > 1 || key.isBlank() || key.length() > MAXIMUM_IDEMPOTENCY_KEY) {
+      throw new RefusalException(
+          RefusalCode.MALFORMED_REQUEST, "the Idempotency-Key header is malformed");
+    }
+    return key;
+  }
+
+  /** Open routes are not claimed: callers without a key could read each other's outcomes. */
+  private void serve(Exchange exchange, Caller caller, ServiceEntry service, ServiceRequest call) {
+    String key = call.idempotencyKey();
+    boolean claimed =
+        key != null
+            && caller.keyId() != null
+            && call.repeatable() == WorkRequest.Repeatable.AT_MOST_ONCE;
+    if (key == null || !claimed) {
+      ServiceOutcome outcome = run(exchange, caller, service, call, null);
+      if (outcome != null) {
+        answer(exchange, call, outcome);
+      }
+      return;
+    }
+    IdempotencyClaims.Decision decision = claims.claim(caller, call, key);
+    IdempotencyClaims.Claim claim = decision.claim();
+    ServiceOutcome earlier = decision.earlier();
+    if (claim != null) {
+      earlier = run(exchange, caller, service, call, claim);
+    } else {
+      exchange.response().header("X-Trestle-Replayed", "true");
+    }
+    if (earlier != null) {
+      answer(exchange, call, earlier);
+    }
+  }
+
+  private @Nullable ServiceOutcome run(
+      Exchange exchange,
+      Caller caller,
+      ServiceEntry service,
+      ServiceRequest call,
+      IdempotencyClaims.@Nullable Claim claim) {
+    boolean mayRepeat = call.repeatable() == WorkRequest.Repeatable.IDEMPOTENT;
+    RequestMailbox mailbox =
+        new RequestMailbox(
+            call.request(),
+            caller.keyId(),
+            mayRepeat ? RequestMailbox.OnCallerLeft.CANCEL : RequestMailbox.OnCallerLeft.FINISH);
+    NotRun certain = NotRun.CERTAIN;
+    ServiceOutcome outcome = null;
+    try (RequestLife life = new RequestLife(context, caller, work(caller, service, call), mailbox);
+        CallerWatch watch = CallerWatch.start(exchange.http(), mailbox::callerLeft)) {
+      ServiceRun run = new ServiceRun(context, caller, call, life, exchange.response());
+      try {
+        outcome = run.run();
+      } finally {
+        certain = run.notRun();
+      }
+    } finally {
+      settle(claim, outcome, certain);
+    }
+    if (outcome == null || outcome.status() < FIRST_SERVER_ERROR) {
+      recordUsage(caller, call);
+    }
+    if (outcome == null) {
+      // A long answer was passed on already; only its regular end is missing.
+      exchange.response().finish();
+    }
+    return outcome;
+  }
+
+  private void settle(
+      IdempotencyClaims.@Nullable Claim claim, @Nullable ServiceOutcome outcome, NotRun certain) {
+    if (claim == null) {
+      return;
+    }
+    if (outcome != null) {
+      claims.completed(claim, outcome);
+    } else if (certain == NotRun.CERTAIN) {
+      claims.notRun(claim);
+    } else {
+      claims.lost(claim);
+    }
+  }
+
+  private WorkRequest work(Caller caller, ServiceEntry service, ServiceRequest call) {
+    return new WorkRequest(
+        call.request(),
+        caller.account(),
+        service.service(),
+        service.pool(),
+        WorkRequest.WorkKind.SERVICE_CALL,
+        call.repeatable(),
+        0,
+        0,
+        List.of(),
+        context.clock().nowNanos() + context.settings().serviceTimeout().toNanos(),
+        ThreadLocalRandom.current().nextLong());
+  }
+
+  private void recordUsage(Caller caller, ServiceRequest call) {
+    if (caller.keyId() == null) {
+      return;
+    }
+    try {
+      context
+          .usage()
+          .record(
+              new CompletedAnswer(
+                  call.request(),
+                  caller.account(),
+                  call.service(),
+                  0,
+                  0,
+                  context.wallClock().nowMillis()));
+    } catch (RuntimeException e) {
+      LOG.error(RelayEvent.USAGE_RECORD_FAILED, e, "request", call.request());
+    }
+  }
+
+  private void answer(Exchange exchange, ServiceRequest call, ServiceOutcome outcome) {
+    CallerResponse response = exchange.response();
+    for (HeaderField field : outcome.headers()) {
+      response.header(field.name(), field.value());
+    }
+    if (call.method().equals("HEAD") || outcome.status() == 204 || outcome.status() == 304) {
+      response.begin(outcome.status(), null, -1);
+    } else {
+      response.begin(outcome.status(), null, outcome.body().length);
+      response.write(outcome.body(), outcome.body().length);
+    }
+    response.finish();
+  }
+}
