Add the transport between node processes

Cause: consensus and following need calls and one-way messages to named services of other processes. Conclusion: usable by the replica service; TLS has no test yet.

--- /dev/null
+++ b/transport/src/main/java/org/teaseltrestle/transport/EnvelopeCodec.java
@@ -0,0 +1,33 @@
+package org.teaseltrestle.transport;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufInputStream;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToMessageCodec;
+import java.io.IOException;
+import java.util.List;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.wire.Envelope;
+
+/** Converts frames to envelopes and back. */
+final class EnvelopeCodec extends MessageToMessageCodec<ByteBuf, Envelope> {
+
+  @Override
+  protected void encode(ChannelHandlerContext context, Envelope envelope, List<Object> out) {
+    byte[] bytes = envelope.toByteArray();
+    out.add(context.alloc().buffer(bytes.length).writeBytes(bytes));
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> out) {
+    try (ByteBufInputStream input = new ByteBufInputStream(frame)) {
+      out.add(Envelope.parseFrom(input));
+    } catch (InvalidProtocolBufferException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "frame is not an envelope", e);
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "frame could not be read", e);
+    }
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -0,0 +1,177 @@
+package org.teaseltrestle.transport;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.ssl.SslContext;
+import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.wire.Envelope;
+
+/** Peer transport on Netty's NIO sockets. */
+public final class NettyPeerTransport implements PeerTransport {
+
+  private static final EventLog LOG = EventLog.of(NettyPeerTransport.class);
+  private static final int LENGTH_BYTES = 4;
+  private static final int NETWORK_THREADS = 2;
+  private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+  private static final int PROBE_INTERVAL_MILLISECONDS = 1_000;
+  private static final int EXPIRY_INTERVAL_MILLISECONDS = 20;
+
+  private final TransportConfiguration configuration;
+  private final MonotonicClock clock;
+  private final Envelope template;
+  private final Map<String, MessageHandler> handlers = new ConcurrentHashMap<>();
+  private final Map<InetSocketAddress, PeerConnection> connections = new ConcurrentHashMap<>();
+  private final Map<InetSocketAddress, PendingCalls> pendingCalls = new ConcurrentHashMap<>();
+  private final EventLoopGroup group =
+      new NioEventLoopGroup(NETWORK_THREADS, new DefaultThreadFactory("duty-transport", true));
+  private final @Nullable SslContext serverTls;
+  private final @Nullable SslContext clientTls;
+  private final Channel listener;
+
+  /**
+   * Creates the transport and starts listening.
+   *
+   * @throws TrestleException with {@link ErrorCode#UNREACHABLE} if the address cannot be bound, or
+   *     {@link ErrorCode#INVALID_SETTINGS} if the TLS files cannot be used
+   */
+  public NettyPeerTransport(TransportConfiguration configuration, MonotonicClock clock) {
+    this.configuration = configuration;
+    this.clock = clock;
+    this.template =
+        Envelope.newBuilder()
+            .setSenderInstance(configuration.instance().value())
+            .setSenderBoot(configuration.boot())
+            .build();
+    TlsMaterial tls = configuration.tls();
+    this.serverTls = tls == null ? null : TlsContextFactory.server(tls);
+    this.clientTls = tls == null ? null : TlsContextFactory.client(tls);
+    this.listener = listen();
+    group.scheduleAtFixedRate(
+        this::expireCalls,
+        EXPIRY_INTERVAL_MILLISECONDS,
+        EXPIRY_INTERVAL_MILLISECONDS,
+        TimeUnit.MILLISECONDS);
+    LOG.info(TransportEvent.LISTENING, "address", listener.localAddress());
+  }
+
+  /** Returns the address that the transport listens on. */
+  public InetSocketAddress localAddress() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  @Override
+  public void register(String service, MessageHandler handler) {
+    if (handlers.putIfAbsent(service, handler) != null) {
+      throw new TrestleException(ErrorCode.INTERNAL, "service already registered: " + service);
+    }
+  }
+
+  @Override
+  public boolean send(InetSocketAddress peer, String service, int kind, byte[] body) {
+    return connection(peer).send(service, kind, body, clock.nowNanos());
+  }
+
+  @Override
+  public CompletableFuture<byte[]> call(
+      InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
+    return connection(peer).call(service, kind, body, deadlineNanos, clock.nowNanos());
+  }
+
+  @Override
+  public void close() {
+    listener.close().awaitUninterruptibly();
+    connections.values().forEach(PeerConnection::close);
+    pendingCalls.values().forEach(calls -> calls.close("transport closed"));
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+  }
+
+  private Channel listen() {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer(serverTls, new PendingCalls()));
+    try {
+      return bootstrap.bind(configuration.listenAddress()).syncUninterruptibly().channel();
+    } catch (RuntimeException e) {
+      group.shutdownGracefully();
+      throw new TrestleException(
+          ErrorCode.UNREACHABLE, "cannot listen on " + configuration.listenAddress(), e);
+    }
+  }
+
+  private PeerConnection connection(InetSocketAddress peer) {
+    return connections.computeIfAbsent(
+        peer,
+        address ->
+            new PeerConnection(
+                address, client(address), template, calls(address), clock.nowNanos()));
+  }
+
+  private PendingCalls calls(InetSocketAddress peer) {
+    return pendingCalls.computeIfAbsent(peer, address -> new PendingCalls());
+  }
+
+  private Bootstrap client(InetSocketAddress peer) {
+    return new Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
+        .option(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            new WriteBufferWaterMark(
+                configuration.maximumPendingBytes() / 2, configuration.maximumPendingBytes()))
+        .handler(initializer(clientTls, calls(peer)));
+  }
+
+  private ChannelInitializer<SocketChannel> initializer(
+      @Nullable SslContext tls, PendingCalls calls) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel channel) {
+        if (tls != null) {
+          channel.pipeline().addLast(tls.newHandler(channel.alloc()));
+        }
+        channel
+            .pipeline()
+            .addLast(
+                new IdleStateHandler(PROBE_INTERVAL_MILLISECONDS, 0, 0, TimeUnit.MILLISECONDS),
+                new LengthFieldBasedFrameDecoder(
+                    configuration.maximumFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                new LengthFieldPrepender(LENGTH_BYTES),
+                new EnvelopeCodec(),
+                new PeerChannelHandler(handlers, calls, template));
+      }
+    };
+  }
+
+  private void expireCalls() {
+    long now = clock.nowNanos();
+    pendingCalls.values().forEach(calls -> calls.expire(now));
+  }
+}
--- /dev/null
+++ b/transport/src/test/java/org/teaseltrestle/transport/NettyPeerTransportTest.java
@@ -0,0 +1,116 @@
+package org.teaseltrestle.transport;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.kernel.Closer;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.InstanceId;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Tests of the transport between real sockets. */
+public final class NettyPeerTransportTest {
+
+  private static NettyPeerTransport open(Closer closer, String instance) {
+    return closer.register(
+        new NettyPeerTransport(
+            TransportConfiguration.builder()
+                .instance(new InstanceId(instance))
+                .boot(1)
+                .listenAddress(new InetSocketAddress("127.0.0.1", 0))
+                .build(),
+            MonotonicClock.SYSTEM));
+  }
+
+  /** Guards against answers that reach the wrong call, and calls that never end. */
+  public static final class CallTest {
+
+    private final Closer closer = new Closer();
+
+    /** Closes the transports of the test. */
+    @AfterMethod
+    public void close() {
+      closer.close();
+    }
+
+    @Test
+    public void answersReachTheirCallsOutOfOrder() throws Exception {
+      NettyPeerTransport server = open(closer, "server");
+      CompletableFuture<Runnable> first = new CompletableFuture<>();
+      server.register(
+          "echo",
+          (message, reply) -> {
+            byte[] body = message.getBody().toByteArray();
+            if (!first.isDone()) {
+              first.complete(() -> reply.accept(body));
+            } else {
+              reply.accept(body);
+              first.join().run();
+            }
+          });
+      NettyPeerTransport client = open(closer, "client");
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+      CompletableFuture<byte[]> one =
+          client.call(server.localAddress(), "echo", 1, "one".getBytes(UTF_8), deadline);
+      CompletableFuture<byte[]> two =
+          client.call(server.localAddress(), "echo", 1, "two".getBytes(UTF_8), deadline);
+      assertEquals(new String(two.get(20, TimeUnit.SECONDS), UTF_8), "two");
+      assertEquals(new String(one.get(20, TimeUnit.SECONDS), UTF_8), "one");
+    }
+
+    @Test
+    public void callToSilentPeerFailsAtItsDeadline() {
+      NettyPeerTransport server = open(closer, "server");
+      server.register("silent", (message, reply) -> {});
+      NettyPeerTransport client = open(closer, "client");
+      CompletableFuture<byte[]> call =
+          client.call(
+              server.localAddress(), "silent", 1, new byte[0], System.nanoTime() + 50_000_000L);
+      assertThrows(ExecutionException.class, () -> call.get(20, TimeUnit.SECONDS));
+    }
+  }
+
+  /** Guards against a peer that stays unreachable after it has come back. */
+  public static final class ReconnectTest {
+
+    private final Closer closer = new Closer();
+
+    /** Closes the transports of the test. */
+    @AfterMethod
+    public void close() {
+      closer.close();
+    }
+
+    @Test
+    public void sendsAgainAfterPeerRestart() throws Exception {
+      NettyPeerTransport server = open(closer, "server");
+      InetSocketAddress address = server.localAddress();
+      NettyPeerTransport client = open(closer, "client");
+      client.send(address, "log", 1, new byte[0]);
+      server.close();
+      NettyPeerTransport restarted =
+          closer.register(
+              new NettyPeerTransport(
+                  TransportConfiguration.builder()
+                      .instance(new InstanceId("server"))
+                      .listenAddress(address)
+                      .build(),
+                  MonotonicClock.SYSTEM));
+      CompletableFuture<String> received = new CompletableFuture<>();
+      restarted.register("log", (message, reply) -> received.complete(message.getService()));
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+      while (!received.isDone() && System.nanoTime() - deadline < 0) {
+        client.send(address, "log", 1, new byte[0]);
+        Thread.onSpinWait();
+      }
+      assertTrue(received.isDone());
+    }
+  }
+}
