--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import javax.naming.InvalidNameException;
 import javax.naming.ldap.LdapName;
+import javax.net.ssl.SSLException;
 import javax.net.ssl.SSLPeerUnverifiedException;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
@@ -80,12 +81,15 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    LOG.warn(
-        TransportEvent.MALFORMED_FRAME,
-        "peer",
-        context.channel().remoteAddress(),
-        "cause",
-        String.valueOf(cause.getMessage()));
+    // A failed handshake is reported by its own event as well.
+    if (!(cause.getCause() instanceof SSLException)) {
+      LOG.warn(
+          TransportEvent.CONNECTION_FAILED,
+          "peer",
+          context.channel().remoteAddress(),
+          "cause",
+          String.valueOf(cause.getMessage()));
+    }
     context.close();
   }
 
--- a/transport/src/main/java/org/teaseltrestle/transport/TransportEvent.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/TransportEvent.java
@@ -9,7 +9,7 @@
   PEER_DISCONNECTED(2003, "connection to peer closed"),
   PEER_REJECTED(2004, "peer rejected: its certificate does not belong to the stated instance"),
   HANDSHAKE_FAILED(2005, "TLS handshake with peer failed"),
-  MALFORMED_FRAME(2006, "malformed frame received; connection closed"),
+  CONNECTION_FAILED(2006, "connection closed after an I/O error or a malformed frame"),
   HANDLER_FAILED(2007, "message handler failed"),
   UNKNOWN_SERVICE(2008, "message for a service that is not registered");
 
--- /dev/null
+++ b/transport/src/test/java/org/teaseltrestle/transport/MutualTlsTest.java
@@ -0,0 +1,97 @@
+package org.teaseltrestle.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.Closer;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.InstanceId;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+/** Guards against processes outside the system that speak as one of its nodes. */
+public final class MutualTlsTest {
+
+  private static final Instant TOMORROW = Instant.now().plus(Duration.ofDays(1));
+  private static final Instant YESTERDAY = Instant.now().minus(Duration.ofDays(1));
+
+  private final Closer closer = new Closer();
+  private final TestCertificates authority;
+  private final TestCertificates otherAuthority;
+
+  /** Creates two certificate authorities. */
+  public MutualTlsTest() throws Exception {
+    Path folder = Files.createTempDirectory("tls-test");
+    authority = new TestCertificates(folder, "authority");
+    otherAuthority = new TestCertificates(folder, "other-authority");
+  }
+
+  /** Closes the transports of the test. */
+  @AfterMethod
+  public void close() {
+    closer.close();
+  }
+
+  @Test
+  public void acceptsPeerOfSameAuthority() throws Exception {
+    assertEquals(callAs("client", authority.issue("client", TOMORROW)).length, 1);
+  }
+
+  @Test
+  public void refusesPlainConnection() {
+    assertThrows(ExecutionException.class, () -> callAs("client", null));
+  }
+
+  @Test
+  public void refusesExpiredCertificate() {
+    assertThrows(
+        ExecutionException.class, () -> callAs("client", authority.issue("client", YESTERDAY)));
+  }
+
+  @Test
+  public void refusesCertificateOfOtherAuthority() {
+    assertThrows(
+        ExecutionException.class, () -> callAs("client", otherAuthority.issue("client", TOMORROW)));
+  }
+
+  @Test
+  public void refusesCertificateOfOtherInstance() {
+    assertThrows(
+        ExecutionException.class, () -> callAs("client", authority.issue("impostor", TOMORROW)));
+  }
+
+  private byte[] callAs(String instance, @Nullable TlsMaterial material) throws Exception {
+    NettyPeerTransport server = open("server", authority.issue("server", TOMORROW));
+    server.register("echo", (message, reply) -> reply.accept(new byte[1]));
+    NettyPeerTransport client = open(instance, material);
+    CompletableFuture<byte[]> call =
+        client.call(
+            server.localAddress(),
+            "echo",
+            1,
+            new byte[0],
+            System.nanoTime() + TimeUnit.SECONDS.toNanos(5));
+    return call.get(20, TimeUnit.SECONDS);
+  }
+
+  private NettyPeerTransport open(String instance, @Nullable TlsMaterial material) {
+    return closer.register(
+        new NettyPeerTransport(
+            TransportConfiguration.builder()
+                .instance(new InstanceId(instance))
+                .listenAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                .tls(material)
+                .build(),
+            MonotonicClock.SYSTEM));
+  }
+}
--- a/transport/src/test/java/org/teaseltrestle/transport/NettyPeerTransportTest.java
+++ b/transport/src/test/java/org/teaseltrestle/transport/NettyPeerTransportTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -24,7 +25,7 @@
             TransportConfiguration.builder()
                 .instance(new InstanceId(instance))
                 .boot(1)
-                .listenAddress(new InetSocketAddress("127.0.0.1", 0))
+                .listenAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .build(),
             MonotonicClock.SYSTEM));
   }
