--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/json/ListProblem.java
@@ -0,0 +1,17 @@
+package org.teaseltrestle.model.json;
+
+import org.teaseltrestle.model.SourceLocation;
+
+/**
+ * One fault of a list or settings file.
+ *
+ * @param location where the fault was found
+ * @param message what is wrong and what is expected
+ */
+public record ListProblem(SourceLocation location, String message) {
+
+  @Override
+  public String toString() {
+    return location + ": " + message;
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/json/ProblemCollector.java
@@ -0,0 +1,51 @@
+package org.teaseltrestle.model.json;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.SourceLocation;
+import org.teaseltrestle.model.TrestleException;
+
+/** Collects the faults of one or several files; not safe for use by several threads. */
+public final class ProblemCollector {
+
+  private final List<ListProblem> problems = new ArrayList<>();
+
+  /** Adds a fault. */
+  public void add(SourceLocation location, String message) {
+    problems.add(new ListProblem(location, message));
+  }
+
+  /** Tells whether no fault has been added. */
+  public boolean isEmpty() {
+    return problems.isEmpty();
+  }
+
+  /** Returns the faults ordered by file name, line and column. */
+  public List<ListProblem> problems() {
+    return problems.stream()
+        .sorted(
+            Comparator.comparing((ListProblem p) -> p.location().file())
+                .thenComparingInt(p -> p.location().line())
+                .thenComparingInt(p -> p.location().column()))
+        .toList();
+  }
+
+  /**
+   * Throws one error that names every fault, if there is any.
+   *
+   * @throws TrestleException with the given code, located at the first fault
+   */
+  public void throwIfAny(ErrorCode code) {
+    if (problems.isEmpty()) {
+      return;
+    }
+    List<ListProblem> sorted = problems();
+    String rest =
+        sorted.stream().skip(1).map(p -> System.lineSeparator() + p).collect(Collectors.joining());
+    ListProblem first = sorted.get(0);
+    throw new TrestleException(code, first.message() + rest, first.location(), null);
+  }
+}
