--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/settings/NodeSettingsParserTest.java
@@ -0,0 +1,77 @@
+package org.teaseltrestle.node.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.testng.annotations.Test;
+
+/** Tests of the settings file's checks. */
+public final class NodeSettingsParserTest {
+
+  private static final String VALID =
+      """
+      {
+        // Entry instance of the first failure domain.
+        "instance": "entry-1", "failureDomain": "caerdydd", "region": "cymru",
+        "callerAddress": "127.0.0.1:8080", "operatorAddress": "127.0.0.1:8081",
+        "peerAddress": "127.0.0.1:8082", "dataFolder": "data/entry-1",
+        "voters": [
+          {"instance": "entry-1", "failureDomain": "caerdydd", "peerAddress": "127.0.0.1:8082"},
+          {"instance": "entry-2", "failureDomain": "abertawe", "peerAddress": "127.0.0.1:8092"},
+          {"instance": "entry-3", "failureDomain": "wrecsam", "peerAddress": "127.0.0.1:8102"}],
+        "platformAddress": "http://127.0.0.1:9000", "operatorTokenFile": "operator-token"
+      }
+      """;
+
+  private static String faultsOf(String text) {
+    TrestleException error =
+        expectThrows(TrestleException.class, () -> NodeSettingsParser.parse("node.json", text));
+    assertEquals(error.code(), ErrorCode.INVALID_SETTINGS);
+    return String.valueOf(error.getMessage());
+  }
+
+  /** Guards against valid settings that are refused or misread. */
+  public static final class ValidTest {
+
+    @Test
+    public void appliesDefaults() {
+      NodeSettings settings = NodeSettingsParser.parse("node.json", VALID);
+      assertTrue(settings.isVoter());
+      assertEquals(settings.keyLeaseMilliseconds(), 300_000);
+      assertEquals(settings.policy().queueing(), PolicySettings.Queueing.FAIR);
+    }
+  }
+
+  /** Guards against a node that starts with unknown or contradictory settings. */
+  public static final class InvalidTest {
+
+    @Test
+    public void reportsAllFaultsAtOnce() {
+      String faults =
+          faultsOf(
+              VALID
+                  .replace("\"region\": \"cymru\"", "\"colour\": 1")
+                  .replace("127.0.0.1:8080", "localhost:8080")
+                  .replace("http://127.0.0.1:9000", "9000"));
+      assertTrue(faults.contains("unknown field \"colour\""), faults);
+      assertTrue(faults.contains("node.json:4:"), faults);
+      assertTrue(faults.contains("expected an IP address"), faults);
+      assertTrue(faults.contains("not an HTTP URL"), faults);
+    }
+
+    @Test
+    public void refusesFailureDomainWithMajorityOfVoters() {
+      String faults = faultsOf(VALID.replace("abertawe", "wrecsam"));
+      assertTrue(faults.contains("wrecsam holds a majority"), faults);
+    }
+
+    @Test
+    public void refusesVoterWithoutDataFolder() {
+      String faults = faultsOf(VALID.replace("\"dataFolder\": \"data/entry-1\",", ""));
+      assertTrue(faults.contains("needs a dataFolder"), faults);
+    }
+  }
+}
