Add the admission core with baseline decisions

Cause: the relay and the test kit need a core that answers every event before the single decisions are refined. Change: AdmissionCore with arrival, dispatch, failure and retry by table, refusal, fleet and list changes, limits by token bucket and share, and expiry of waiting requests; PolicyConfiguration with the four choices. All choices map to the baselines (round robin, first come) for now. New event ServerLeaving; new WorkRequest.OPEN_ROUTE_ACCOUNT for routes open to all. Conclusion: a request ends exactly once, and a refusal that states "not run" is replaced when an earlier attempt may have run.

--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -0,0 +1,298 @@
+package org.teaseltrestle.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.policy.RequestState.Phase;
+import org.teaseltrestle.policy.RetryTable.Progress;
+import org.teaseltrestle.policy.RetryTable.RetryAction;
+
+/**
+ * Decides which request runs when and where. A pure state machine for one thread.
+ *
+ * <p>A request ends exactly once: by a {@link AdmissionAction.Refuse}, by an {@link
+ * AdmissionEvent.AttemptFinished} that succeeded, or by {@link AdmissionEvent.CallerLeft} (then
+ * without a refusal, and with {@link AdmissionAction.CancelAttempt} if it was running). Events of
+ * unknown requests and of earlier attempts are ignored.
+ */
+public final class AdmissionCore {
+
+  /** Waiting requests looked at when the first of a lane finds no server that may run it. */
+  private static final int MAXIMUM_BYPASS = 8;
+
+  private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final PolicyConfiguration configuration;
+  private final Map<RequestId, RequestState> requests = new HashMap<>();
+  private final Fleet fleet;
+  private final AccountLimiter limiter = new AccountLimiter();
+  private final WaitingRequests waiting;
+  private final ReplicaChooser chooser;
+  private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
+  private long nextSequence;
+
+  /** Creates a core without backend servers and without accounts. */
+  public AdmissionCore(PolicyConfiguration configuration) {
+    this.configuration = configuration;
+    this.fleet = new Fleet(configuration);
+    this.waiting = new WaitingRequests(FirstComeQueue::new);
+    this.chooser = new RoundRobinChooser();
+    addOpenRoutes();
+  }
+
+  /**
+   * Reacts to one event.
+   *
+   * @param nowNanos monotonic time, not before that of the previous event
+   * @return what is to be done, in this order
+   */
+  public List<AdmissionAction> handle(AdmissionEvent event, long nowNanos) {
+    List<AdmissionAction> actions = new ArrayList<>(2);
+    if (event instanceof AdmissionEvent.RequestArrived arrived) {
+      arrive(arrived.work(), nowNanos, actions);
+    } else if (event instanceof AdmissionEvent.AttemptFinished finished) {
+      finish(finished, nowNanos, actions);
+    } else if (event instanceof AdmissionEvent.TokensReceived received) {
+      receive(received);
+    } else if (event instanceof AdmissionEvent.CallerLeft left) {
+      leave(left.request(), actions);
+    } else {
+      change(event, nowNanos, actions);
+    }
+    return actions;
+  }
+
+  /** Returns the number of requests that wait or run. */
+  public int openRequests() {
+    return requests.size();
+  }
+
+  private void change(AdmissionEvent event, long nowNanos, List<AdmissionAction> actions) {
+    if (event instanceof AdmissionEvent.LoadReported reported) {
+      ServerState state = fleet.get(reported.report().server());
+      if (state != null) {
+        state.report = reported.report();
+      }
+    } else if (event instanceof AdmissionEvent.FleetChanged changed) {
+      fleet.replace(changed.servers());
+    } else if (event instanceof AdmissionEvent.ServerLeaving leaving) {
+      fleet.markLeaving(leaving.server(), nowNanos);
+    } else if (event instanceof AdmissionEvent.ListsChanged changed) {
+      replaceLimits(changed.limits(), nowNanos, actions);
+    } else if (event instanceof AdmissionEvent.SharesGranted granted) {
+      limiter.grant(granted, limits, nowNanos);
+    } else if (event instanceof AdmissionEvent.RequestsRevoked revoked) {
+      revoke(revoked, actions);
+    }
+    expire(nowNanos, actions);
+    for (QueueKey key : waiting.keys()) {
+      dispatchWaiting(key, nowNanos, actions);
+    }
+  }
+
+  private void arrive(WorkRequest work, long nowNanos, List<AdmissionAction> actions) {
+    if (requests.containsKey(work.request())) {
+      return;
+    }
+    PlanLimits plan = limits.get(work.account());
+    if (plan == null) {
+      actions.add(refusal(work.request(), RefusalCode.ACCOUNT_WITHOUT_PLAN, null));
+      return;
+    }
+    RequestState request =
+        new RequestState(work, plan, nextSequence++, nowNanos + configuration.maximumQueueNanos());
+    if (!fleet.canServe(request, nowNanos)) {
+      actions.add(refusal(work.request(), RefusalCode.NO_BACKEND_SERVER, NO_SERVER_RETRY_AFTER));
+      return;
+    }
+    RequestQueue queue = waiting.queue(request.queueKey);
+    if (queue.size() >= configuration.maximumQueuedRequests()
+        || queue.work() + work.workTokens() > configuration.maximumQueuedWork()) {
+      actions.add(refusal(work.request(), RefusalCode.QUEUE_FULL, NO_SERVER_RETRY_AFTER));
+      return;
+    }
+    AccountLimiter.Denial denial = limiter.admit(plan, work.workTokens(), nowNanos);
+    if (denial != null) {
+      actions.add(refusal(work.request(), denial.code(), denial.retryAfter()));
+      return;
+    }
+    requests.put(work.request(), request);
+    waiting.add(request);
+    dispatchWaiting(request.queueKey, nowNanos, actions);
+  }
+
+  private void finish(
+      AdmissionEvent.AttemptFinished event, long nowNanos, List<AdmissionAction> actions) {
+    RequestState request = requests.get(event.request());
+    if (request == null || request.server == null || request.attempt != event.attempt()) {
+      return;
+    }
+    ServerState server = request.server;
+    request.server = null;
+    server.running--;
+    fleet.forgetIfGone(server);
+    request.outputTokens += event.outcome().outputTokens();
+    FailureKind failure = event.outcome().failure();
+    if (failure == null || request.phase == Phase.CANCELLING) {
+      endRun(request);
+    } else {
+      fail(request, failure, server, nowNanos, actions);
+    }
+    dispatchWaiting(request.queueKey, nowNanos, actions);
+  }
+
+  private void fail(
+      RequestState request,
+      FailureKind failure,
+      ServerState server,
+      long nowNanos,
+      List<AdmissionAction> actions) {
+    if (failure == FailureKind.REFUSED_LEAVING) {
+      fleet.markLeaving(server.server.id(), nowNanos);
+    }
+    RefusalCode code = RetryTable.refusal(failure);
+    if (RetryTable.mayHaveRun(failure)) {
+      request.rememberPossibleRun(code);
+    }
+    Progress progress = request.outputTokens > 0 ? Progress.PARTIAL : Progress.NONE;
+    RetryAction action = RetryTable.action(failure, request.work.repeatable(), progress);
+    if (action != RetryAction.RETRY_UNCOUNTED) {
+      request.countedAttempts++;
+    }
+    if (action == RetryAction.END
+        || request.countedAttempts >= configuration.maximumAttempts()
+        || !fleet.canServe(request, nowNanos)) {
+      end(request);
+      actions.add(refusal(request.id(), request.truthful(code), null));
+      return;
+    }
+    actions.add(new AdmissionAction.CountRetry(failure));
+    request.tried.add(server.server.id());
+    request.phase = Phase.RETRY_WAITING;
+    request.queueDeadlineNanos = nowNanos + configuration.maximumQueueNanos();
+    waiting.add(request);
+  }
+
+  private void receive(AdmissionEvent.TokensReceived event) {
+    RequestState request = requests.get(event.request());
+    if (request != null && request.phase == Phase.RUNNING) {
+      request.attemptTokens += event.count();
+    }
+  }
+
+  private void leave(RequestId id, List<AdmissionAction> actions) {
+    RequestState request = requests.get(id);
+    if (request == null || request.phase == Phase.CANCELLING) {
+      return;
+    }
+    if (request.server != null) {
+      request.phase = Phase.CANCELLING;
+      actions.add(
+          new AdmissionAction.CancelAttempt(id, request.attempt, request.server.server.id()));
+    } else {
+      waiting.remove(request);
+      end(request);
+    }
+  }
+
+  private void revoke(AdmissionEvent.RequestsRevoked event, List<AdmissionAction> actions) {
+    for (RequestId id : event.requests()) {
+      RequestState request = requests.get(id);
+      if (request != null && request.server == null && !request.mayHaveRun()) {
+        refuseWaiting(request, RefusalCode.KEY_WITHDRAWN, null, actions);
+      }
+    }
+  }
+
+  private void replaceLimits(
+      Map<ClientAccount, PlanLimits> changed, long nowNanos, List<AdmissionAction> actions) {
+    limiter.settleAll(limits, nowNanos);
+    limits = new HashMap<>(changed);
+    addOpenRoutes();
+    for (RequestState request : waiting.all()) {
+      if (!limits.containsKey(request.work.account()) && !request.mayHaveRun()) {
+        refuseWaiting(request, RefusalCode.ACCOUNT_WITHOUT_PLAN, null, actions);
+      }
+    }
+    limiter.retain(limits);
+  }
+
+  private void expire(long nowNanos, List<AdmissionAction> actions) {
+    for (RequestState request : waiting.expired(nowNanos)) {
+      boolean servable = fleet.canServe(request, nowNanos);
+      RefusalCode code = servable ? RefusalCode.QUEUE_TIMEOUT : RefusalCode.NO_BACKEND_SERVER;
+      refuseWaiting(request, request.truthful(code), NO_SERVER_RETRY_AFTER, actions);
+    }
+  }
+
+  private void dispatchWaiting(QueueKey key, long nowNanos, List<AdmissionAction> actions) {
+    boolean progressed = true;
+    while (progressed) {
+      progressed = false;
+      for (RequestState request : waiting.next(key, MAXIMUM_BYPASS)) {
+        List<ServerState> candidates = fleet.candidates(request, nowNanos);
+        if (!candidates.isEmpty()) {
+          dispatch(request, chooser.choose(request, candidates, nowNanos), nowNanos, actions);
+          progressed = true;
+          break;
+        }
+      }
+    }
+  }
+
+  private void dispatch(
+      RequestState request, ServerState server, long nowNanos, List<AdmissionAction> actions) {
+    waiting.take(request);
+    request.phase = Phase.RUNNING;
+    request.attempt++;
+    request.server = server;
+    request.dispatchedAtNanos = nowNanos;
+    request.attemptTokens = 0;
+    server.running++;
+    actions.add(
+        new AdmissionAction.Dispatch(
+            request.id(), request.attempt, server.server.id(), request.limits.priority()));
+  }
+
+  private void refuseWaiting(
+      RequestState request,
+      RefusalCode code,
+      @Nullable Duration retryAfter,
+      List<AdmissionAction> actions) {
+    waiting.remove(request);
+    end(request);
+    actions.add(refusal(request.id(), code, retryAfter));
+  }
+
+  /** Ends a request that was refused or dropped; an attempt may have run before. */
+  private void end(RequestState request) {
+    if (request.mayHaveRun()) {
+      endRun(request);
+    } else {
+      requests.remove(request.id());
+      limiter.endNotRun(request.work.account(), request.work.workTokens());
+    }
+  }
+
+  /** Ends a request that ran, and charges the answer's real length. */
+  private void endRun(RequestState request) {
+    requests.remove(request.id());
+    WorkRequest work = request.work;
+    limiter.end(work.account(), work.expectedOutputTokens() - request.outputTokens);
+  }
+
+  private void addOpenRoutes() {
+    limits.put(WorkRequest.OPEN_ROUTE_ACCOUNT, configuration.openRouteLimits());
+  }
+
+  private static AdmissionAction refusal(
+      RequestId request, RefusalCode code, @Nullable Duration retryAfter) {
+    return new AdmissionAction.Refuse(request, code, retryAfter);
+  }
+}
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -31,6 +31,9 @@
   /** A backend server reported its load. */
   record LoadReported(LoadReport report) implements AdmissionEvent {}
 
+  /** A backend server was seen to be leaving, before the fleet list says so. */
+  record ServerLeaving(BackendServerId server) implements AdmissionEvent {}
+
   /**
    * The view of a backend server's prefix cache changed.
    *
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/ReplicaChooser.java
@@ -0,0 +1,15 @@
+package org.teaseltrestle.policy;
+
+import java.util.List;
+
+/** Chooses one of several backend servers that may run a request. */
+@FunctionalInterface
+interface ReplicaChooser {
+
+  /**
+   * Chooses a server.
+   *
+   * @param candidates servers with room for the request, not empty
+   */
+  ServerState choose(RequestState request, List<ServerState> candidates, long nowNanos);
+}
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
@@ -0,0 +1,75 @@
+package org.teaseltrestle.policy;
+
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.policy.WorkRequest.Repeatable;
+
+/** Maps the end of a failed attempt to what happens next. */
+final class RetryTable {
+
+  private RetryTable() {}
+
+  /** Whether a part of the answer has been received. */
+  enum Progress {
+    NONE,
+    PARTIAL
+  }
+
+  /** What follows a failed attempt. */
+  enum RetryAction {
+    /** Another attempt, within the retry budget. */
+    RETRY,
+    /** Another attempt outside the budget: a planned change must not end requests. */
+    RETRY_UNCOUNTED,
+    /** Another attempt that continues at the first missing token. */
+    RESUME,
+    /** No further attempt. */
+    END
+  }
+
+  /** Returns the action for one kind of failure. */
+  static RetryAction action(FailureKind failure, Repeatable repeatable, Progress progress) {
+    return switch (failure) {
+      case REFUSED_LEAVING -> RetryAction.RETRY_UNCOUNTED;
+      case CONNECT_FAILED, REFUSED_BUSY -> RetryAction.RETRY;
+      case LOST_BEFORE_ANSWER, LOST_DURING_ANSWER, TIMED_OUT, SERVER_ERROR, ANSWER_MISMATCH ->
+          afterPossibleRun(repeatable, progress);
+      case CANCELLED -> RetryAction.END;
+    };
+  }
+
+  /** Returns whether the backend server may have run the request. */
+  static boolean mayHaveRun(FailureKind failure) {
+    return switch (failure) {
+      case CONNECT_FAILED, REFUSED_LEAVING, REFUSED_BUSY -> false;
+      case LOST_BEFORE_ANSWER,
+          LOST_DURING_ANSWER,
+          TIMED_OUT,
+          SERVER_ERROR,
+          ANSWER_MISMATCH,
+          CANCELLED ->
+          true;
+    };
+  }
+
+  /** Returns the refusal that ends a request whose last attempt failed this way. */
+  static RefusalCode refusal(FailureKind failure) {
+    return switch (failure) {
+      case CONNECT_FAILED -> RefusalCode.BACKEND_UNREACHABLE;
+      case REFUSED_LEAVING -> RefusalCode.NO_BACKEND_SERVER;
+      case REFUSED_BUSY -> RefusalCode.OVERLOAD_SHED;
+      case LOST_BEFORE_ANSWER -> RefusalCode.OUTCOME_UNKNOWN;
+      case LOST_DURING_ANSWER -> RefusalCode.ANSWER_CUT;
+      case TIMED_OUT -> RefusalCode.BACKEND_TIMEOUT;
+      case SERVER_ERROR -> RefusalCode.BACKEND_FAILED;
+      case ANSWER_MISMATCH -> RefusalCode.ANSWER_MISMATCH;
+      case CANCELLED -> RefusalCode.CALLER_LEFT;
+    };
+  }
+
+  private static RetryAction afterPossibleRun(Repeatable repeatable, Progress progress) {
+    if (repeatable == Repeatable.AT_MOST_ONCE) {
+      return RetryAction.END;
+    }
+    return progress == Progress.PARTIAL ? RetryAction.RESUME : RetryAction.RETRY;
+  }
+}
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/RoundRobinChooser.java
@@ -0,0 +1,15 @@
+package org.teaseltrestle.policy;
+
+import java.util.List;
+
+/** Baseline: servers in turn. */
+final class RoundRobinChooser implements ReplicaChooser {
+
+  private int turn;
+
+  @Override
+  public ServerState choose(RequestState request, List<ServerState> candidates, long nowNanos) {
+    turn = (turn + 1) & Integer.MAX_VALUE;
+    return candidates.get(turn % candidates.size());
+  }
+}
--- a/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
@@ -34,11 +34,19 @@
     long firstTokenDeadlineNanos,
     long sampleBits) {
 
+  /** Account of requests on routes that are open to all; their limits are a setting. */
+  public static final ClientAccount OPEN_ROUTE_ACCOUNT = new ClientAccount("::open-routes");
+
   /** Copies the prefix hashes. */
   public WorkRequest {
     prefixHashes = List.copyOf(prefixHashes);
   }
 
+  /** Returns the work in tokens: prompt and expected answer, and at least 1. */
+  public int workTokens() {
+    return Math.max(1, promptTokens + expectedOutputTokens);
+  }
+
   /** Kind of work. */
   public enum WorkKind {
     MODEL_COMPLETION,
--- /dev/null
+++ b/policy/src/test/java/org/teaseltrestle/policy/Samples.java
@@ -0,0 +1,98 @@
+package org.teaseltrestle.policy;
+
+import java.util.List;
+import java.util.Set;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.policy.WorkRequest.Repeatable;
+import org.teaseltrestle.policy.WorkRequest.WorkKind;
+
+/** Values that several tests use. */
+public final class Samples {
+
+  public static final ItemName MODEL = new ItemName("pren-7b");
+  public static final PoolId POOL = new PoolId("pren-models");
+  public static final long MILLISECOND = 1_000_000L;
+  public static final long SECOND = 1_000_000_000L;
+
+  private Samples() {}
+
+  /** Returns a live regular engine. */
+  public static BackendServer engine(String id, String domain) {
+    return engine(id, domain, BackendServer.Capacity.REGULAR, BackendServer.State.LIVE);
+  }
+
+  /** Returns an engine. */
+  public static BackendServer engine(
+      String id, String domain, BackendServer.Capacity capacity, BackendServer.State state) {
+    return new BackendServer(
+        new BackendServerId(id),
+        POOL,
+        new FailureDomain(domain),
+        "http://127.0.0.1:1",
+        Set.of(MODEL),
+        capacity,
+        state);
+  }
+
+  /** Returns limits that no test reaches by accident. */
+  public static PlanLimits wide(String account, int weight, int priority) {
+    return new PlanLimits(
+        new ClientAccount(account),
+        weight,
+        priority,
+        1e9,
+        1e9,
+        1e6,
+        1_000_000,
+        PlanLimits.CheapCapacity.ALLOWED);
+  }
+
+  /** Returns a model completion that may be repeated and is due at the given time. */
+  public static WorkRequest completion(
+      String id, String account, int prompt, int output, long deadlineNanos) {
+    return request(id, account, prompt, output, deadlineNanos, Repeatable.IDEMPOTENT, 7);
+  }
+
+  /** Returns a model completion. */
+  public static WorkRequest request(
+      String id,
+      String account,
+      int prompt,
+      int output,
+      long deadlineNanos,
+      Repeatable repeatable,
+      long sampleBits) {
+    return new WorkRequest(
+        new RequestId(id),
+        new ClientAccount(account),
+        MODEL,
+        POOL,
+        WorkKind.MODEL_COMPLETION,
+        repeatable,
+        prompt,
+        output,
+        List.of(),
+        deadlineNanos,
+        sampleBits);
+  }
+
+  /** Returns a load report of a mixed engine with 1,000 pieces of 16 tokens. */
+  public static LoadReport load(
+      String server, long measuredAtNanos, int running, int queuedPromptTokens, int freePieces) {
+    return new LoadReport(
+        new BackendServerId(server),
+        measuredAtNanos,
+        running,
+        0,
+        queuedPromptTokens,
+        1_000,
+        freePieces,
+        16,
+        EngineRole.MIXED);
+  }
+}
