Bound retries by a budget and shut failing servers out

Cause: retries were bounded per request only, so failures could multiply the load, and a failing server kept receiving requests. Breakers give way when no other server accepts work; failures that overload can cause eject at most half of a pool.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -32,6 +32,7 @@
   private final Map<RequestId, RequestState> requests = new HashMap<>();
   private final Fleet fleet;
   private final AccountLimiter limiter = new AccountLimiter();
+  private final RetryBudget retryBudget;
   private final WaitingRequests waiting;
   private final ReplicaChooser chooser;
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
@@ -41,6 +42,7 @@
   public AdmissionCore(PolicyConfiguration configuration) {
     this.configuration = configuration;
     this.fleet = new Fleet(configuration);
+    this.retryBudget = new RetryBudget(configuration.retryRatio());
     this.waiting = new WaitingRequests(FirstComeQueue::new);
     this.chooser = new RoundRobinChooser();
     addOpenRoutes();
@@ -75,10 +77,7 @@
 
   private void change(AdmissionEvent event, long nowNanos, List<AdmissionAction> actions) {
     if (event instanceof AdmissionEvent.LoadReported reported) {
-      ServerState state = fleet.get(reported.report().server());
-      if (state != null) {
-        state.report = reported.report();
-      }
+      fleet.report(reported.report());
     } else if (event instanceof AdmissionEvent.FleetChanged changed) {
       fleet.replace(changed.servers());
     } else if (event instanceof AdmissionEvent.ServerLeaving leaving) {
@@ -122,6 +121,7 @@
       actions.add(refusal(work.request(), denial.code(), denial.retryAfter()));
       return;
     }
+    retryBudget.earn();
     requests.put(work.request(), request);
     waiting.add(request);
     dispatchWaiting(request.queueKey, nowNanos, actions);
@@ -136,9 +136,10 @@
     ServerState server = request.server;
     request.server = null;
     server.running--;
+    FailureKind failure = event.outcome().failure();
+    fleet.observe(server, request, failure, nowNanos);
     fleet.forgetIfGone(server);
     request.outputTokens += event.outcome().outputTokens();
-    FailureKind failure = event.outcome().failure();
     if (failure == null || request.phase == Phase.CANCELLING) {
       endRun(request);
     } else {
@@ -153,21 +154,15 @@
       ServerState server,
       long nowNanos,
       List<AdmissionAction> actions) {
-    if (failure == FailureKind.REFUSED_LEAVING) {
-      fleet.markLeaving(server.server.id(), nowNanos);
-    }
     RefusalCode code = RetryTable.refusal(failure);
     if (RetryTable.mayHaveRun(failure)) {
       request.rememberPossibleRun(code);
     }
     Progress progress = request.outputTokens > 0 ? Progress.PARTIAL : Progress.NONE;
     RetryAction action = RetryTable.action(failure, request.work.repeatable(), progress);
-    if (action != RetryAction.RETRY_UNCOUNTED) {
-      request.countedAttempts++;
-    }
-    if (action == RetryAction.END
-        || request.countedAttempts >= configuration.maximumAttempts()
-        || !fleet.canServe(request, nowNanos)) {
+    // An answer that has begun waits even when no server is left: a server may come back in time.
+    boolean serverLeft = action == RetryAction.RESUME || fleet.canServe(request, nowNanos);
+    if (!serverLeft || !mayTryAgain(request, action)) {
       end(request);
       actions.add(refusal(request.id(), request.truthful(code), null));
       return;
@@ -179,6 +174,26 @@
     waiting.add(request);
   }
 
+  private boolean mayTryAgain(RequestState request, RetryAction action) {
+    if (action != RetryAction.RETRY_UNCOUNTED) {
+      request.countedAttempts++;
+    }
+    if (request.countedAttempts >= configuration.maximumAttempts()) {
+      return false;
+    }
+    return switch (action) {
+      case RETRY_UNCOUNTED -> true;
+      case RETRY -> retryBudget.takeRetry();
+      case RESUME -> isResumable(request) && retryBudget.takeResume();
+      case END -> false;
+    };
+  }
+
+  /** A part of a service's answer cannot be continued by another server. */
+  private static boolean isResumable(RequestState request) {
+    return request.work.kind() == WorkRequest.WorkKind.MODEL_COMPLETION;
+  }
+
   private void receive(AdmissionEvent.TokensReceived event) {
     RequestState request = requests.get(event.request());
     if (request != null && request.phase == Phase.RUNNING) {
@@ -255,6 +270,7 @@
     request.dispatchedAtNanos = nowNanos;
     request.attemptTokens = 0;
     server.running++;
+    server.health.dispatched();
     actions.add(
         new AdmissionAction.Dispatch(
             request.id(), request.attempt, server.server.id(), request.limits.priority()));
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -19,6 +19,12 @@
    */
   private static final long LEAVING_MARK_NANOS = 30_000_000_000L;
 
+  /** Time without new work after a refusal as busy, unless a load report comes earlier. */
+  private static final long BUSY_NANOS = 100_000_000L;
+
+  /** Part of a pool that failures which overload can cause may eject. */
+  private static final double MAXIMUM_EJECTED = 0.5;
+
   private final PolicyConfiguration configuration;
   private final Map<BackendServerId, ServerState> servers = new HashMap<>();
   private final Map<QueueKey, List<ServerState>> byKey = new HashMap<>();
@@ -62,16 +68,50 @@
     return false;
   }
 
-  /** Returns the servers with room for the request; those not tried before if there are any. */
+  /**
+   * Returns the servers with room for the request; those not tried before if there are any. An open
+   * breaker shuts a server out only as long as another server accepts work.
+   */
   List<ServerState> candidates(RequestState request, long nowNanos) {
-    List<ServerState> fresh = new ArrayList<>();
-    List<ServerState> tried = new ArrayList<>(0);
+    List<ServerState> healthy = new ArrayList<>();
+    List<ServerState> broken = new ArrayList<>(0);
     for (ServerState state : serving(request)) {
-      if (state.acceptsWork(nowNanos) && hasRoom(state)) {
-        (request.tried.contains(state.server.id()) ? tried : fresh).add(state);
+      if (state.acceptsWork(nowNanos)) {
+        (isHealthy(state, request, nowNanos) ? healthy : broken).add(state);
       }
     }
-    return fresh.isEmpty() ? tried : fresh;
+    return withRoom(healthy.isEmpty() ? broken : healthy, request, nowNanos);
+  }
+
+  /** Notes the end of an attempt for the breaker; ejects a server that fails too often. */
+  void observe(
+      ServerState state, RequestState request, @Nullable FailureKind failure, long nowNanos) {
+    if (failure == null) {
+      state.health.succeeded();
+    } else if (!ServerHealth.counts(failure)) {
+      state.health.endedWithoutVerdict();
+      if (failure == FailureKind.REFUSED_BUSY) {
+        state.busyUntilNanos = nowNanos + BUSY_NANOS;
+      } else if (failure == FailureKind.REFUSED_LEAVING) {
+        markLeaving(state.server.id(), nowNanos);
+      }
+    } else {
+      state.health.failed();
+      List<ServerState> peers = serving(request);
+      if (state.health.shouldOpen(meanFailureRate(peers)) && mayEject(state, failure, peers)) {
+        state.health.open(nowNanos);
+      }
+    }
+  }
+
+  /** Takes over a load report unless a newer measurement is known. */
+  void report(LoadReport report) {
+    ServerState state = servers.get(report.server());
+    if (state != null
+        && (state.report == null || state.report.measuredAtNanos() <= report.measuredAtNanos())) {
+      state.report = report;
+      state.busyUntilNanos = Long.MIN_VALUE;
+    }
   }
 
   /** Forgets a server that left the list once its last attempt has ended. */
@@ -81,9 +121,47 @@
     }
   }
 
-  private boolean hasRoom(ServerState state) {
+  private static boolean isHealthy(ServerState state, RequestState request, long nowNanos) {
+    return switch (state.health.state(nowNanos)) {
+      case CLOSED -> true;
+      case OPEN -> false;
+      // A probe may fail after it ran, so it has to be a request that may be repeated.
+      case HALF_OPEN -> request.work.repeatable() == WorkRequest.Repeatable.IDEMPOTENT;
+    };
+  }
+
+  private static double meanFailureRate(List<ServerState> peers) {
+    double sum = 0;
+    for (ServerState peer : peers) {
+      sum += peer.health.failureRate();
+    }
+    return peers.isEmpty() ? 0 : sum / peers.size();
+  }
+
+  private static boolean mayEject(ServerState state, FailureKind failure, List<ServerState> peers) {
+    if (state.health.isOpen() || !ServerHealth.mayBeOverload(failure)) {
+      return true;
+    }
+    long ejected = peers.stream().filter(peer -> peer.health.isOpen()).count();
+    return ejected + 1 <= peers.size() * MAXIMUM_EJECTED;
+  }
+
+  private List<ServerState> withRoom(
+      List<ServerState> states, RequestState request, long nowNanos) {
+    List<ServerState> fresh = new ArrayList<>(states.size());
+    List<ServerState> tried = new ArrayList<>(0);
+    for (ServerState state : states) {
+      if (hasRoom(state, nowNanos)) {
+        (request.tried.contains(state.server.id()) ? tried : fresh).add(state);
+      }
+    }
+    return fresh.isEmpty() ? tried : fresh;
+  }
+
+  private boolean hasRoom(ServerState state, long nowNanos) {
     LoadReport report = state.report;
-    return state.running < configuration.maximumRunningPerServer()
+    return nowNanos >= state.busyUntilNanos
+        && state.running < configuration.maximumRunningPerServer()
         && (report == null || report.waiting() <= configuration.maximumWaitingPerServer());
   }
 
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -11,6 +11,11 @@
   /** Running attempts of this instance. */
   int running;
 
+  final ServerHealth health = new ServerHealth();
+
+  /** Monotonic time until which a server that refused as busy gets nothing. */
+  long busyUntilNanos = Long.MIN_VALUE;
+
   /** Monotonic time until which the server counts as leaving, whatever the fleet list says. */
   long leavingUntilNanos = Long.MIN_VALUE;
 
