--- a/node/src/main/java/org/teaseltrestle/node/relay/AccountLimits.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AccountLimits.java
@@ -6,6 +6,7 @@
 import org.teaseltrestle.model.lists.Plan;
 import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.policy.PlanLimits;
+import org.teaseltrestle.policy.WorkRequest;
 
 /** Derives the limits of all client accounts from the lists. */
 final class AccountLimits {
@@ -14,7 +15,7 @@
    * Account under which calls of open routes are admitted. The admission decisions hold its limits;
    * it is never charged.
    */
-  static final ClientAccount OPEN_ROUTES = new ClientAccount("::open-routes");
+  static final ClientAccount OPEN_ROUTES = WorkRequest.OPEN_ROUTE_ACCOUNT;
 
   private AccountLimits() {}
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -144,7 +144,7 @@
   }
 
   private void checkHeaders(HttpServerExchange exchange) {
-    long bytes = exchange.getQueryString().length() + exchange.getRequestURI().length();
+    int bytes = exchange.getQueryString().length() + exchange.getRequestURI().length();
     for (HeaderValues values : exchange.getRequestHeaders()) {
       for (String value : values) {
         bytes += values.getHeaderName().length() + value.length();
--- a/node/src/main/java/org/teaseltrestle/node/relay/HeaderRules.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/HeaderRules.java
@@ -91,7 +91,7 @@
   }
 
   private static void addNames(Set<String> names, String value) {
-    for (String name : value.split(",")) {
+    for (String name : value.split(",", -1)) {
       names.add(name.strip().toLowerCase(Locale.ROOT));
     }
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -168,14 +169,20 @@
     if (count > MAXIMUM_RESENDS || resends.isShutdown()) {
       return;
     }
-    resends.schedule(
+    resendLater(
         () -> {
           if (propose(command) == null) {
             resend(command, count + 1);
           }
-        },
-        RESEND_SECONDS,
-        TimeUnit.SECONDS);
+        });
+  }
+
+  private void resendLater(Runnable resend) {
+    try {
+      var unused = resends.schedule(resend, RESEND_SECONDS, TimeUnit.SECONDS);
+    } catch (RejectedExecutionException e) {
+      LOG.warn(RelayEvent.OUTCOME_NOT_RECORDED, "cause", "relay is closed");
+    }
   }
 
   private @Nullable CommandAnswer propose(Command command) {
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
@@ -0,0 +1,245 @@
+package org.teaseltrestle.node.relay;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+
+/** Calls of plain services through a relay and stand-in services. */
+public final class ServiceTest {
+
+  private static final StandIn.Behaviour GOOD =
+      (request, output) -> {
+        String body = "{\"done\":\"" + request.method() + "\"}";
+        String headers = "Content-Type: application/json\r\nX-Own: kept\r\n";
+        StandIn.send(output, 201, headers, request.method().equals("HEAD") ? "" : body);
+        return true;
+      };
+
+  private static HttpRequest.Builder hold(RelayHarness relay, String key) {
+    HttpRequest.Builder request =
+        relay
+            .request("/services/iard/holds")
+            .POST(HttpRequest.BodyPublishers.ofString("{\"lot\":4}"));
+    return key.isEmpty() ? request : request.header("Idempotency-Key", key);
+  }
+
+  /** What passes and what does not. */
+  public static final class PassThrough {
+
+    /** Guards against lost methods, paths, queries, bodies and headers, and a leaking key. */
+    @Test
+    public void requestAndAnswerPassWithoutTheKey() {
+      try (StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        for (String method : new String[] {"GET", "PUT", "POST", "PATCH", "DELETE", "OPTIONS"}) {
+          boolean bodyless = method.equals("GET") || method.equals("DELETE");
+          HttpRequest.Builder request =
+              relay
+                  .request("/services/iard/a%20b?x=1&api_key=" + StubControl.KEY + "&y=%26")
+                  .header("X-Api-Key", StubControl.KEY)
+                  .header("X-Note", "has " + StubControl.KEY)
+                  .header("X-Trestle-Account", "forged")
+                  .header("X-Kept", "yes")
+                  .method(
+                      method,
+                      bodyless
+                          ? HttpRequest.BodyPublishers.noBody()
+                          : HttpRequest.BodyPublishers.ofString("body"));
+          HttpResponse<String> answer = relay.send(request);
+          assertEquals(answer.statusCode(), 201, answer.body());
+          assertEquals(answer.body(), "{\"done\":\"" + method + "\"}");
+          assertEquals(answer.headers().firstValue("X-Own").orElse(""), "kept");
+          StandIn.Received sent = service.received.get(service.received.size() - 1);
+          assertEquals(sent.method(), method);
+          assertEquals(sent.target(), "/a%20b?x=1&y=%26");
+          assertEquals(sent.body(), bodyless ? "" : "body");
+          assertEquals(sent.header("X-Kept"), "yes");
+          assertEquals(sent.header("X-Trestle-Account"), "yard");
+          assertFalse(sent.toString().contains("secretsecret"), sent.toString());
+        }
+      }
+    }
+
+    /** Guards against open routes that need a key, and paths that slip past the route match. */
+    @Test
+    public void onlyOpenRoutesNeedNoKey() {
+      try (StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        relay.control.leaseEndsAtNanos = System.nanoTime() - 1;
+        assertEquals(open(relay, "/services/iard/opening-hours").statusCode(), 201);
+        assertEquals(open(relay, "/services/iard/holds").statusCode(), 401);
+        assertEquals(open(relay, "/services/iard/opening-hours/..%2fholds").statusCode(), 400);
+        assertEquals(open(relay, "/services/iard/opening-hours/%2e%2e/holds").statusCode(), 400);
+        HttpResponse<String> keyed = relay.send(hold(relay, ""));
+        assertTrue(keyed.body().contains("key_lease_expired"), keyed.body());
+        assertEquals(service.received.size(), 1);
+      }
+    }
+
+    private static HttpResponse<String> open(RelayHarness relay, String path) {
+      String address = "http://127.0.0.1:" + relay.relay.port() + path;
+      return relay.send(HttpRequest.newBuilder(java.net.URI.create(address)));
+    }
+  }
+
+  /** Calls that must run at most once. */
+  public static final class AtMostOnce {
+
+    /** Guards against a hold that is sent again after the first one may have run. */
+    @Test
+    public void lostHoldIsNotSentAgain() {
+      try (StandIn service = new StandIn((request, output) -> false);
+          RelayHarness relay = new RelayHarness().with("services", service, service)) {
+        HttpResponse<String> answer = relay.send(hold(relay, ""));
+        assertEquals(answer.statusCode(), 502, answer.body());
+        assertTrue(answer.body().contains("\"not_run\":\"unknown\""), answer.body());
+        assertEquals(service.received.size(), 1);
+      }
+    }
+
+    /** Guards against the HTTP client's own resends on 408 and on 503 with Retry-After: 0. */
+    @Test
+    public void httpClientResendsNothing() {
+      for (int status : new int[] {408, 503, 307}) {
+        StandIn.Behaviour refuses =
+            (request, output) -> {
+              StandIn.send(output, status, "Retry-After: 0\r\nLocation: /other\r\n", "{}");
+              return true;
+            };
+        try (StandIn service = new StandIn(refuses);
+            RelayHarness relay = new RelayHarness().with("services", service)) {
+          assertEquals(relay.send(hold(relay, "")).statusCode(), status);
+          assertEquals(service.received.size(), 1);
+        }
+      }
+    }
+
+    /** Guards against lost holds: a leaving replica has run nothing, so another one may run it. */
+    @Test
+    public void holdMovesOnFromLeavingReplica() {
+      StandIn.Behaviour leaves =
+          (request, output) -> {
+            StandIn.send(output, 503, "", "{\"error\":{\"code\":\"leaving\"}}");
+            return true;
+          };
+      try (StandIn leaving = new StandIn(leaves);
+          StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness().with("services", leaving, service)) {
+        for (int i = 0; i < 3; i++) {
+          assertEquals(relay.send(hold(relay, "")).statusCode(), 201);
+        }
+        assertEquals(leaving.received.size(), 1);
+        assertEquals(service.received.size(), 3);
+      }
+    }
+
+    /** Guards against an answer cut in its body that is delivered as whole. */
+    @Test
+    public void cutAnswerOfAnIdempotentCallIsFetchedAgain() {
+      AtomicInteger calls = new AtomicInteger();
+      StandIn.Behaviour cutsOnce =
+          (request, output) -> {
+            if (calls.getAndIncrement() == 0) {
+              output.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf".getBytes(UTF_8));
+              return false;
+            }
+            StandIn.send(output, 200, "", "whole");
+            return true;
+          };
+      try (StandIn service = new StandIn(cutsOnce);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        HttpResponse<String> answer = relay.send(relay.request("/services/iard/lots").GET());
+        assertEquals(answer.body(), "whole");
+      }
+    }
+  }
+
+  /** Calls with an idempotency key. */
+  public static final class Claims {
+
+    /** Guards against a second run of a repeated hold, and against mixed-up outcomes. */
+    @Test
+    public void repeatIsAnsweredWithTheFirstOutcome() {
+      try (StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        HttpResponse<String> first = relay.send(hold(relay, "k1"));
+        HttpResponse<String> second = relay.send(hold(relay, "k1"));
+        assertEquals(second.statusCode(), first.statusCode());
+        assertEquals(second.body(), first.body());
+        assertEquals(service.received.size(), 1);
+        HttpRequest.Builder other =
+            hold(relay, "k1").POST(HttpRequest.BodyPublishers.ofString("{\"lot\":5}"));
+        assertTrue(relay.send(other).body().contains("idempotency_key_reused"));
+      }
+    }
+
+    /** Guards against a hold that runs again although its first outcome is lost. */
+    @Test
+    public void lostOutcomeIsNeverRunAgain() {
+      try (StandIn service = new StandIn((request, output) -> false);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 502);
+        service.behaviour = GOOD;
+        HttpResponse<String> repeat = relay.send(hold(relay, "k1"));
+        assertTrue(repeat.body().contains("\"code\":\"outcome_unknown\""), repeat.body());
+        assertTrue(repeat.body().contains("\"not_run\":\"unknown\""), repeat.body());
+        assertEquals(service.received.size(), 1);
+      }
+    }
+
+    /** Guards against calls sent without a claim, and against a key that stays blocked. */
+    @Test
+    public void callWithoutLeaderIsNotRun() {
+      try (StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        relay.control.reachable = false;
+        HttpResponse<String> refused = relay.send(hold(relay, "k1"));
+        assertTrue(refused.body().contains("control_unreachable"), refused.body());
+        assertTrue(refused.body().contains("\"not_run\":true"), refused.body());
+        assertEquals(service.received.size(), 0);
+        relay.control.reachable = true;
+        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 201);
+      }
+    }
+
+    /** Guards against a claim that blocks its key after the call was refused as not run. */
+    @Test
+    public void refusedCallFreesItsKey() {
+      try (StandIn service = new StandIn(GOOD);
+          RelayHarness relay = new RelayHarness()) {
+        HttpResponse<String> refused = relay.send(hold(relay, "k1"));
+        assertTrue(refused.body().contains("\"not_run\":true"), refused.body());
+        relay.with("services", service);
+        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 201);
+      }
+    }
+
+    /** Guards against a hold whose outcome is lost because its caller did not wait. */
+    @Test
+    public void holdEndsWithAnOutcomeAfterItsCallerLeft() throws Exception {
+      CompletableFuture<Boolean> answerNow = new CompletableFuture<>();
+      StandIn.Behaviour slow =
+          (request, output) -> {
+            answerNow.join();
+            return GOOD.answer(request, output);
+          };
+      try (StandIn service = new StandIn(slow);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        CompletableFuture<HttpResponse<String>> call = relay.sendAsync(hold(relay, "k1"));
+        RelayHarness.await(() -> service.received.size() == 1);
+        call.cancel(true);
+        answerNow.complete(true);
+        RelayHarness.await(() -> relay.control.proposed.size() == 2);
+        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 201);
+        assertEquals(service.received.size(), 1);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -0,0 +1,198 @@
+package org.teaseltrestle.node.relay;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PlanName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.model.lists.ModelEntry;
+import org.teaseltrestle.model.lists.Plan;
+import org.teaseltrestle.model.lists.RoutePattern;
+import org.teaseltrestle.model.lists.ServiceEntry;
+import org.teaseltrestle.model.lists.ServingLists;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.IdempotencyRecord;
+import org.teaseltrestle.wire.InstanceRecord;
+import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.PlanChange;
+import org.teaseltrestle.wire.PlatformOrder;
+
+/** Control state in memory with one account, one model, one service and one key. */
+final class StubControl implements ControlGateway, ControlView, KeyCheck {
+
+  static final String KEY = "tt_0123456789abcdef_secretsecret";
+  static final String KEY_ID = "0123456789abcdef";
+
+  final List<Command> proposed = new CopyOnWriteArrayList<>();
+  final List<PlanChange> changes = new CopyOnWriteArrayList<>();
+  private final Map<String, IdempotencyRecord> claims = new ConcurrentHashMap<>();
+  volatile boolean ready = true;
+  volatile boolean reachable = true;
+  volatile boolean withdrawn;
+  volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
+  private volatile long index = 1;
+
+  synchronized void withdraw() {
+    withdrawn = true;
+    index++;
+  }
+
+  @Override
+  public Result check(String keyText, ControlView view) {
+    if (!keyText.equals(KEY)) {
+      return new Invalid(RefusalCode.KEY_UNKNOWN);
+    }
+    return withdrawn
+        ? new Invalid(RefusalCode.KEY_WITHDRAWN)
+        : new Valid(KEY_ID, new ClientAccount("yard"));
+  }
+
+  @Override
+  public ControlView view() {
+    return this;
+  }
+
+  @Override
+  public synchronized CompletableFuture<CommandAnswer> propose(Command command) {
+    if (!reachable) {
+      return CompletableFuture.failedFuture(
+          new TrestleException(ErrorCode.UNREACHABLE, "no leader"));
+    }
+    proposed.add(command);
+    CommandAnswer.Builder answer =
+        CommandAnswer.newBuilder().setStatus(CommandAnswer.Status.ACCEPTED);
+    if (command.hasClaimIdempotency()) {
+      IdempotencyRecord wanted = command.getClaimIdempotency().getClaim();
+      IdempotencyRecord found = claims.putIfAbsent(wanted.getIdempotencyKey(), wanted);
+      if (found != null) {
+        answer.setStatus(CommandAnswer.Status.CONFLICT).setClaim(found);
+      }
+    } else {
+      IdempotencyRecord outcome = command.getRecordOutcome().getOutcome();
+      if (outcome.getState() == IdempotencyRecord.State.NOT_RUN) {
+        claims.remove(outcome.getIdempotencyKey());
+      } else {
+        claims.put(outcome.getIdempotencyKey(), outcome);
+      }
+    }
+    return CompletableFuture.completedFuture(answer.build());
+  }
+
+  @Override
+  public boolean isReady() {
+    return ready;
+  }
+
+  @Override
+  public long keyLeaseEndsAtNanos() {
+    return leaseEndsAtNanos;
+  }
+
+  @Override
+  public long appliedIndex() {
+    return index;
+  }
+
+  @Override
+  public long listsRevision() {
+    return 1;
+  }
+
+  @Override
+  public ServingLists lists() {
+    Map<PlanName, Plan> plans = new HashMap<>();
+    plans.put(
+        new PlanName("large"),
+        new Plan(
+            new PlanName("large"),
+            1,
+            3,
+            1e9,
+            1e9,
+            1e6,
+            1_000,
+            980,
+            41,
+            Set.of(new ItemName("pren-7b")),
+            Set.of(new ItemName("iard")),
+            Plan.CheapCapacity.NEVER));
+    return new ServingLists(
+        Map.of(new ClientAccount("yard"), new PlanName("large")),
+        plans,
+        Map.of(
+            new ItemName("pren-7b"),
+            new ModelEntry(new ItemName("pren-7b"), new PoolId("models"), 1, 4),
+            new ItemName("other"),
+            new ModelEntry(new ItemName("other"), new PoolId("models"), 1, 4)),
+        Map.of(
+            new ItemName("iard"),
+            new ServiceEntry(
+                new ItemName("iard"),
+                new PoolId("services"),
+                List.of(RoutePattern.parse("GET /opening-hours")),
+                List.of(),
+                List.of())));
+  }
+
+  @Override
+  public String accountsJson() {
+    return "";
+  }
+
+  @Override
+  public String plansJson() {
+    return "";
+  }
+
+  @Override
+  public Optional<KeyRecord> key(String keyId) {
+    return Optional.of(
+        KeyRecord.newBuilder().setKeyId(keyId).setWithdrawnAtMillis(withdrawn ? 5 : 0).build());
+  }
+
+  @Override
+  public Collection<KeyRecord> keys() {
+    return List.of();
+  }
+
+  @Override
+  public Collection<InstanceRecord> instances() {
+    return List.of();
+  }
+
+  @Override
+  public Collection<BackendServerRecord> backendServers() {
+    return List.of();
+  }
+
+  @Override
+  public Collection<PlanChange> plannedChanges() {
+    return changes;
+  }
+
+  @Override
+  public Collection<EngineOrder> openEngineOrders() {
+    return List.of();
+  }
+
+  @Override
+  public Collection<PlatformOrder> openPlatformOrders() {
+    return List.of();
+  }
+}
