--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -0,0 +1,226 @@
+package org.teaseltrestle.control;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.ControlSnapshot;
+import org.teaseltrestle.wire.InstanceRecord;
+import org.teaseltrestle.wire.ObserveFleet;
+
+/**
+ * The replicated control state: applies the committed commands in log order. Equal commands give
+ * equal states on every node, since it reads no clock and no random source. Used by one thread;
+ * only the views may be passed on.
+ */
+public final class ControlState {
+
+  // State time follows the wall clock of the authority in steps of at most this length, so that
+  // one command with a wrong clock does not expire what must be kept.
+  private static final long MAXIMUM_TIME_STEP_MILLIS = TimeUnit.MINUTES.toMillis(10);
+  private static final long PRUNE_INTERVAL_MILLIS = TimeUnit.HOURS.toMillis(1);
+
+  private final RequestMemory requests = new RequestMemory();
+  private final ListsArea lists = new ListsArea();
+  private final KeysArea keys = new KeysArea();
+  private final InstancesArea instances = new InstancesArea();
+  private final AuthorityArea authority = new AuthorityArea();
+  private final FleetArea fleet = new FleetArea();
+  private final EngineOrdersArea engineOrders = new EngineOrdersArea(fleet, instances);
+  private final PlatformOrdersArea platformOrders = new PlatformOrdersArea();
+  private final UsageArea usage = new UsageArea();
+  private final ClaimsArea claims = new ClaimsArea();
+  private long appliedIndex;
+  private long stateTimeMillis;
+
+  /** Creates the state before the first command. */
+  public ControlState() {}
+
+  /**
+   * Returns the state that a snapshot holds.
+   *
+   * @throws TrestleException with {@link ErrorCode#DATA_CORRUPTED} if it cannot be decoded
+   */
+  public static ControlState restore(byte[] snapshot) {
+    ControlState state = new ControlState();
+    try {
+      state.load(ControlSnapshot.parseFrom(snapshot));
+    } catch (InvalidProtocolBufferException e) {
+      throw new TrestleException(
+          ErrorCode.DATA_CORRUPTED, "the control snapshot cannot be decoded", e);
+    }
+    return state;
+  }
+
+  /**
+   * Applies one committed command and returns its answer. A resent command changes nothing.
+   *
+   * @param index log index of the command
+   * @throws TrestleException with {@link ErrorCode#INTERNAL} unless the index rises
+   */
+  public CommandAnswer apply(long index, Command command) {
+    advance(index);
+    if (RequestMemory.remembers(command)) {
+      Optional<CommandAnswer> first = requests.answerTo(command);
+      if (first.isPresent()) {
+        return first.get();
+      }
+    }
+    final long oldTerm = authority.authority().getTerm();
+    final long oldClosed = usage.closedThrough();
+    CommandContext context =
+        new CommandContext(
+            index, command.getRequestId(), command.getProposedAtMillis(), stateTimeMillis);
+    CommandAnswer answer =
+        change(command, context).setAppliedIndex(index).setListsRevision(lists.revision()).build();
+    if (RequestMemory.remembers(command)) {
+      requests.remember(command, answer);
+    }
+    if (authority.authority().getTerm() != oldTerm || usage.closedThrough() != oldClosed) {
+      advanceTime(command.getProposedAtMillis());
+    }
+    return answer;
+  }
+
+  /**
+   * Passes over a log entry that is not a command.
+   *
+   * @throws TrestleException with {@link ErrorCode#INTERNAL} unless the index rises
+   */
+  public void advance(long index) {
+    if (index <= appliedIndex) {
+      throw new TrestleException(
+          ErrorCode.INTERNAL, "log index " + index + " applied after " + appliedIndex);
+    }
+    appliedIndex = index;
+  }
+
+  /** Returns an immutable view of the present state; it takes constant time. */
+  public ControlView view() {
+    return new StateView(
+        appliedIndex,
+        lists.revision(),
+        lists.lists(),
+        lists.accountsJson(),
+        lists.plansJson(),
+        keys.keys(),
+        instances.instances(),
+        fleet.servers(),
+        fleet.changes(),
+        engineOrders.openByEngine(),
+        engineOrders.owners(),
+        platformOrders.open(),
+        authority.authority(),
+        usage.windows(),
+        claims.claims());
+  }
+
+  /** Returns the whole state; equal states have equal bytes. */
+  public byte[] snapshot() {
+    ControlSnapshot.Builder snapshot =
+        ControlSnapshot.newBuilder()
+            .setAppliedIndex(appliedIndex)
+            .setStateTimeMillis(stateTimeMillis);
+    requests.save(snapshot);
+    lists.save(snapshot);
+    keys.save(snapshot);
+    instances.save(snapshot);
+    authority.save(snapshot);
+    fleet.save(snapshot);
+    engineOrders.save(snapshot);
+    platformOrders.save(snapshot);
+    usage.save(snapshot);
+    claims.save(snapshot);
+    return snapshot.build().toByteArray();
+  }
+
+  private void load(ControlSnapshot snapshot) {
+    appliedIndex = snapshot.getAppliedIndex();
+    stateTimeMillis = snapshot.getStateTimeMillis();
+    requests.load(snapshot);
+    lists.load(snapshot);
+    keys.load(snapshot);
+    instances.load(snapshot);
+    authority.load(snapshot);
+    fleet.load(snapshot);
+    engineOrders.load(snapshot);
+    platformOrders.load(snapshot);
+    usage.load(snapshot);
+    claims.load(snapshot);
+  }
+
+  private CommandAnswer.Builder change(Command command, CommandContext context) {
+    return switch (command.getChangeCase()) {
+      case REPLACE_LISTS -> lists.replace(command.getReplaceLists());
+      case ISSUE_KEY -> keys.issue(command.getIssueKey().getKey(), lists.lists(), context);
+      case WITHDRAW_KEY -> keys.withdraw(command.getWithdrawKey().getKeyId(), context);
+      case REGISTER_INSTANCE -> register(command.getRegisterInstance().getInstance(), context);
+      case RETIRE_INSTANCE -> retire(command.getRetireInstance().getInstance(), context);
+      case CLAIM_AUTHORITY -> authority.claim(command.getClaimAuthority());
+      case PLACE_ENGINE_ORDER -> engineOrders.place(command.getPlaceEngineOrder(), authority);
+      case SETTLE_ENGINE_ORDER -> engineOrders.settle(command.getSettleEngineOrder(), authority);
+      case TRANSFER_ENGINE_OWNERSHIP -> engineOrders.transfer(command.getTransferEngineOwnership());
+      case PLACE_PLATFORM_ORDER -> platformOrders.place(command.getPlacePlatformOrder(), authority);
+      case SETTLE_PLATFORM_ORDER ->
+          platformOrders.settle(command.getSettlePlatformOrder(), authority);
+      case OBSERVE_FLEET -> observe(command.getObserveFleet());
+      case PLAN_CHANGE -> fleet.plan(command.getPlanChange());
+      case USAGE_BATCH -> usage.count(command.getUsageBatch(), context);
+      case CLOSE_USAGE_WINDOW -> usage.close(command.getCloseUsageWindow(), authority);
+      case USAGE_REPORTED -> usage.reported(command.getUsageReported(), authority);
+      case CLAIM_IDEMPOTENCY ->
+          claims.claim(command.getClaimIdempotency().getClaim(), instances, context);
+      case RECORD_OUTCOME -> claims.record(command.getRecordOutcome().getOutcome());
+      case CHANGE_NOT_SET -> Answers.rejected("", "the command holds no known change");
+    };
+  }
+
+  private CommandAnswer.Builder register(InstanceRecord record, CommandContext context) {
+    Optional<ProcessStart> old = instances.current(record.getInstance());
+    CommandAnswer.Builder answer = instances.register(record, context);
+    old.filter(process -> !instances.isCurrent(process)).ifPresent(claims::runnerEnded);
+    return answer;
+  }
+
+  private CommandAnswer.Builder retire(String instance, CommandContext context) {
+    Optional<ProcessStart> old = instances.current(instance);
+    CommandAnswer.Builder answer = instances.retire(instance, context);
+    old.ifPresent(claims::runnerEnded);
+    return answer;
+  }
+
+  private CommandAnswer.Builder observe(ObserveFleet observed) {
+    CommandAnswer.Builder answer = fleet.observe(observed, authority);
+    if (answer.getStatus() == CommandAnswer.Status.ACCEPTED) {
+      observed.getGoneList().forEach(engineOrders::forgetOwnerOfGone);
+      observed.getSeenList().stream()
+          .map(BackendServerRecord::getId)
+          .forEach(engineOrders::forgetOwnerOfGone);
+    }
+    return answer;
+  }
+
+  // A resent command must change nothing, so only commands that take the authority or close a
+  // window
+  // move the time.
+  private void advanceTime(long proposedAtMillis) {
+    long latest =
+        stateTimeMillis == 0 ? Long.MAX_VALUE : stateTimeMillis + MAXIMUM_TIME_STEP_MILLIS;
+    long oldTime = stateTimeMillis;
+    stateTimeMillis = Math.max(oldTime, Math.min(proposedAtMillis, latest));
+    if (stateTimeMillis / PRUNE_INTERVAL_MILLIS != oldTime / PRUNE_INTERVAL_MILLIS) {
+      prune();
+    }
+  }
+
+  private void prune() {
+    keys.prune(stateTimeMillis);
+    instances.prune(stateTimeMillis);
+    usage.prune(stateTimeMillis, instances);
+    claims.prune(stateTimeMillis);
+  }
+}
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -1,14 +1,19 @@
 package org.teaseltrestle.control;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.teaseltrestle.model.lists.ServingLists;
+import org.teaseltrestle.wire.AuthorityRecord;
 import org.teaseltrestle.wire.BackendServerRecord;
 import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.EngineOwner;
+import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.UsageWindow;
 
 /** Immutable view of the control state at one log index; safe for use by any thread. */
 public interface ControlView {
@@ -48,4 +53,36 @@
 
   /** Returns the platform orders that are not settled. */
   Collection<PlatformOrder> openPlatformOrders();
+
+  /** Returns the newest authority; its term is 0 before the first claim. */
+  default AuthorityRecord authority() {
+    return AuthorityRecord.getDefaultInstance();
+  }
+
+  /** Returns the only process that may send orders to an engine that ignores fencing numbers. */
+  default Optional<EngineOwner> engineOwner(String backendServer) {
+    return Optional.empty();
+  }
+
+  /** Returns the open, the closed and the last reported usage windows, oldest first. */
+  default Collection<UsageWindow> usageWindows() {
+    return List.of();
+  }
+
+  /** Returns the claim of an idempotency key, with its outcome if it has one. */
+  default Optional<IdempotencyRecord> claim(String account, String service, String key) {
+    return Optional.empty();
+  }
+
+  /** Returns how many ordered backend servers are still on their way. */
+  default int outstandingServers(String pool, String failureDomain, String capacity) {
+    return openPlatformOrders().stream()
+        .filter(
+            order ->
+                order.getPool().equals(pool)
+                    && order.getFailureDomain().equals(failureDomain)
+                    && order.getCapacity().equals(capacity))
+        .mapToInt(PlatformOrder::getCount)
+        .sum();
+  }
 }
--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/UsageArea.java
@@ -0,0 +1,218 @@
+package org.teaseltrestle.control;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.wire.CloseUsageWindow;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.ControlSnapshot;
+import org.teaseltrestle.wire.UsageBatch;
+import org.teaseltrestle.wire.UsageFigure;
+import org.teaseltrestle.wire.UsageReported;
+import org.teaseltrestle.wire.UsageSource;
+import org.teaseltrestle.wire.UsageWindow;
+
+/**
+ * Usage figures by window. A closed window never changes; records that come after it count in the
+ * next open window and are marked late.
+ */
+final class UsageArea {
+
+  /** Reported windows that stay readable. */
+  static final int REPORTED_WINDOWS_KEPT = 16;
+
+  private static final long SOURCE_RETENTION_MILLIS = TimeUnit.DAYS.toMillis(7);
+
+  private PersistentMap<Long, Window> windows = PersistentMap.empty();
+  private PersistentMap<ProcessStart, Source> sources = PersistentMap.empty();
+  private boolean anyClosed;
+  private long closedThrough;
+
+  PersistentMap<Long, Window> windows() {
+    return windows;
+  }
+
+  long closedThrough() {
+    return closedThrough;
+  }
+
+  CommandAnswer.Builder count(UsageBatch batch, CommandContext context) {
+    ProcessStart process = new ProcessStart(batch.getInstance(), batch.getBoot());
+    long counted = sources.get(process).map(Source::lastSequence).orElse(0L);
+    if (batch.getLastSequence() <= counted) {
+      return Answers.accepted(batch.getInstance()).setLastSequence(counted);
+    }
+    if (batch.getFirstSequence() != counted + 1) {
+      return Answers.conflict(
+              batch.getInstance(),
+              "batch starts at sequence "
+                  + batch.getFirstSequence()
+                  + ", but "
+                  + process
+                  + " is counted up to "
+                  + counted)
+          .setLastSequence(counted);
+    }
+    add(batch);
+    sources = sources.with(process, new Source(batch.getLastSequence(), context.stateTimeMillis()));
+    return Answers.accepted(batch.getInstance()).setLastSequence(batch.getLastSequence());
+  }
+
+  CommandAnswer.Builder close(CloseUsageWindow change, AuthorityArea authority) {
+    String subject = Long.toString(change.getWindow());
+    Optional<CommandAnswer.Builder> refusal = authority.refusal(change.getAuthorityTerm(), subject);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    if (!isClosed(change.getWindow())) {
+      anyClosed = true;
+      closedThrough = change.getWindow();
+      for (Map.Entry<Long, Window> entry : windows.entries()) {
+        if (isClosed(entry.getKey()) && !entry.getValue().closed()) {
+          windows = windows.with(entry.getKey(), entry.getValue().close());
+        }
+      }
+    }
+    return Answers.accepted(subject);
+  }
+
+  CommandAnswer.Builder reported(UsageReported change, AuthorityArea authority) {
+    String subject = Long.toString(change.getWindow());
+    Optional<CommandAnswer.Builder> refusal = authority.refusal(change.getAuthorityTerm(), subject);
+    if (refusal.isPresent()) {
+      return refusal.get();
+    }
+    Optional<Window> window = windows.get(change.getWindow());
+    if (!isClosed(change.getWindow())) {
+      return Answers.rejected(subject, "the window is not closed");
+    }
+    window.ifPresent(w -> windows = windows.with(change.getWindow(), w.markReported()));
+    dropOldReported();
+    return Answers.accepted(subject);
+  }
+
+  void prune(long stateTimeMillis, InstancesArea instances) {
+    for (Map.Entry<ProcessStart, Source> entry : sources.entries()) {
+      if (!instances.isCurrent(entry.getKey())
+          && entry.getValue().changedAtMillis() + SOURCE_RETENTION_MILLIS < stateTimeMillis) {
+        sources = sources.without(entry.getKey());
+      }
+    }
+  }
+
+  void save(ControlSnapshot.Builder snapshot) {
+    snapshot.setUsageClosedThrough(closedThrough).setUsageAnyClosed(anyClosed);
+    windows.entries().forEach(e -> snapshot.addUsageWindows(e.getValue().toWire(e.getKey())));
+    for (Map.Entry<ProcessStart, Source> entry : sources.entries()) {
+      snapshot.addUsageSources(
+          UsageSource.newBuilder()
+              .setInstance(entry.getKey().instance())
+              .setBoot(entry.getKey().boot())
+              .setLastSequence(entry.getValue().lastSequence())
+              .setChangedAtMillis(entry.getValue().changedAtMillis()));
+    }
+  }
+
+  void load(ControlSnapshot snapshot) {
+    closedThrough = snapshot.getUsageClosedThrough();
+    anyClosed = snapshot.getUsageAnyClosed();
+    for (UsageWindow window : snapshot.getUsageWindowsList()) {
+      windows = windows.with(window.getWindow(), Window.of(window));
+    }
+    for (UsageSource source : snapshot.getUsageSourcesList()) {
+      sources =
+          sources.with(
+              new ProcessStart(source.getInstance(), source.getBoot()),
+              new Source(source.getLastSequence(), source.getChangedAtMillis()));
+    }
+  }
+
+  private boolean isClosed(long window) {
+    return anyClosed && window <= closedThrough;
+  }
+
+  private void add(UsageBatch batch) {
+    if (batch.getFiguresCount() == 0) {
+      return;
+    }
+    boolean late = isClosed(batch.getWindow());
+    long number = late ? closedThrough + 1 : batch.getWindow();
+    Window window = windows.get(number).orElse(Window.EMPTY);
+    for (UsageFigure figure : batch.getFiguresList()) {
+      window = window.plus(late ? markLate(figure) : figure);
+    }
+    windows = windows.with(number, window);
+  }
+
+  private static UsageFigure markLate(UsageFigure figure) {
+    return figure.toBuilder().setLateRequests(figure.getRequests()).build();
+  }
+
+  private void dropOldReported() {
+    long reported = windows.values().stream().filter(Window::reported).count();
+    for (Map.Entry<Long, Window> entry : windows.entries()) {
+      if (reported <= REPORTED_WINDOWS_KEPT) {
+        return;
+      }
+      if (entry.getValue().reported()) {
+        windows = windows.without(entry.getKey());
+        reported--;
+      }
+    }
+  }
+
+  private record Source(long lastSequence, long changedAtMillis) {}
+
+  /** Figures of one window by account and item. */
+  record Window(PersistentMap<FigureKey, UsageFigure> figures, boolean closed, boolean reported) {
+
+    static final Window EMPTY = new Window(PersistentMap.empty(), false, false);
+
+    static Window of(UsageWindow wire) {
+      Window window = EMPTY;
+      for (UsageFigure figure : wire.getFiguresList()) {
+        window = window.plus(figure);
+      }
+      return new Window(window.figures, wire.getClosed(), wire.getReported());
+    }
+
+    Window plus(UsageFigure added) {
+      FigureKey key = new FigureKey(added.getAccount(), added.getItem());
+      UsageFigure old = figures.get(key).orElse(UsageFigure.getDefaultInstance());
+      UsageFigure sum =
+          added.toBuilder()
+              .setPromptTokens(old.getPromptTokens() + added.getPromptTokens())
+              .setOutputTokens(old.getOutputTokens() + added.getOutputTokens())
+              .setRequests(old.getRequests() + added.getRequests())
+              .setLateRequests(old.getLateRequests() + added.getLateRequests())
+              .build();
+      return new Window(figures.with(key, sum), closed, reported);
+    }
+
+    Window close() {
+      return new Window(figures, true, reported);
+    }
+
+    Window markReported() {
+      return new Window(figures, closed, true);
+    }
+
+    UsageWindow toWire(long number) {
+      return UsageWindow.newBuilder()
+          .setWindow(number)
+          .addAllFigures(figures.values())
+          .setClosed(closed)
+          .setReported(reported)
+          .build();
+    }
+  }
+
+  /** Key of a figure within its window. */
+  record FigureKey(String account, String item) implements Comparable<FigureKey> {
+    @Override
+    public int compareTo(FigureKey other) {
+      int order = account.compareTo(other.account);
+      return order != 0 ? order : item.compareTo(other.item);
+    }
+  }
+}
--- /dev/null
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -0,0 +1,426 @@
+package org.teaseltrestle.control;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.CommandAnswer.Status;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.IdempotencyRecord;
+import org.teaseltrestle.wire.IdempotencyRecord.State;
+import org.teaseltrestle.wire.UsageWindow;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of the replicated control state, one group for each area. */
+public class ControlStateTest {
+
+  /** A state with helpers for the tests of all areas. */
+  public abstract static class StateFixture {
+
+    protected ControlState state = new ControlState();
+    private long index;
+
+    /** Starts each test with an empty state. */
+    @BeforeMethod
+    public void reset() {
+      state = new ControlState();
+      index = 0;
+    }
+
+    /** Applies a command at the next log index. */
+    protected CommandAnswer apply(Command command) {
+      return state.apply(++index, command);
+    }
+
+    /** Applies a command and checks its status. */
+    protected void expect(Status status, Command command) {
+      CommandAnswer answer = apply(command);
+      assertEquals(answer.getStatus(), status, answer.toString());
+    }
+  }
+
+  /** Lists and request ids. */
+  public static class Lists extends StateFixture {
+
+    /** Guards against two operators both winning from the same base revision. */
+    @Test
+    public void oneOfTwoRacingOperatorsWins() {
+      expect(Status.ACCEPTED, Commands.lists("r1", 0, Commands.accounts("a")));
+      CommandAnswer loser = apply(Commands.lists("r2", 0, Commands.accounts("b")));
+      assertEquals(loser.getStatus(), Status.CONFLICT);
+      assertEquals(loser.getListsRevision(), 1);
+      assertEquals(state.view().accountsJson(), Commands.accounts("a"));
+    }
+
+    /** Guards against a resend being applied again or answered differently after a restart. */
+    @Test
+    public void resendGetsTheFirstAnswer() {
+      Command change = Commands.lists("r1", 0, Commands.accounts("a"));
+      CommandAnswer first = apply(change);
+      expect(Status.ACCEPTED, Commands.lists("r2", 1, Commands.accounts("a", "b")));
+      state = ControlState.restore(state.snapshot());
+      assertEquals(apply(change), first);
+      assertEquals(state.view().listsRevision(), 2);
+      expect(Status.REJECTED, Commands.lists("r1", 2, Commands.accounts("c")));
+    }
+
+    /** Guards against invalid lists coming into force, and against losing the named faults. */
+    @Test
+    public void invalidListsAreRejectedWithTheirFaults() {
+      CommandAnswer answer = apply(Commands.lists("r1", 0, "{\"accounts\": [{}]}"));
+      assertEquals(answer.getStatus(), Status.REJECTED);
+      assertTrue(answer.getMessage().contains("accounts.json:1:15"), answer.getMessage());
+      assertEquals(state.view().listsRevision(), 0);
+    }
+
+    /** Guards against unbounded memory of answers, and against dropping one too early. */
+    @Test
+    public void keepsTheLastAnswersOnly() {
+      for (int i = 0; i <= RequestMemory.CAPACITY; i++) {
+        apply(Commands.withdraw("w" + i, "x"));
+      }
+      assertEquals(apply(Commands.withdraw("w1", "x")).getAppliedIndex(), 2);
+      assertNotEquals(apply(Commands.withdraw("w0", "x")).getAppliedIndex(), 1);
+    }
+  }
+
+  /** Orders to engines and the platform. */
+  public static class Orders extends StateFixture {
+
+    /** Registers two instances under authority term 2 in front of one engine. */
+    @BeforeMethod(dependsOnMethods = "reset")
+    public void prepare() {
+      expect(Status.ACCEPTED, Commands.register("i1", 1));
+      expect(Status.ACCEPTED, Commands.register("i2", 1));
+      expect(Status.ACCEPTED, Commands.authority(2));
+      expect(Status.ACCEPTED, Commands.observe("e", true));
+    }
+
+    /** Guards against two orders under way to one engine. */
+    @Test
+    public void oneOpenOrderForEachEngine() {
+      CommandAnswer first = apply(Commands.order(2, "o1", "e", "", 0));
+      expect(Status.CONFLICT, Commands.order(2, "o2", "e", "", 0));
+      assertEquals(
+          apply(Commands.order(2, "o1", "e", "", 0)).getFencingNumber(), first.getFencingNumber());
+      expect(Status.ACCEPTED, Commands.settle(2, "o1"));
+      CommandAnswer second = apply(Commands.order(2, "o2", "e", "", 0));
+      assertTrue(second.getFencingNumber() > first.getFencingNumber());
+      expect(Status.ACCEPTED, Commands.order(2, "o1", "e", "", 0));
+      assertEquals(state.view().openEngineOrders().iterator().next().getOrderId(), "o2");
+    }
+
+    /** Guards against commands of a leader that has lost its authority. */
+    @Test
+    public void olderAuthorityTermsAreRejected() {
+      final long old = apply(Commands.order(2, "o1", "e", "", 0)).getFencingNumber();
+      expect(Status.ACCEPTED, Commands.authority(3));
+      expect(Status.REJECTED, Commands.authority(2));
+      expect(Status.REJECTED, Commands.settle(2, "o1"));
+      expect(Status.REJECTED, Commands.buy(2, "b1", 1));
+      expect(Status.REJECTED, Commands.close(2, 1, 0));
+      expect(Status.ACCEPTED, Commands.settle(3, "o1"));
+      long next = apply(Commands.order(3, "o2", "e", "", 0)).getFencingNumber();
+      assertEquals(next >>> 24, 3);
+      assertTrue(next > old);
+    }
+
+    /** Guards against a second sender to an engine that ignores fencing numbers. */
+    @Test
+    public void onlyTheOwnerSendsToEnginesWithoutFencing() {
+      expect(Status.ACCEPTED, Commands.observe("e", false));
+      expect(Status.ACCEPTED, Commands.order(2, "o1", "e", "i1", 1));
+      expect(Status.ACCEPTED, Commands.settle(2, "o1"));
+      expect(Status.CONFLICT, Commands.order(2, "o2", "e", "i2", 1));
+      expect(Status.REJECTED, Commands.transfer("e", "i1", 1, "i2", 1, "owner_gone"));
+      expect(Status.ACCEPTED, Commands.retire("i1"));
+      expect(Status.ACCEPTED, Commands.transfer("e", "i1", 1, "i2", 1, "owner_gone"));
+      expect(Status.REJECTED, Commands.register("i1", 1));
+      expect(Status.ACCEPTED, Commands.order(2, "o2", "e", "i2", 1));
+    }
+
+    /** Guards against an open order that nobody may send after its owner is gone. */
+    @Test
+    public void openOrderFollowsTheOwnership() {
+      expect(Status.ACCEPTED, Commands.observe("e", false));
+      expect(Status.ACCEPTED, Commands.order(2, "o1", "e", "i1", 1));
+      expect(Status.ACCEPTED, Commands.register("i1", 7));
+      expect(Status.ACCEPTED, Commands.transfer("e", "i1", 1, "i1", 7, "owner_restarted"));
+      EngineOrder order = state.view().openEngineOrders().iterator().next();
+      assertEquals(order.getOwnerBoot(), 7);
+    }
+
+    /** Guards against a late answer or a resend doubling a purchase. */
+    @Test
+    public void outstandingPurchasesCountUntilSettled() {
+      expect(Status.ACCEPTED, Commands.buy(2, "b1", 3));
+      expect(Status.ACCEPTED, Commands.buy(2, "b1", 3));
+      expect(Status.REJECTED, Commands.buy(2, "b1", 4));
+      assertEquals(state.view().outstandingServers("p", "d", "cheap"), 3);
+      expect(Status.ACCEPTED, Commands.settlePurchase(2, "b1"));
+      expect(Status.ACCEPTED, Commands.buy(2, "b1", 3));
+      assertEquals(state.view().outstandingServers("p", "d", "cheap"), 0);
+    }
+  }
+
+  /** Usage windows. */
+  public static class Usage extends StateFixture {
+
+    /** Takes the authority. */
+    @BeforeMethod(dependsOnMethods = "reset")
+    public void prepare() {
+      expect(Status.ACCEPTED, Commands.authority(1));
+    }
+
+    private long requests(long number) {
+      return state.view().usageWindows().stream()
+          .filter(window -> window.getWindow() == number && window.getFiguresCount() > 0)
+          .mapToLong(window -> window.getFigures(0).getRequests())
+          .sum();
+    }
+
+    /** Guards against records that count twice when a node and its partner both propose them. */
+    @Test
+    public void recordsCountOnce() {
+      expect(Status.ACCEPTED, Commands.usage("i", 1, 1, 10, 5));
+      expect(Status.ACCEPTED, Commands.usage("i", 1, 1, 10, 5));
+      CommandAnswer overlap = apply(Commands.usage("i", 1, 6, 15, 5));
+      assertEquals(overlap.getStatus(), Status.CONFLICT);
+      assertEquals(overlap.getLastSequence(), 10);
+      expect(Status.CONFLICT, Commands.usage("i", 1, 12, 15, 5));
+      expect(Status.ACCEPTED, Commands.usage("i", 1, 11, 15, 5));
+      expect(Status.ACCEPTED, Commands.usage("i", 2, 1, 1, 5));
+      assertEquals(requests(5), 16);
+    }
+
+    /** Guards against figures of a closed window that change, and against losing late records. */
+    @Test
+    public void closedWindowsNeverChange() {
+      expect(Status.ACCEPTED, Commands.usage("i", 1, 1, 2, 5));
+      expect(Status.ACCEPTED, Commands.close(1, 5, 0));
+      expect(Status.ACCEPTED, Commands.usage("i", 1, 3, 5, 5));
+      expect(Status.ACCEPTED, Commands.close(1, 5, 0));
+      assertEquals(requests(5), 2);
+      UsageWindow next = new ArrayList<>(state.view().usageWindows()).get(1);
+      assertEquals(next.getWindow(), 6);
+      assertEquals(next.getFigures(0).getLateRequests(), 3);
+      expect(Status.REJECTED, Commands.reported(1, 6));
+      expect(Status.ACCEPTED, Commands.reported(1, 5));
+    }
+  }
+
+  /** Idempotency claims. */
+  public static class Claims extends StateFixture {
+
+    private final IdempotencyRecord.Builder call = Commands.call("k", "d", "i1", 1);
+
+    /** Registers two instances. */
+    @BeforeMethod(dependsOnMethods = "reset")
+    public void prepare() {
+      expect(Status.ACCEPTED, Commands.register("i1", 1));
+      expect(Status.ACCEPTED, Commands.register("i2", 1));
+    }
+
+    /** Guards against a second run through another instance or another request. */
+    @Test
+    public void onlyOneRunnerIsAccepted() {
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.CONFLICT, Commands.claim("c2", call));
+      expect(Status.CONFLICT, Commands.claim("c3", Commands.call("k", "d", "i2", 1)));
+      expect(Status.CONFLICT, Commands.claim("c4", Commands.call("k", "other", "i2", 1)));
+      expect(Status.CONFLICT, Commands.outcome(Commands.call("k", "d", "i2", 1), State.NOT_RUN));
+      expect(Status.ACCEPTED, Commands.outcome(call, State.COMPLETED));
+      CommandAnswer repeat = apply(Commands.claim("c1", call));
+      assertEquals(repeat.getStatus(), Status.CONFLICT);
+      assertEquals(repeat.getClaim().getState(), State.COMPLETED);
+      expect(Status.CONFLICT, Commands.outcome(call, State.NOT_RUN));
+    }
+
+    /** Guards against running a call again whose runner restarted or vanished. */
+    @Test
+    public void claimsOfAnEndedRunnerBecomeUnknown() {
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.claim("c2", Commands.call("k2", "d", "i2", 1)));
+      expect(Status.ACCEPTED, Commands.register("i1", 2));
+      expect(Status.ACCEPTED, Commands.retire("i2"));
+      for (String key : List.of("k", "k2")) {
+        assertEquals(
+            state.view().claim("a", "s", key).orElseThrow().getState(), State.OUTCOME_UNKNOWN);
+      }
+      expect(Status.CONFLICT, Commands.claim("c1", call));
+      expect(Status.REJECTED, Commands.claim("c5", Commands.call("k5", "d", "i2", 1)));
+      expect(Status.ACCEPTED, Commands.outcome(call, State.COMPLETED));
+    }
+
+    /** Guards against a call that certainly did not run blocking its key. */
+    @Test
+    public void callThatDidNotRunMayBeClaimedAgain() {
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.outcome(call, State.NOT_RUN));
+      expect(Status.ACCEPTED, Commands.claim("c2", Commands.call("k", "d", "i2", 1)));
+    }
+
+    /** Guards against claims that stay for ever, and against one clock fault expiring them. */
+    @Test
+    public void claimsExpireByTheAuthoritysTime() {
+      expect(Status.ACCEPTED, Commands.authority(1));
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.close(1, 1, Long.MAX_VALUE));
+      assertTrue(state.view().claim("a", "s", "k").isPresent());
+      for (int i = 2; state.view().claim("a", "s", "k").isPresent(); i++) {
+        expect(Status.ACCEPTED, Commands.close(1, i, ClaimsArea.RETENTION_MILLIS * 2));
+        assertTrue(i < 200, "claim never expired");
+      }
+    }
+  }
+
+  /** Keys. */
+  public static class Keys extends StateFixture {
+
+    private final byte[] random = new byte[KeyVerifier.RANDOM_BYTES];
+
+    /** Puts the account in force that the keys belong to. */
+    @BeforeMethod(dependsOnMethods = "reset")
+    public void prepare() {
+      expect(Status.ACCEPTED, Commands.lists("r1", 0, Commands.accounts("a")));
+      new Random(1).nextBytes(random);
+    }
+
+    /** Guards against a wrong, cut or withdrawn key passing, and against storing the secret. */
+    @Test
+    public void verifiesByTypedResult() {
+      KeyVerifier.IssuedKey key = KeyVerifier.issue(new ClientAccount("a"), "till", random);
+      final String text = key.text().reveal();
+      expect(Status.ACCEPTED, Commands.issue("k1", key.record()));
+      ClientAccount account = new ClientAccount("a");
+      String id = key.text().keyId();
+      assertEquals(KeyVerifier.verify(state.view(), text), new KeyVerdict.Valid(id, account));
+      String wrong = text.substring(0, text.length() - 1) + (text.endsWith("0") ? "1" : "0");
+      assertEquals(KeyVerifier.verify(state.view(), wrong), new KeyVerdict.Unknown());
+      assertEquals(KeyVerifier.verify(state.view(), text.substring(1)), new KeyVerdict.Malformed());
+      expect(Status.ACCEPTED, Commands.withdraw("w1", id));
+      assertEquals(KeyVerifier.verify(state.view(), text), new KeyVerdict.Withdrawn(id, account));
+      assertTrue(!new String(state.snapshot(), UTF_8).contains(key.text().secret()));
+      assertTrue(!key.toString().contains(key.text().secret()));
+    }
+
+    /** Guards against keys for accounts that do not exist and against a resend that adds a key. */
+    @Test
+    public void resendOfIssueNamesTheFirstKey() {
+      KeyVerifier.IssuedKey first = KeyVerifier.issue(new ClientAccount("a"), "till", random);
+      random[0]++;
+      KeyVerifier.IssuedKey second = KeyVerifier.issue(new ClientAccount("a"), "till", random);
+      expect(Status.ACCEPTED, Commands.issue("k1", first.record()));
+      CommandAnswer resent = apply(Commands.issue("k1", second.record()));
+      assertEquals(resent.getSubject(), first.text().keyId());
+      assertEquals(state.view().keys().size(), 1);
+      expect(
+          Status.REJECTED,
+          Commands.issue("k2", second.record().toBuilder().setAccount("nobody").build()));
+    }
+
+    /** Guards against a final withdrawal while an instance may still accept the key. */
+    @Test
+    public void withdrawalIsFinalOnceConfirmedOrLeaseEnded() {
+      expect(Status.ACCEPTED, Commands.register("i1", 1));
+      expect(Status.ACCEPTED, Commands.register("i2", 1));
+      WithdrawalStatus status = new WithdrawalStatus(1_000, 500);
+      ControlView view = state.view();
+      assertEquals(status.unconfirmed(view, 9, 1_509).size(), 2);
+      status.granted("i1", 1, 9, 1_100);
+      status.granted("i2", 1, 8, 1_100);
+      assertEquals(
+          status.unconfirmed(view, 9, 1_509),
+          List.of(new WithdrawalStatus.Unconfirmed("i2", 1_610)));
+      assertEquals(status.unconfirmed(view, 9, 1_610), List.of());
+      status.granted("i2", 2, 9, 1_600);
+      assertEquals(status.unconfirmed(view, 9, 1_600).size(), 1);
+    }
+  }
+
+  /** Random command sequences. */
+  public static class RandomSequences {
+
+    private static final int SEEDS = 60;
+    private static final int COMMANDS = 1_500;
+
+    /**
+     * Guards against state that a snapshot misses, answers that depend on more than the commands,
+     * and a view that changes after it was handed out.
+     */
+    @Test
+    public void snapshotsAndRestoresChangeNothing() {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        Random random = new Random(seed);
+        ControlState plain = new ControlState();
+        ControlState restored = new ControlState();
+        for (int i = 1; i <= COMMANDS; i++) {
+          Command command = Commands.random(random);
+          ControlView before = plain.view();
+          int hash = before.hashCode();
+          assertEquals(plain.apply(i, command), restored.apply(i, command), "seed " + seed);
+          assertEquals(before.hashCode(), hash, "seed " + seed);
+          if (random.nextInt(50) == 0) {
+            restored = ControlState.restore(restored.snapshot());
+          }
+        }
+        assertEquals(plain.view(), restored.view(), "seed " + seed);
+        assertEquals(plain.snapshot(), restored.snapshot(), "seed " + seed);
+      }
+    }
+
+    /** Guards against a command that has an effect when it is delivered twice in a row. */
+    @Test
+    public void resendsChangeNothing() {
+      for (long seed = 1; seed <= SEEDS; seed++) {
+        Random random = new Random(seed);
+        ControlState once = new ControlState();
+        ControlState twice = new ControlState();
+        for (int i = 1; i <= COMMANDS; i++) {
+          Command command = Commands.random(random);
+          CommandAnswer first = once.apply(2L * i, command);
+          CommandAnswer unsent = twice.apply(2L * i - 1, command);
+          CommandAnswer resent = twice.apply(2L * i, command);
+          assertEquals(first.getStatus(), unsent.getStatus(), "seed " + seed);
+          if (first.getStatus() == Status.ACCEPTED) {
+            assertEquals(resent.getStatus(), first.getStatus(), "seed " + seed + " " + command);
+          }
+          assertEquals(resent.getFencingNumber(), first.getFencingNumber(), "seed " + seed);
+          ControlView view = twice.view();
+          assertEquals(view, once.view(), "seed " + seed + " " + command);
+        }
+      }
+    }
+
+    /** Guards against a persistent map that loses balance, order or entries. */
+    @Test
+    public void persistentMapBehavesAsSortedMap() {
+      Random random = new Random(7);
+      SortedMap<Integer, Integer> model = new TreeMap<>();
+      PersistentMap<Integer, Integer> map = PersistentMap.empty();
+      for (int i = 0; i < 20_000; i++) {
+        int key = random.nextInt(600);
+        if (random.nextBoolean()) {
+          model.put(key, i);
+          map = map.with(key, i);
+        } else {
+          model.remove(key);
+          map = map.without(key);
+        }
+        assertEquals(map.size(), model.size());
+      }
+      assertEquals(List.copyOf(map.entries()), List.copyOf(model.entrySet()));
+    }
+  }
+}
--- a/wire/src/main/java/org/teaseltrestle/wire/ClaimIdempotency.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ClaimIdempotency.java
@@ -6,6 +6,11 @@
 package org.teaseltrestle.wire;
 
 /**
+ * <pre>
+ * The answer is ACCEPTED only if the runner may send the call; it is CONFLICT with the existing claim
+ * otherwise. The runner must be registered with the same boot.
+ * </pre>
+ *
  * Protobuf type {@code trestle.ClaimIdempotency}
  */
 @com.google.protobuf.Generated
@@ -233,6 +238,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * The answer is ACCEPTED only if the runner may send the call; it is CONFLICT with the existing claim
+   * otherwise. The runner must be registered with the same boot.
+   * </pre>
+   *
    * Protobuf type {@code trestle.ClaimIdempotency}
    */
   public static final class Builder extends
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandAnswer.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandAnswer.java
@@ -34,6 +34,7 @@
   private CommandAnswer() {
     status_ = 0;
     message_ = "";
+    subject_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -322,7 +323,7 @@
   private long fencingNumber_ = 0L;
   /**
    * <pre>
-   * Set by PlaceEngineOrder and PlacePlatformOrder.
+   * Set by PlaceEngineOrder, PlacePlatformOrder and ClaimAuthority.
    * </pre>
    *
    * <code>uint64 fencing_number = 6;</code>
@@ -333,6 +334,70 @@
     return fencingNumber_;
   }
 
+  public static final int SUBJECT_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object subject_ = "";
+  /**
+   * <pre>
+   * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+   * IssueKey gets the key id of the first one.
+   * </pre>
+   *
+   * <code>string subject = 7;</code>
+   * @return The subject.
+   */
+  @java.lang.Override
+  public java.lang.String getSubject() {
+    java.lang.Object ref = subject_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      subject_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+   * IssueKey gets the key id of the first one.
+   * </pre>
+   *
+   * <code>string subject = 7;</code>
+   * @return The bytes for subject.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSubjectBytes() {
+    java.lang.Object ref = subject_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      subject_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int LAST_SEQUENCE_FIELD_NUMBER = 8;
+  private long lastSequence_ = 0L;
+  /**
+   * <pre>
+   * Set by UsageBatch: last sequence counted for the process start.
+   * </pre>
+   *
+   * <code>uint64 last_sequence = 8;</code>
+   * @return The lastSequence.
+   */
+  @java.lang.Override
+  public long getLastSequence() {
+    return lastSequence_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -365,6 +430,12 @@
     if (fencingNumber_ != 0L) {
       output.writeUInt64(6, fencingNumber_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(subject_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, subject_);
+    }
+    if (lastSequence_ != 0L) {
+      output.writeUInt64(8, lastSequence_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -397,6 +468,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, fencingNumber_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(subject_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, subject_);
+    }
+    if (lastSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(8, lastSequence_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -426,6 +504,10 @@
     }
     if (getFencingNumber()
         != other.getFencingNumber()) return false;
+    if (!getSubject()
+        .equals(other.getSubject())) return false;
+    if (getLastSequence()
+        != other.getLastSequence()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -454,6 +536,11 @@
     hash = (37 * hash) + FENCING_NUMBER_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getFencingNumber());
+    hash = (37 * hash) + SUBJECT_FIELD_NUMBER;
+    hash = (53 * hash) + getSubject().hashCode();
+    hash = (37 * hash) + LAST_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLastSequence());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -605,6 +692,8 @@
         claimBuilder_ = null;
       }
       fencingNumber_ = 0L;
+      subject_ = "";
+      lastSequence_ = 0L;
       return this;
     }
 
@@ -660,6 +749,12 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.fencingNumber_ = fencingNumber_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.subject_ = subject_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.lastSequence_ = lastSequence_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -695,6 +790,14 @@
       if (other.getFencingNumber() != 0L) {
         setFencingNumber(other.getFencingNumber());
       }
+      if (!other.getSubject().isEmpty()) {
+        subject_ = other.subject_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (other.getLastSequence() != 0L) {
+        setLastSequence(other.getLastSequence());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -753,6 +856,16 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              subject_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              lastSequence_ = input.readUInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1141,7 +1254,7 @@
     private long fencingNumber_ ;
     /**
      * <pre>
-     * Set by PlaceEngineOrder and PlacePlatformOrder.
+     * Set by PlaceEngineOrder, PlacePlatformOrder and ClaimAuthority.
      * </pre>
      *
      * <code>uint64 fencing_number = 6;</code>
@@ -1153,7 +1266,7 @@
     }
     /**
      * <pre>
-     * Set by PlaceEngineOrder and PlacePlatformOrder.
+     * Set by PlaceEngineOrder, PlacePlatformOrder and ClaimAuthority.
      * </pre>
      *
      * <code>uint64 fencing_number = 6;</code>
@@ -1169,7 +1282,7 @@
     }
     /**
      * <pre>
-     * Set by PlaceEngineOrder and PlacePlatformOrder.
+     * Set by PlaceEngineOrder, PlacePlatformOrder and ClaimAuthority.
      * </pre>
      *
      * <code>uint64 fencing_number = 6;</code>
@@ -1182,6 +1295,147 @@
       return this;
     }
 
+    private java.lang.Object subject_ = "";
+    /**
+     * <pre>
+     * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+     * IssueKey gets the key id of the first one.
+     * </pre>
+     *
+     * <code>string subject = 7;</code>
+     * @return The subject.
+     */
+    public java.lang.String getSubject() {
+      java.lang.Object ref = subject_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        subject_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+     * IssueKey gets the key id of the first one.
+     * </pre>
+     *
+     * <code>string subject = 7;</code>
+     * @return The bytes for subject.
+     */
+    public com.google.protobuf.ByteString
+        getSubjectBytes() {
+      java.lang.Object ref = subject_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        subject_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+     * IssueKey gets the key id of the first one.
+     * </pre>
+     *
+     * <code>string subject = 7;</code>
+     * @param value The subject to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSubject(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      subject_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+     * IssueKey gets the key id of the first one.
+     * </pre>
+     *
+     * <code>string subject = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSubject() {
+      subject_ = getDefaultInstance().getSubject();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+     * IssueKey gets the key id of the first one.
+     * </pre>
+     *
+     * <code>string subject = 7;</code>
+     * @param value The bytes for subject to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSubjectBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      subject_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long lastSequence_ ;
+    /**
+     * <pre>
+     * Set by UsageBatch: last sequence counted for the process start.
+     * </pre>
+     *
+     * <code>uint64 last_sequence = 8;</code>
+     * @return The lastSequence.
+     */
+    @java.lang.Override
+    public long getLastSequence() {
+      return lastSequence_;
+    }
+    /**
+     * <pre>
+     * Set by UsageBatch: last sequence counted for the process start.
+     * </pre>
+     *
+     * <code>uint64 last_sequence = 8;</code>
+     * @param value The lastSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLastSequence(long value) {
+
+      lastSequence_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set by UsageBatch: last sequence counted for the process start.
+     * </pre>
+     *
+     * <code>uint64 last_sequence = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLastSequence() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      lastSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommandAnswer)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandAnswerOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandAnswerOrBuilder.java
@@ -82,11 +82,43 @@
 
   /**
    * <pre>
-   * Set by PlaceEngineOrder and PlacePlatformOrder.
+   * Set by PlaceEngineOrder, PlacePlatformOrder and ClaimAuthority.
    * </pre>
    *
    * <code>uint64 fencing_number = 6;</code>
    * @return The fencingNumber.
    */
   long getFencingNumber();
+
+  /**
+   * <pre>
+   * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+   * IssueKey gets the key id of the first one.
+   * </pre>
+   *
+   * <code>string subject = 7;</code>
+   * @return The subject.
+   */
+  java.lang.String getSubject();
+  /**
+   * <pre>
+   * Identifier that the command is about: key id, order id, instance or backend server. A resend of
+   * IssueKey gets the key id of the first one.
+   * </pre>
+   *
+   * <code>string subject = 7;</code>
+   * @return The bytes for subject.
+   */
+  com.google.protobuf.ByteString
+      getSubjectBytes();
+
+  /**
+   * <pre>
+   * Set by UsageBatch: last sequence counted for the process start.
+   * </pre>
+   *
+   * <code>uint64 last_sequence = 8;</code>
+   * @return The lastSequence.
+   */
+  long getLastSequence();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -196,11 +196,12 @@
       "geReportedH\000\0226\n\021claim_idempotency\030\032 \001(\0132" +
       "\031.trestle.ClaimIdempotencyH\000\0220\n\016record_o" +
       "utcome\030\033 \001(\0132\026.trestle.RecordOutcomeH\000B\010" +
-      "\n\006change\"\206\002\n\rCommandAnswer\022-\n\006status\030\001 \001" +
+      "\n\006change\"\256\002\n\rCommandAnswer\022-\n\006status\030\001 \001" +
       "(\0162\035.trestle.CommandAnswer.Status\022\017\n\007mes" +
       "sage\030\002 \001(\t\022\025\n\rapplied_index\030\003 \001(\004\022\026\n\016lis" +
       "ts_revision\030\004 \001(\004\022)\n\005claim\030\005 \001(\0132\032.trest" +
       "le.IdempotencyRecord\022\026\n\016fencing_number\030\006" +
+      " \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast_sequence\030\010" +
       " \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ACCEP" +
       "TED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECTED\020\003\"g\n\014Rep" +
       "laceLists\022\025\n\rbase_revision\030\001 \001(\004\022\025\n\racco" +
@@ -245,33 +246,34 @@
       "\001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010ca" +
       "pacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007 \001(\010\022\016\n\006" +
       "models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(" +
-      "\t\"H\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132\034.trestl" +
-      "e.BackendServerRecord\022\014\n\004gone\030\002 \003(\t\"2\n\nP" +
-      "lanChange\022\026\n\016backend_server\030\001 \001(\t\022\014\n\004kin" +
-      "d\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007account\030\001 \001(\t" +
-      "\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n" +
-      "\routput_tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022\025" +
-      "\n\rlate_requests\030\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010" +
-      "instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_se" +
-      "quence\030\003 \001(\004\022\025\n\rlast_sequence\030\004 \001(\004\022\016\n\006w" +
-      "indow\030\005 \001(\004\022%\n\007figures\030\006 \003(\0132\024.trestle.U" +
-      "sageFigure\":\n\020CloseUsageWindow\022\016\n\006window" +
-      "\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"7\n\rUsageR" +
-      "eported\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_ter" +
-      "m\030\002 \001(\004\"\361\002\n\021IdempotencyRecord\022\017\n\007account" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017idempotency_k" +
-      "ey\030\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014\022\027\n\017runn" +
-      "er_instance\030\005 \001(\t\022\023\n\013runner_boot\030\006 \001(\006\022\031" +
-      "\n\021claimed_at_millis\030\007 \001(\003\022/\n\005state\030\010 \001(\016" +
-      "2 .trestle.IdempotencyRecord.State\022\023\n\013ht" +
-      "tp_status\030\t \001(\r\022\024\n\014content_type\030\n \001(\t\022\014\n" +
-      "\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n" +
-      "\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUTCOME_UNK" +
-      "NOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020ClaimIdempotency\022" +
-      ")\n\005claim\030\001 \001(\0132\032.trestle.IdempotencyReco" +
-      "rd\"<\n\rRecordOutcome\022+\n\007outcome\030\001 \001(\0132\032.t" +
-      "restle.IdempotencyRecordB\032\n\026org.teaseltr" +
-      "estle.wireP\001b\006proto3"
+      "\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132\034.trestl" +
+      "e.BackendServerRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016a" +
+      "uthority_term\030\003 \001(\004\"2\n\nPlanChange\022\026\n\016bac" +
+      "kend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013Usag" +
+      "eFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025" +
+      "\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_tokens\030\004" +
+      " \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_requests\030" +
+      "\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance\030\001 \001(\t\022\014" +
+      "\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 \001(\004\022\025\n\r" +
+      "last_sequence\030\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007f" +
+      "igures\030\006 \003(\0132\024.trestle.UsageFigure\":\n\020Cl" +
+      "oseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026\n\016author" +
+      "ity_term\030\002 \001(\004\"7\n\rUsageReported\022\016\n\006windo" +
+      "w\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"\361\002\n\021Idem" +
+      "potencyRecord\022\017\n\007account\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016requ" +
+      "est_digest\030\004 \001(\014\022\027\n\017runner_instance\030\005 \001(" +
+      "\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claimed_at_mil" +
+      "lis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trestle.Idemp" +
+      "otencyRecord.State\022\023\n\013http_status\030\t \001(\r\022" +
+      "\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005S" +
+      "tate\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCO" +
+      "MPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RU" +
+      "N\020\004\"=\n\020ClaimIdempotency\022)\n\005claim\030\001 \001(\0132\032" +
+      ".trestle.IdempotencyRecord\"<\n\rRecordOutc" +
+      "ome\022+\n\007outcome\030\001 \001(\0132\032.trestle.Idempoten" +
+      "cyRecordB\032\n\026org.teaseltrestle.wireP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -288,7 +290,7 @@
     internal_static_trestle_CommandAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommandAnswer_descriptor,
-        new java.lang.String[] { "Status", "Message", "AppliedIndex", "ListsRevision", "Claim", "FencingNumber", });
+        new java.lang.String[] { "Status", "Message", "AppliedIndex", "ListsRevision", "Claim", "FencingNumber", "Subject", "LastSequence", });
     internal_static_trestle_ReplaceLists_descriptor =
       getDescriptor().getMessageTypes().get(2);
     internal_static_trestle_ReplaceLists_fieldAccessorTable = new
@@ -390,7 +392,7 @@
     internal_static_trestle_ObserveFleet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ObserveFleet_descriptor,
-        new java.lang.String[] { "Seen", "Gone", });
+        new java.lang.String[] { "Seen", "Gone", "AuthorityTerm", });
     internal_static_trestle_PlanChange_descriptor =
       getDescriptor().getMessageTypes().get(19);
     internal_static_trestle_PlanChange_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/ObserveFleet.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ObserveFleet.java
@@ -124,6 +124,17 @@
     return gone_.getByteString(index);
   }
 
+  public static final int AUTHORITY_TERM_FIELD_NUMBER = 3;
+  private long authorityTerm_ = 0L;
+  /**
+   * <code>uint64 authority_term = 3;</code>
+   * @return The authorityTerm.
+   */
+  @java.lang.Override
+  public long getAuthorityTerm() {
+    return authorityTerm_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -144,6 +155,9 @@
     for (int i = 0; i < gone_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, gone_.getRaw(i));
     }
+    if (authorityTerm_ != 0L) {
+      output.writeUInt64(3, authorityTerm_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -165,6 +179,10 @@
       size += dataSize;
       size += 1 * getGoneList().size();
     }
+    if (authorityTerm_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, authorityTerm_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -184,6 +202,8 @@
         .equals(other.getSeenList())) return false;
     if (!getGoneList()
         .equals(other.getGoneList())) return false;
+    if (getAuthorityTerm()
+        != other.getAuthorityTerm()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -203,6 +223,9 @@
       hash = (37 * hash) + GONE_FIELD_NUMBER;
       hash = (53 * hash) + getGoneList().hashCode();
     }
+    hash = (37 * hash) + AUTHORITY_TERM_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAuthorityTerm());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -343,6 +366,7 @@
       bitField0_ = (bitField0_ & ~0x00000001);
       gone_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      authorityTerm_ = 0L;
       return this;
     }
 
@@ -393,6 +417,9 @@
         gone_.makeImmutable();
         result.gone_ = gone_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.authorityTerm_ = authorityTerm_;
+      }
     }
 
     @java.lang.Override
@@ -443,6 +470,9 @@
         }
         onChanged();
       }
+      if (other.getAuthorityTerm() != 0L) {
+        setAuthorityTerm(other.getAuthorityTerm());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -488,6 +518,11 @@
               gone_.add(s);
               break;
             } // case 18
+            case 24: {
+              authorityTerm_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -856,6 +891,38 @@
       return this;
     }
 
+    private long authorityTerm_ ;
+    /**
+     * <code>uint64 authority_term = 3;</code>
+     * @return The authorityTerm.
+     */
+    @java.lang.Override
+    public long getAuthorityTerm() {
+      return authorityTerm_;
+    }
+    /**
+     * <code>uint64 authority_term = 3;</code>
+     * @param value The authorityTerm to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAuthorityTerm(long value) {
+
+      authorityTerm_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 authority_term = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAuthorityTerm() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      authorityTerm_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ObserveFleet)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ObserveFleetOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ObserveFleetOrBuilder.java
@@ -58,4 +58,10 @@
    */
   com.google.protobuf.ByteString
       getGoneBytes(int index);
+
+  /**
+   * <code>uint64 authority_term = 3;</code>
+   * @return The authorityTerm.
+   */
+  long getAuthorityTerm();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/TransferEngineOwnership.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/TransferEngineOwnership.java
@@ -191,7 +191,8 @@
   private volatile java.lang.Object reason_ = "";
   /**
    * <pre>
-   * owner_confirmed or owner_gone.
+   * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+   * owner_restarted (the same instance under its new boot).
    * </pre>
    *
    * <code>string reason = 6;</code>
@@ -212,7 +213,8 @@
   }
   /**
    * <pre>
-   * owner_confirmed or owner_gone.
+   * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+   * owner_restarted (the same instance under its new boot).
    * </pre>
    *
    * <code>string reason = 6;</code>
@@ -930,7 +932,8 @@
     private java.lang.Object reason_ = "";
     /**
      * <pre>
-     * owner_confirmed or owner_gone.
+     * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+     * owner_restarted (the same instance under its new boot).
      * </pre>
      *
      * <code>string reason = 6;</code>
@@ -950,7 +953,8 @@
     }
     /**
      * <pre>
-     * owner_confirmed or owner_gone.
+     * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+     * owner_restarted (the same instance under its new boot).
      * </pre>
      *
      * <code>string reason = 6;</code>
@@ -971,7 +975,8 @@
     }
     /**
      * <pre>
-     * owner_confirmed or owner_gone.
+     * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+     * owner_restarted (the same instance under its new boot).
      * </pre>
      *
      * <code>string reason = 6;</code>
@@ -988,7 +993,8 @@
     }
     /**
      * <pre>
-     * owner_confirmed or owner_gone.
+     * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+     * owner_restarted (the same instance under its new boot).
      * </pre>
      *
      * <code>string reason = 6;</code>
@@ -1002,7 +1008,8 @@
     }
     /**
      * <pre>
-     * owner_confirmed or owner_gone.
+     * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+     * owner_restarted (the same instance under its new boot).
      * </pre>
      *
      * <code>string reason = 6;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/TransferEngineOwnershipOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/TransferEngineOwnershipOrBuilder.java
@@ -60,7 +60,8 @@
 
   /**
    * <pre>
-   * owner_confirmed or owner_gone.
+   * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+   * owner_restarted (the same instance under its new boot).
    * </pre>
    *
    * <code>string reason = 6;</code>
@@ -69,7 +70,8 @@
   java.lang.String getReason();
   /**
    * <pre>
-   * owner_confirmed or owner_gone.
+   * owner_confirmed, owner_gone (by the platform's word; the owner must be retired) or
+   * owner_restarted (the same instance under its new boot).
    * </pre>
    *
    * <code>string reason = 6;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/UsageBatch.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/UsageBatch.java
@@ -7,7 +7,10 @@
 
 /**
  * <pre>
- * Sums of the records first_sequence to last_sequence of one process start, applied once.
+ * Sums of the records first_sequence to last_sequence of one process start, applied once. Batches of
+ * a process start are counted without gaps; a batch that does not continue at the last counted
+ * sequence is a conflict, and the answer's last_sequence says where to go on. A batch without
+ * figures passes over records that are lost.
  * </pre>
  *
  * Protobuf type {@code trestle.UsageBatch}
@@ -397,7 +400,10 @@
   }
   /**
    * <pre>
-   * Sums of the records first_sequence to last_sequence of one process start, applied once.
+   * Sums of the records first_sequence to last_sequence of one process start, applied once. Batches of
+   * a process start are counted without gaps; a batch that does not continue at the last counted
+   * sequence is a conflict, and the answer's last_sequence says where to go on. A batch without
+   * figures passes over records that are lost.
    * </pre>
    *
    * Protobuf type {@code trestle.UsageBatch}
