--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/engine/FakeEngine.java
@@ -0,0 +1,219 @@
+package org.teaseltrestle.testkit.engine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.UUID;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.testkit.TestkitEvent;
+import org.teaseltrestle.testkit.fakes.Addresses;
+import org.teaseltrestle.testkit.fakes.FakeRecord;
+import org.teaseltrestle.testkit.fakes.FleetFile;
+import org.teaseltrestle.testkit.http.Call;
+import org.teaseltrestle.testkit.http.HttpShell;
+import org.teaseltrestle.testkit.http.Json;
+
+/** Fake engine: the outside protocol over HTTP, with faults and a record under {@code /fake/}. */
+public final class FakeEngine implements AutoCloseable {
+
+  private static final EventLog LOG = EventLog.of(FakeEngine.class);
+  private static final int DEFAULT_OUTPUT_TOKENS = 16;
+
+  private final String id;
+  private final FakeRecord record;
+  private final EngineFaults faults = new EngineFaults();
+  private final EngineSettings settings;
+  private final EngineLoop loop;
+  private final HttpShell shell;
+
+  private FakeEngine(FleetFile.Engine engine) {
+    this.id = engine.id();
+    this.record = new FakeRecord(id);
+    EngineSettings defaults = EngineSettings.defaults();
+    this.settings =
+        engine.settings() == null
+            ? defaults
+            : Json.override(defaults, EngineSettings.class, engine.settings());
+    Orders orders =
+        new Orders(settings, engine.checksFencing(), Role.of(engine.role()), engine.model());
+    this.loop = new EngineLoop(id, settings, faults, orders, record);
+    this.loop.start();
+    this.shell = HttpShell.start(Addresses.parse(engine.address()), this::handle);
+  }
+
+  /** Starts an engine; port 0 in its address chooses a free one. */
+  public static FakeEngine start(FleetFile.Engine engine) {
+    FakeEngine fake = new FakeEngine(engine);
+    LOG.info(TestkitEvent.FAKE_STARTED, "engine", fake.id, "address", fake.address());
+    return fake;
+  }
+
+  /** Returns the address that the fake listens on, as {@code host:port}. */
+  public String address() {
+    return shell.hostAndPort();
+  }
+
+  /** Returns the record. */
+  public FakeRecord record() {
+    return record;
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+    shell.close();
+  }
+
+  private void handle(Call call) throws IOException {
+    String path = call.path();
+    if (path.startsWith("/fake/")) {
+      admin(call);
+      return;
+    }
+    if (faults.crashed()) {
+      call.breakConnection();
+      return;
+    }
+    if (path.startsWith("/v1/cancel/")) {
+      cancel(call, path.substring("/v1/cancel/".length()));
+      return;
+    }
+    switch (path) {
+      case "/v1/chat/completions", "/v1/completions" -> completion(call);
+      case "/load" -> call.reply(200, loop.load().put("engine", id));
+      case "/cache/events" ->
+          call.reply(200, loop.cacheEvents(Long.parseLong(call.parameter("after", "0"))));
+      case "/cache/prefixes" -> call.reply(200, loop.prefixes());
+      case "/state" -> call.reply(200, loop.state().put("engine", id));
+      case "/orders" -> order(call);
+      default -> call.refuse(404, "unknown_route");
+    }
+  }
+
+  private void admin(Call call) throws IOException {
+    switch (call.path()) {
+      case "/fake/record" -> {
+        call.reply(200, "application/x-ndjson", record.lines());
+        return;
+      }
+      case "/fake/faults" -> faults.set(call.json());
+      case "/fake/crash" -> {
+        faults.set(Json.object().put("crashed", true));
+        loop.crash();
+      }
+      case "/fake/restart" -> faults.set(Json.object().put("crashed", false));
+      case "/fake/leave" -> leave(true);
+      case "/fake/return" -> leave(false);
+      default -> {
+        call.refuse(404, "unknown_route");
+        return;
+      }
+    }
+    call.reply(200, faults.state());
+  }
+
+  private void leave(boolean leaving) {
+    loop.leave(leaving);
+    record.add(leaving ? "leaving" : "returned", Json.object());
+  }
+
+  private void cancel(Call call, String requestId) throws IOException {
+    record.received(call);
+    call.reply(200, Json.object().put("cancelled", loop.cancel(requestId, null)));
+  }
+
+  private void order(Call call) throws IOException {
+    record.received(call);
+    JsonNode order = call.json();
+    Orders.Outcome outcome = loop.order(order);
+    ObjectNode details = order.deepCopy();
+    details.put("sender", call.sender()).put("effect", outcome.effect());
+    details.put("instance", call.header("X-Trestle-Instance", ""));
+    record.add("order", details);
+    call.reply(outcome.status(), outcome.answer().put("engine", id));
+  }
+
+  private void completion(Call call) throws IOException {
+    record.received(call);
+    String closed = loop.closedFor();
+    if (closed != null) {
+      call.refuse(503, closed);
+      return;
+    }
+    JsonNode body = call.json();
+    EngineRequest request = request(call, body);
+    EngineFaults.AnswerFault fault = faults.next();
+    if (fault == EngineFaults.AnswerFault.REFUSE) {
+      call.refuse(503, "overloaded");
+    } else if (!body.path("model").asText().equals(loop.model())) {
+      call.refuse(404, "unknown_model");
+    } else if (!loop.fits(request)) {
+      call.refuse(400, "prompt_too_long");
+    } else {
+      answer(call, body, request, fault);
+    }
+  }
+
+  private void answer(
+      Call call, JsonNode body, EngineRequest request, EngineFaults.AnswerFault fault)
+      throws IOException {
+    TokenQueue tokens = new TokenQueue();
+    recordAccepted(request, body);
+    if (!loop.submit(request, tokens)) {
+      call.refuse(503, "overloaded");
+      return;
+    }
+    boolean chat = call.path().endsWith("/chat/completions");
+    AnswerWriter writer =
+        new AnswerWriter(call, request, loop.model(), chat, fault, faults.cutAfterTokens());
+    String end = "left";
+    try {
+      end = body.path("stream").asBoolean(false) ? writer.stream(tokens) : writer.whole(tokens);
+    } finally {
+      loop.cancel(request.requestId(), tokens);
+      ObjectNode details = Json.object().put("requestId", request.requestId());
+      details.put("attempt", request.attempt()).put("end", end);
+      record.add("ended", details.put("lastToken", writer.written() - 1));
+    }
+  }
+
+  private void recordAccepted(EngineRequest request, JsonNode body) {
+    ObjectNode details = Json.object().put("requestId", request.requestId());
+    details.put("attempt", request.attempt()).put("priority", request.priority());
+    details.put("promptTokens", request.promptTokens());
+    details.put("firstOutput", request.firstOutput());
+    details.put("maximumTokens", request.maximumTokens());
+    byte[] prompt = promptText(body).getBytes(StandardCharsets.UTF_8);
+    details.put("promptDigest", PrefixHash.digest(prompt));
+    record.add("accepted", details);
+  }
+
+  private EngineRequest request(Call call, JsonNode body) {
+    List<String> words = PrefixHash.words(promptText(body));
+    int first = body.path("trestle_resume").path("output_tokens").asInt(0);
+    return new EngineRequest(
+        call.header("X-Request-Id", "engine-" + UUID.randomUUID()),
+        call.header("X-Trestle-Attempt", "1"),
+        Integer.parseInt(call.header("X-Trestle-Priority", "0")),
+        PrefixHash.chain(words, settings.pieceTokens()),
+        words.size(),
+        first,
+        Math.max(first, body.path("max_tokens").asInt(DEFAULT_OUTPUT_TOKENS)));
+  }
+
+  /** Returns the prompt: the {@code prompt} field, or the messages' contents joined by newlines. */
+  static String promptText(JsonNode body) {
+    @Nullable JsonNode prompt = body.get("prompt");
+    if (prompt != null) {
+      return prompt.asText();
+    }
+    StringBuilder text = new StringBuilder();
+    for (JsonNode message : body.path("messages")) {
+      text.append(text.isEmpty() ? "" : "\n").append(message.path("content").asText());
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/engine/package-info.java
@@ -0,0 +1,5 @@
+/** Fake of a language-model engine. */
+@NullMarked
+package org.teaseltrestle.testkit.engine;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/FakePlatform.java
@@ -0,0 +1,151 @@
+package org.teaseltrestle.testkit.fakes;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.TestkitEvent;
+import org.teaseltrestle.testkit.http.Call;
+import org.teaseltrestle.testkit.http.HttpShell;
+import org.teaseltrestle.testkit.http.Json;
+
+/**
+ * Fake platform. Under {@code /fake/}: {@code record}; {@code instances} (POST: adds one); {@code
+ * state} (POST {"id", "state": "live|leaving|gone"}); {@code entry-instances} (POST the same with
+ * {@code live|gone}); {@code faults} (POST {"loseAnswers": n}: the next sends take effect, but
+ * their answers are lost).
+ */
+public final class FakePlatform implements AutoCloseable {
+
+  private static final EventLog LOG = EventLog.of(FakePlatform.class);
+  private static final String ID = "platform";
+
+  private final FakeRecord record = new FakeRecord(ID);
+  private final PlatformCore core;
+  private final AtomicInteger loseAnswers = new AtomicInteger();
+  private final HttpShell shell;
+
+  private FakePlatform(FleetFile fleet, FleetFile.Platform platform) {
+    PlatformSettings defaults = PlatformSettings.defaults();
+    PlatformSettings settings =
+        platform.settings() == null
+            ? defaults
+            : Json.override(defaults, PlatformSettings.class, platform.settings());
+    this.core = new PlatformCore(fleet, settings);
+    this.shell = HttpShell.start(Addresses.parse(platform.address()), this::handle);
+  }
+
+  /** Starts the platform of a fleet; port 0 in its address chooses a free one. */
+  public static FakePlatform start(FleetFile fleet) {
+    if (fleet.platform() == null) {
+      throw new TrestleException(ErrorCode.INVALID_SETTINGS, "the fleet has no platform");
+    }
+    FakePlatform fake = new FakePlatform(fleet, fleet.platform());
+    LOG.info(TestkitEvent.FAKE_STARTED, "platform", fake.address());
+    return fake;
+  }
+
+  /** Returns the address that the fake listens on, as {@code host:port}. */
+  public String address() {
+    return shell.hostAndPort();
+  }
+
+  /** Returns the record. */
+  public FakeRecord record() {
+    return record;
+  }
+
+  @Override
+  public void close() {
+    shell.close();
+  }
+
+  private void handle(Call call) throws IOException {
+    long now = System.currentTimeMillis();
+    String path = call.path();
+    if (path.startsWith("/fake/")) {
+      admin(call, now);
+    } else if (path.startsWith("/weights/")) {
+      weights(call, now);
+    } else {
+      switch (path) {
+        case "/instances" -> call.reply(200, core.instances(now));
+        case "/entry-instances" -> call.reply(200, core.entryInstances(now));
+        case "/orders" -> order(call, now);
+        case "/usage" -> usage(call);
+        default -> call.refuse(404, "unknown_route");
+      }
+    }
+  }
+
+  private void order(Call call, long now) throws IOException {
+    record.received(call);
+    JsonNode order = call.json();
+    ObjectNode answer = core.order(order, now);
+    if (answer == null) {
+      call.refuse(400, "malformed_request");
+      return;
+    }
+    record.add("order", sent(call, order).put("repeated", answer.has("repeated")));
+    answer.remove("repeated");
+    answer(call, answer);
+  }
+
+  private void usage(Call call) throws IOException {
+    record.received(call);
+    JsonNode report = call.json();
+    String comparison = core.usage(report);
+    record.add("usage", sent(call, report).put("comparison", comparison));
+    answer(call, Json.object().put("windowId", report.path("windowId").asText()));
+  }
+
+  private void weights(Call call, long now) throws IOException {
+    record.received(call);
+    if (core.allowFetch(now)) {
+      call.reply(200, Json.object().put("weights", call.path()));
+    } else {
+      call.answerHeader("Retry-After", "1");
+      call.refuse(429, "rate_limited");
+    }
+  }
+
+  private void answer(Call call, ObjectNode answer) throws IOException {
+    if (loseAnswers.getAndUpdate(count -> Math.max(0, count - 1)) > 0) {
+      call.breakConnection();
+    } else {
+      call.reply(200, answer);
+    }
+  }
+
+  private static ObjectNode sent(Call call, JsonNode body) {
+    ObjectNode details = body.deepCopy();
+    details.put("sender", call.sender());
+    return details.put("instance", call.header("X-Trestle-Instance", ""));
+  }
+
+  private void admin(Call call, long now) throws IOException {
+    if (call.path().equals("/fake/record")) {
+      call.reply(200, "application/x-ndjson", record.lines());
+      return;
+    }
+    JsonNode body = call.json();
+    String id = body.path("id").asText();
+    String state = body.path("state").asText();
+    switch (call.path()) {
+      case "/fake/instances" -> core.addInstance(body.deepCopy(), now);
+      case "/fake/state" -> core.setState(id, state, now);
+      case "/fake/entry-instances" -> core.setEntryInstance(id, state, now);
+      case "/fake/faults" -> loseAnswers.set(body.path("loseAnswers").asInt(0));
+      default -> {
+        call.refuse(404, "unknown_route");
+        return;
+      }
+    }
+    ObjectNode change = body.deepCopy();
+    record.add("administered", change.put("path", call.path()));
+    call.reply(200, Json.object());
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/http/HttpClients.java
@@ -0,0 +1,80 @@
+package org.teaseltrestle.testkit.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+
+/** HTTP clients that never repeat a request on their own. */
+public final class HttpClients {
+
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final int CONNECTIONS = 512;
+  private static final OkHttpClient SHARED = create(Duration.ofSeconds(10));
+
+  private HttpClients() {}
+
+  /** Creates a client with a read timeout. */
+  public static OkHttpClient create(Duration readTimeout) {
+    Dispatcher dispatcher = new Dispatcher();
+    dispatcher.setMaxRequests(CONNECTIONS);
+    dispatcher.setMaxRequestsPerHost(CONNECTIONS);
+    return new OkHttpClient.Builder()
+        .retryOnConnectionFailure(false)
+        .followRedirects(false)
+        .followSslRedirects(false)
+        .dispatcher(dispatcher)
+        .connectTimeout(Duration.ofSeconds(2))
+        .readTimeout(readTimeout)
+        .connectionPool(new ConnectionPool(64, 5, TimeUnit.SECONDS))
+        .build();
+  }
+
+  /** Gets a text; throws {@code UNREACHABLE} on any failure or status other than 200. */
+  public static String get(String url) {
+    return send(new Request.Builder().url(url).build());
+  }
+
+  /** Gets JSON. */
+  public static JsonNode getJson(String url) {
+    return Json.parse(get(url));
+  }
+
+  /** Posts JSON and returns the answer's text. */
+  public static String post(String url, @Nullable JsonNode body) {
+    String text = body == null ? "" : body.toString();
+    return send(new Request.Builder().url(url).post(RequestBody.create(text, JSON)).build());
+  }
+
+  /** Returns the status of a GET, or 0 when the server cannot be reached. */
+  public static int status(String url) {
+    try (Response response = SHARED.newCall(new Request.Builder().url(url).build()).execute()) {
+      return response.code();
+    } catch (IOException e) {
+      return 0;
+    }
+  }
+
+  private static String send(Request request) {
+    try (Response response = SHARED.newCall(request).execute()) {
+      String text = response.body() == null ? "" : response.body().string();
+      if (!response.isSuccessful()) {
+        throw new TrestleException(
+            ErrorCode.UNREACHABLE, request.url() + " answered " + response.code() + " " + text);
+      }
+      return text;
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.UNREACHABLE, request.url() + ": " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/http/HttpShell.java
@@ -0,0 +1,82 @@
+package org.teaseltrestle.testkit.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.TestkitEvent;
+
+/** HTTP server of one fake; each request is handled on a worker thread with blocking I/O. */
+public final class HttpShell implements AutoCloseable {
+
+  private static final EventLog LOG = EventLog.of(HttpShell.class);
+
+  /** A stream holds its worker for its whole length; idle workers cost nothing. */
+  private static final int WORKER_THREADS = 128;
+
+  /** Long prompts of traces stay far below this. */
+  private static final long LARGEST_BODY_BYTES = 64L << 20;
+
+  private final Undertow server;
+
+  /** Handles one request. */
+  @FunctionalInterface
+  public interface Handler {
+    /** Handles one request. */
+    void handle(Call call) throws IOException;
+  }
+
+  private HttpShell(Undertow server) {
+    this.server = server;
+  }
+
+  /** Starts a server; port 0 chooses a free one. */
+  public static HttpShell start(InetSocketAddress address, Handler handler) {
+    Undertow server =
+        Undertow.builder()
+            .addHttpListener(address.getPort(), address.getHostString())
+            .setIoThreads(1)
+            .setWorkerThreads(WORKER_THREADS)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, LARGEST_BODY_BYTES)
+            .setHandler(exchange -> exchange.dispatch(() -> handle(exchange, handler)))
+            .build();
+    server.start();
+    return new HttpShell(server);
+  }
+
+  private static void handle(HttpServerExchange exchange, Handler handler) {
+    try {
+      Call call = new Call(exchange);
+      try {
+        handler.handle(call);
+      } catch (TrestleException e) {
+        call.refuse(400, "malformed_request");
+      }
+    } catch (IOException e) {
+      // The caller left; the fakes treat this as the end of the request.
+      exchange.endExchange();
+    } catch (RuntimeException e) {
+      LOG.error(TestkitEvent.FAKE_FAILED, e, "path", exchange.getRequestPath());
+      exchange.setStatusCode(500);
+      exchange.endExchange();
+    }
+  }
+
+  /** Returns the address that the server listens on. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+  }
+
+  /** Returns the address as {@code host:port}. */
+  public String hostAndPort() {
+    return address().getHostString() + ":" + address().getPort();
+  }
+
+  @Override
+  public void close() {
+    server.stop();
+  }
+}
