Add the trace format, seeded trace makers and the replay

Goodput, fairness and cost have to be measured by open-loop load whose answers are known. Traces are JSON lines (docs/traces.md); make-trace writes seeded ones of both users' kinds; replay compares every answer byte by byte and reports as text, JSON and PNG.

--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitEvent.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitEvent.java
@@ -11,7 +11,8 @@
   REPLAY_FINISHED(9005, "replay finished"),
   PROCESS_STARTED(9006, "process started"),
   PROCESS_ENDED(9007, "process ended"),
-  CONDITION_WAITING(9008, "waiting for a condition");
+  CONDITION_WAITING(9008, "waiting for a condition"),
+  FIGURES_UNREADABLE(9009, "figures could not be read");
 
   private final int number;
   private final String text;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
@@ -9,6 +9,8 @@
 import org.teaseltrestle.testkit.command.FakeEngineCommand;
 import org.teaseltrestle.testkit.command.FakePlatformCommand;
 import org.teaseltrestle.testkit.command.FakeServiceCommand;
+import org.teaseltrestle.testkit.command.MakeTraceCommand;
+import org.teaseltrestle.testkit.command.ReplayCommand;
 
 /** Entry point of the test kit. Exit codes: 0 done, 1 failed, 2 wrong usage. */
 @com.github.rvesse.airline.annotations.Cli(
@@ -20,6 +22,8 @@
       FakeEngineCommand.class,
       FakeServiceCommand.class,
       FakePlatformCommand.class,
+      ReplayCommand.class,
+      MakeTraceCommand.class,
       Help.class
     })
 public final class TestkitMain {
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/replay/Replay.java
@@ -0,0 +1,183 @@
+package org.teaseltrestle.testkit.replay;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.TestkitEvent;
+import org.teaseltrestle.testkit.engine.PrefixHash;
+import org.teaseltrestle.testkit.http.HttpClients;
+import org.teaseltrestle.testkit.http.Json;
+import org.teaseltrestle.testkit.trace.PromptText;
+import org.teaseltrestle.testkit.trace.TraceEntry;
+
+/** Sends a trace open-loop: each request starts at its time, whatever became of those before. */
+public final class Replay {
+
+  private static final EventLog LOG = EventLog.of(Replay.class);
+  private static final MediaType JSON = MediaType.get("application/json");
+  private static final long LARGEST_MICROS = TimeUnit.MINUTES.toMicros(10);
+  private static final double MICROS_PER_MILLI = 1000;
+
+  private final List<TraceEntry> trace;
+  private final ReplaySettings settings;
+  private final OkHttpClient client;
+  private final Histogram betweenMicros = new ConcurrentHistogram(LARGEST_MICROS, 3);
+
+  /** Creates a replay of a trace. */
+  public Replay(List<TraceEntry> trace, ReplaySettings settings) {
+    this.trace = List.copyOf(trace);
+    this.settings = settings;
+    this.client = HttpClients.create(Duration.ofMillis(settings.timeoutMillis()));
+  }
+
+  /** Sends all requests, waits for all answers and returns the results in the trace's order. */
+  public List<RequestResult> run() {
+    LOG.info(TestkitEvent.REPLAY_STARTED, "requests", trace.size());
+    ExecutorService executor = Executors.newCachedThreadPool(threads());
+    List<CompletableFuture<RequestResult>> answers = new ArrayList<>();
+    long start = System.nanoTime();
+    for (int i = 0; i < trace.size(); i++) {
+      int index = i;
+      double offsetMillis = trace.get(i).atMillis() * settings.timeScale();
+      long startNanos = start + (long) (offsetMillis * TimeUnit.MILLISECONDS.toNanos(1));
+      waitUntil(startNanos);
+      answers.add(CompletableFuture.supplyAsync(() -> send(index, startNanos), executor));
+    }
+    List<RequestResult> results = answers.stream().map(CompletableFuture::join).toList();
+    executor.shutdown();
+    client.connectionPool().evictAll();
+    LOG.info(TestkitEvent.REPLAY_FINISHED, "requests", results.size());
+    return results;
+  }
+
+  /** Returns all times between tokens, in microseconds. */
+  public Histogram betweenMicros() {
+    return betweenMicros;
+  }
+
+  private RequestResult send(int index, long startNanos) {
+    TraceEntry entry = trace.get(index);
+    String entryAddress = entryAddress(index, entry);
+    byte[] content = content(entry, index);
+    ResultBuilder builder =
+        new ResultBuilder(
+            index,
+            entry.account() == null ? "" : entry.account(),
+            entryAddress,
+            PrefixHash.digest(content),
+            entry.idempotencyKey(),
+            startNanos);
+    RequestResult result = exchange(entry, entryAddress, content, builder);
+    builder
+        .gaps()
+        .forEach(
+            gap ->
+                betweenMicros.recordValue(
+                    Math.min(LARGEST_MICROS, (long) (gap * MICROS_PER_MILLI))));
+    return result;
+  }
+
+  private RequestResult exchange(
+      TraceEntry entry, String entryAddress, byte[] content, ResultBuilder builder) {
+    try (Response response = client.newCall(request(entry, entryAddress, content)).execute()) {
+      return new AnswerReader(entry, builder).read(response);
+    } catch (IOException e) {
+      return builder.build(Outcome.BROKEN, String.valueOf(e));
+    } catch (TrestleException e) {
+      return builder.build(Outcome.WRONG, e.getMessage());
+    }
+  }
+
+  private Request request(TraceEntry entry, String entryAddress, byte[] content) {
+    Request.Builder request = new Request.Builder();
+    String key = entry.account() == null ? null : settings.keys().get(entry.account());
+    if (key != null) {
+      request.header("Authorization", "Bearer " + key);
+    }
+    if (entry.idempotencyKey() != null) {
+      request.header("Idempotency-Key", entry.idempotencyKey());
+    }
+    if (entry.isModelRequest()) {
+      String path = entry.chat() ? "/v1/chat/completions" : "/v1/completions";
+      String prompt = new String(content, StandardCharsets.UTF_8);
+      return request
+          .url("http://" + entryAddress + path)
+          .post(RequestBody.create(modelBody(entry, prompt), JSON))
+          .build();
+    }
+    String method = entry.method() == null ? "GET" : entry.method();
+    return request
+        .url("http://" + entryAddress + "/services/" + entry.service() + entry.path())
+        .method(method, serviceBody(method, content))
+        .build();
+  }
+
+  private static @Nullable RequestBody serviceBody(String method, byte[] content) {
+    return method.equals("GET") || method.equals("HEAD") ? null : RequestBody.create(content, JSON);
+  }
+
+  private static String modelBody(TraceEntry entry, String prompt) {
+    var body = Json.object().put("model", entry.model()).put("stream", entry.stream());
+    body.put("max_tokens", entry.outputTokens());
+    if (entry.priority() != null) {
+      body.put("priority", entry.priority());
+    }
+    if (entry.chat()) {
+      body.putArray("messages").addObject().put("role", "user").put("content", prompt);
+    } else {
+      body.put("prompt", prompt);
+    }
+    return body.toString();
+  }
+
+  private byte[] content(TraceEntry entry, int index) {
+    String text =
+        entry.isModelRequest()
+            ? PromptText.of(entry, settings.run(), index)
+            : entry.body() == null ? "" : entry.body();
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private String entryAddress(int index, TraceEntry entry) {
+    boolean byAccount =
+        settings.spread() == ReplaySettings.Spread.ACCOUNT && entry.account() != null;
+    int position = byAccount ? String.valueOf(entry.account()).hashCode() : index;
+    return settings.entries().get(Math.floorMod(position, settings.entries().size()));
+  }
+
+  private static void waitUntil(long deadlineNanos) {
+    long left = deadlineNanos - System.nanoTime();
+    while (left > 0) {
+      LockSupport.parkNanos(left);
+      left = deadlineNanos - System.nanoTime();
+    }
+  }
+
+  private static ThreadFactory threads() {
+    AtomicInteger count = new AtomicInteger();
+    return task -> {
+      Thread thread = new Thread(task, "replay-" + count.incrementAndGet());
+      thread.setDaemon(true);
+      return thread;
+    };
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/replay/ReplayRun.java
@@ -0,0 +1,82 @@
+package org.teaseltrestle.testkit.replay;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.fakes.FleetFile;
+import org.teaseltrestle.testkit.http.Json;
+import org.teaseltrestle.testkit.trace.TraceEntry;
+
+/**
+ * A replay with all its measurements.
+ *
+ * @param report figures
+ * @param results results in the trace's order
+ * @param records what the fakes recorded meanwhile
+ * @param settings settings of the replay
+ * @param betweenMicros all times between tokens
+ */
+public record ReplayRun(
+    ReplayReport report,
+    List<RequestResult> results,
+    RunRecords records,
+    ReplaySettings settings,
+    Histogram betweenMicros) {
+
+  /** Replays a trace; without a fleet file the fakes' records and the cost are left out. */
+  public static ReplayRun run(
+      List<TraceEntry> trace, ReplaySettings settings, @Nullable FleetFile fleet) {
+    long started = System.currentTimeMillis();
+    Map<String, Long> before = NodeMetrics.read(settings.entries());
+    FleetFile.Platform platform = fleet == null ? null : fleet.platform();
+    CostSampler sampler = platform == null ? null : CostSampler.start(platform.address());
+    try {
+      Replay replay = new Replay(trace, settings);
+      List<RequestResult> results = replay.run();
+      Map<String, Long> after = NodeMetrics.read(settings.entries());
+      RunRecords records = records(fleet).since(started);
+      Map<String, Double> seconds = sampler == null ? Map.of() : sampler.serverSeconds();
+      ReplayReport report =
+          new ReportMaker(trace, results, settings, records)
+              .make(replay.betweenMicros(), NodeMetrics.difference(before, after), seconds);
+      return new ReplayRun(report, results, records, settings, replay.betweenMicros());
+    } finally {
+      if (sampler != null) {
+        sampler.close();
+      }
+    }
+  }
+
+  /** Fetches the records of a fleet's fakes. */
+  public static RunRecords records(@Nullable FleetFile fleet) {
+    if (fleet == null) {
+      return new RunRecords(List.of(), List.of(), List.of());
+    }
+    FleetFile.Platform platform = fleet.platform();
+    return RunRecords.fetch(
+        fleet.engines().stream().map(FleetFile.Engine::address).toList(),
+        fleet.services().stream().map(FleetFile.Service::address).toList(),
+        platform == null ? List.of() : List.of(platform.address()));
+  }
+
+  /** Writes report.txt, report.json, results.jsonl and report.png into a folder. */
+  public void write(Path folder) {
+    try {
+      Files.createDirectories(folder);
+      Files.writeString(folder.resolve("report.txt"), ReportText.of(report));
+      Files.writeString(folder.resolve("report.json"), Json.text(report) + "\n");
+      StringBuilder lines = new StringBuilder();
+      results.forEach(result -> lines.append(Json.text(result)).append('\n'));
+      Files.writeString(folder.resolve("results.jsonl"), lines);
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.FILE_ACCESS, folder + " cannot be written", e);
+    }
+    ReportPlot.write(folder.resolve("report.png"), report, results, settings, betweenMicros);
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/trace/TraceFile.java
@@ -0,0 +1,73 @@
+package org.teaseltrestle.testkit.trace;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.SourceLocation;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.http.Json;
+
+/** Reads and writes traces: JSON lines; lines that start with {@code //} are comments. */
+public final class TraceFile {
+
+  private static final String COMMENT = "//";
+
+  private TraceFile() {}
+
+  /** Reads a trace; a broken line is an error with its location. */
+  public static List<TraceEntry> read(Path file) {
+    List<TraceEntry> entries = new ArrayList<>();
+    int number = 0;
+    for (String line : lines(file)) {
+      number++;
+      if (line.isBlank() || line.startsWith(COMMENT)) {
+        continue;
+      }
+      try {
+        entries.add(check(Json.convert(Json.parse(line), TraceEntry.class)));
+      } catch (TrestleException e) {
+        throw new TrestleException(
+            ErrorCode.INVALID_LIST,
+            String.valueOf(e.getMessage()),
+            new SourceLocation(file.toString(), number, 1, "$"),
+            e);
+      }
+    }
+    return entries;
+  }
+
+  /** Writes a trace with a comment above it. */
+  public static void write(Path file, List<String> comments, List<TraceEntry> entries) {
+    StringBuilder text = new StringBuilder();
+    comments.forEach(comment -> text.append(COMMENT).append(' ').append(comment).append('\n'));
+    entries.forEach(entry -> text.append(Json.text(entry)).append('\n'));
+    try {
+      Files.writeString(file, text.toString());
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.FILE_ACCESS, file + " cannot be written", e);
+    }
+  }
+
+  @SuppressWarnings("ConstantValue")
+  private static TraceEntry check(TraceEntry entry) {
+    if ((entry.model() == null) == (entry.service() == null)) {
+      throw new TrestleException(
+          ErrorCode.INVALID_LIST, "a request has either a model or a service");
+    }
+    if (entry.expect() == null) {
+      return entry.expecting(TraceEntry.COMPLETED);
+    }
+    return entry;
+  }
+
+  private static List<String> lines(Path file) {
+    try {
+      return Files.readAllLines(file);
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.FILE_ACCESS, file + " cannot be read", e);
+    }
+  }
+}
