Add the fault proxy and test certificates

Process tests have to cut links between nodes one way and both ways, delay and break them. FaultProxy holds bytes of a dropped direction back, as TCP does while packets are lost, so that stale messages arrive late after the cut. Test certificates carry the instance id as common name, as the transport expects.

--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
@@ -6,9 +6,11 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
 import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.command.CertificatesCommand;
 import org.teaseltrestle.testkit.command.FakeEngineCommand;
 import org.teaseltrestle.testkit.command.FakePlatformCommand;
 import org.teaseltrestle.testkit.command.FakeServiceCommand;
+import org.teaseltrestle.testkit.command.FaultProxyCommand;
 import org.teaseltrestle.testkit.command.MakeTraceCommand;
 import org.teaseltrestle.testkit.command.ReplayCommand;
 
@@ -22,8 +24,10 @@
       FakeEngineCommand.class,
       FakeServiceCommand.class,
       FakePlatformCommand.class,
+      FaultProxyCommand.class,
       ReplayCommand.class,
       MakeTraceCommand.class,
+      CertificatesCommand.class,
       Help.class
     })
 public final class TestkitMain {
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/certificates/package-info.java
@@ -0,0 +1,5 @@
+/** Certificates for tests of mutual TLS. */
+@NullMarked
+package org.teaseltrestle.testkit.certificates;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/proxy/FaultProxy.java
@@ -0,0 +1,115 @@
+package org.teaseltrestle.testkit.proxy;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.fakes.Addresses;
+import org.teaseltrestle.testkit.http.Call;
+import org.teaseltrestle.testkit.http.HttpShell;
+import org.teaseltrestle.testkit.http.Json;
+
+/**
+ * TCP proxy that injects faults by link. Over HTTP: {@code GET /links}; {@code POST /links/NAME}
+ * with {@code {"mode": "pass|drop_forward|drop_backward|drop_both|delay|refuse", "delayMillis": n,
+ * "break": true}}.
+ */
+public final class FaultProxy implements AutoCloseable {
+
+  private static final String LINKS = "/links";
+
+  private final Map<String, ProxyLink> links = new ConcurrentSkipListMap<>();
+
+  /** Opens a link; port 0 in the listening address chooses a free one. */
+  public ProxyLink open(String name, String listen, String target) {
+    ProxyLink link = ProxyLink.open(name, Addresses.parse(listen), Addresses.parse(target));
+    if (links.putIfAbsent(name, link) != null) {
+      link.close();
+      throw new TrestleException(ErrorCode.INVALID_SETTINGS, "link " + name + " exists already");
+    }
+    return link;
+  }
+
+  /** Returns a link by name; throws {@code SERVICE_NOT_FOUND}. */
+  public ProxyLink link(String name) {
+    ProxyLink link = links.get(name);
+    if (link == null) {
+      throw new TrestleException(ErrorCode.SERVICE_NOT_FOUND, "no proxy link " + name);
+    }
+    return link;
+  }
+
+  /** Returns all links. */
+  public Collection<ProxyLink> links() {
+    return List.copyOf(links.values());
+  }
+
+  /** Lets everything pass again on all links. */
+  public void healAll() {
+    links.values().forEach(link -> link.set(LinkMode.PASS));
+  }
+
+  /** Serves the control interface; port 0 chooses a free port. */
+  public HttpShell control(String listen) {
+    return HttpShell.start(Addresses.parse(listen), this::handle);
+  }
+
+  @Override
+  public void close() {
+    links.values().forEach(ProxyLink::close);
+  }
+
+  private void handle(Call call) throws IOException {
+    if (call.path().equals(LINKS)) {
+      ObjectNode answer = Json.object();
+      ArrayNode list = answer.putArray("links");
+      links().forEach(link -> list.add(describe(link)));
+      call.reply(200, answer);
+      return;
+    }
+    String name =
+        call.path().startsWith(LINKS + "/") ? call.path().substring(LINKS.length() + 1) : "";
+    ProxyLink link = links.get(name);
+    if (link == null) {
+      call.refuse(404, "unknown_link");
+      return;
+    }
+    apply(link, call.json());
+    call.reply(200, describe(link));
+  }
+
+  private static void apply(ProxyLink link, JsonNode body) {
+    if (body.has("mode")) {
+      LinkMode mode = mode(body.path("mode").asText());
+      if (mode == LinkMode.DELAY) {
+        link.delay(body.path("delayMillis").asLong());
+      } else {
+        link.set(mode);
+      }
+    }
+    if (body.path("break").asBoolean(false)) {
+      link.breakConnections();
+    }
+  }
+
+  private static LinkMode mode(String text) {
+    try {
+      return LinkMode.valueOf(text.toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "unknown link mode " + text, e);
+    }
+  }
+
+  private static ObjectNode describe(ProxyLink link) {
+    ObjectNode state = Json.object().put("name", link.name()).put("address", link.address());
+    state.put("mode", link.mode().name().toLowerCase(Locale.ROOT));
+    return state.put("connections", link.connections());
+  }
+}
