--- a/testkit/src/main/java/org/teaseltrestle/testkit/replay/CostSampler.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/replay/CostSampler.java
@@ -61,8 +61,7 @@
         }
       }
     } catch (TrestleException e) {
-      LOG.warn(
-          TestkitEvent.FIGURES_UNREADABLE, "instances", platformAddress, "cause", e.getMessage());
+      LOG.warn(TestkitEvent.FIGURES_UNREADABLE, "instances", platformAddress, "cause", e);
     }
   }
 }
--- a/testkit/src/main/java/org/teaseltrestle/testkit/replay/NodeMetrics.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/replay/NodeMetrics.java
@@ -24,7 +24,7 @@
       try {
         collect(HttpClients.getJson("http://" + entry + "/metrics"), counters);
       } catch (TrestleException e) {
-        LOG.warn(TestkitEvent.FIGURES_UNREADABLE, "metrics", entry, "cause", e.getMessage());
+        LOG.warn(TestkitEvent.FIGURES_UNREADABLE, "metrics", entry, "cause", e);
       }
     }
     return counters;
