Add the fleet duty and check keys against the control view

Cause: the admission decisions need the instance list, loads and cache views; keys need their real check; a late record that an unanswered claim did not run could free the key of a later, running call. Conclusion: the duty's calls still need a test against stand-ins.

--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetPoller.java
@@ -0,0 +1,136 @@
+package org.teaseltrestle.node.fleet;
+
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.CacheEvents;
+import org.teaseltrestle.node.port.CacheListing;
+import org.teaseltrestle.node.port.EngineClient;
+import org.teaseltrestle.node.port.EngineLoad;
+import org.teaseltrestle.node.port.ListedServer;
+import org.teaseltrestle.node.port.PlatformInstances;
+import org.teaseltrestle.node.port.ServiceClient;
+import org.teaseltrestle.node.port.ServiceLoad;
+
+/** Makes the fleet duty's calls in the background, a bounded number at once. */
+final class FleetPoller implements AutoCloseable {
+
+  private static final EventLog LOG = EventLog.of(FleetPoller.class);
+
+  private static final int QUEUE_CAPACITY = 256;
+
+  private final PlatformInstances platform;
+  private final EngineClient engines;
+  private final ServiceClient services;
+  private final MonotonicClock clock;
+  private final Consumer<FleetItem> results;
+  private final ThreadPoolExecutor pool;
+
+  FleetPoller(
+      PlatformInstances platform,
+      EngineClient engines,
+      ServiceClient services,
+      MonotonicClock clock,
+      int threads,
+      Consumer<FleetItem> results) {
+    this.platform = platform;
+    this.engines = engines;
+    this.services = services;
+    this.clock = clock;
+    this.results = results;
+    this.pool =
+        new ThreadPoolExecutor(
+            threads,
+            threads,
+            0,
+            TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(QUEUE_CAPACITY),
+            task -> {
+              Thread thread = new Thread(task, "fleet-poll");
+              thread.setDaemon(true);
+              return thread;
+            });
+  }
+
+  /** Reads the instance list; returns false if too many calls wait already. */
+  boolean readList() {
+    return run(
+        () -> {
+          try {
+            results.accept(new FleetItem.ListRead(platform.instances()));
+          } catch (TrestleException e) {
+            LOG.warn(FleetEvent.INSTANCE_LIST_UNREADABLE, "reason", String.valueOf(e.getMessage()));
+            results.accept(new FleetItem.ListRead(null));
+          }
+        });
+  }
+
+  /** Reads a load report; returns false if too many calls wait already. */
+  boolean readLoad(ListedServer entry) {
+    BackendServerId id = entry.server().id();
+    String address = entry.server().address();
+    return run(
+        () -> {
+          long begunAtNanos = clock.nowNanos();
+          @Nullable EngineLoad engine = null;
+          @Nullable ServiceLoad service = null;
+          try {
+            if (entry.kind() == ListedServer.Kind.ENGINE) {
+              engine = engines.load(address);
+            } else {
+              service = services.load(address);
+            }
+          } catch (TrestleException e) {
+            // The result without a report says so.
+            engine = null;
+          }
+          results.accept(
+              new FleetItem.LoadRead(id, begunAtNanos, clock.nowNanos(), engine, service));
+        });
+  }
+
+  /** Reads the listing, or the events after a number; returns false if too many calls wait. */
+  boolean readCache(ListedServer entry, CacheFollower follower) {
+    BackendServerId id = entry.server().id();
+    String address = entry.server().address();
+    boolean listing = follower.needsListing();
+    long after = follower.sequence();
+    return run(
+        () -> {
+          @Nullable CacheEvents events = null;
+          @Nullable CacheListing listed = null;
+          try {
+            if (listing) {
+              listed = engines.cachePrefixes(address);
+            } else {
+              events = engines.cacheEvents(address, after);
+            }
+          } catch (TrestleException e) {
+            // The result without events says so.
+            events = null;
+          }
+          results.accept(new FleetItem.CacheRead(id, events, listed));
+        });
+  }
+
+  @Override
+  public void close() {
+    pool.shutdownNow();
+  }
+
+  private boolean run(Runnable call) {
+    try {
+      pool.execute(call);
+      return true;
+    } catch (RejectedExecutionException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetStates.java
@@ -0,0 +1,78 @@
+package org.teaseltrestle.node.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.node.port.ListedServer;
+import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.BackendServer.State;
+import org.teaseltrestle.wire.PlanChange;
+
+/** Works out the state of each backend server from all that is known about it. */
+final class FleetStates {
+
+  private FleetStates() {}
+
+  /**
+   * Returns the servers with their states. Ejections never empty a pool: when every live server of
+   * a pool is ejected, none is.
+   */
+  static List<BackendServer> of(
+      List<ListedServer> subset,
+      ServerMarks marks,
+      Collection<PlanChange> plannedChanges,
+      long nowNanos) {
+    Set<BackendServerId> draining = draining(plannedChanges);
+    List<BackendServer> servers = new ArrayList<>();
+    Set<PoolId> usablePools = new HashSet<>();
+    for (ListedServer entry : subset) {
+      BackendServer server = entry.server();
+      State state = settled(server, marks, draining, nowNanos);
+      servers.add(with(server, state));
+      if (state == State.LIVE && !marks.isEjected(server.id(), nowNanos)) {
+        usablePools.add(server.pool());
+      }
+    }
+    servers.replaceAll(
+        server ->
+            server.state() == State.LIVE
+                    && marks.isEjected(server.id(), nowNanos)
+                    && usablePools.contains(server.pool())
+                ? with(server, State.LEAVING)
+                : server);
+    return servers;
+  }
+
+  private static State settled(
+      BackendServer server, ServerMarks marks, Set<BackendServerId> draining, long nowNanos) {
+    if (server.state() == State.LEAVING || marks.isLeaving(server.id(), nowNanos)) {
+      return State.LEAVING;
+    }
+    return draining.contains(server.id()) ? State.DRAINING : server.state();
+  }
+
+  private static Set<BackendServerId> draining(Collection<PlanChange> plannedChanges) {
+    Set<BackendServerId> draining = new HashSet<>();
+    for (PlanChange change : plannedChanges) {
+      if (!change.getKind().equals("undrain")) {
+        draining.add(new BackendServerId(change.getBackendServer()));
+      }
+    }
+    return draining;
+  }
+
+  private static BackendServer with(BackendServer server, State state) {
+    return new BackendServer(
+        server.id(),
+        server.pool(),
+        server.failureDomain(),
+        server.address(),
+        server.models(),
+        server.capacity(),
+        state);
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerGate.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerGate.java
@@ -3,6 +3,8 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.KeyVerdict;
+import org.teaseltrestle.control.KeyVerifier;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.lists.Plan;
@@ -11,12 +13,10 @@
 final class CallerGate {
 
   private final ControlGateway control;
-  private final KeyCheck keys;
   private final MonotonicClock clock;
 
-  CallerGate(ControlGateway control, KeyCheck keys, MonotonicClock clock) {
+  CallerGate(ControlGateway control, MonotonicClock clock) {
     this.control = control;
-    this.keys = keys;
     this.clock = clock;
   }
 
@@ -45,11 +45,7 @@
       throw new RefusalException(
           RefusalCode.KEY_LEASE_EXPIRED, "this instance cannot check keys at present");
     }
-    KeyCheck.Result result = keys.check(keyText, view);
-    if (result instanceof KeyCheck.Invalid invalid) {
-      throw new RefusalException(invalid.code(), "the key is not valid");
-    }
-    KeyCheck.Valid valid = (KeyCheck.Valid) result;
+    KeyVerdict.Valid valid = verify(keyText, view);
     Plan plan =
         view.lists()
             .planOf(valid.account())
@@ -74,6 +70,20 @@
     return valid ? null : RefusalCode.KEY_WITHDRAWN;
   }
 
+  private static KeyVerdict.Valid verify(String keyText, ControlView view) {
+    KeyVerdict verdict = KeyVerifier.verify(view, keyText);
+    if (verdict instanceof KeyVerdict.Valid valid) {
+      return valid;
+    }
+    if (verdict instanceof KeyVerdict.Withdrawn) {
+      throw new RefusalException(RefusalCode.KEY_WITHDRAWN, "the key was withdrawn");
+    }
+    if (verdict instanceof KeyVerdict.Malformed) {
+      throw new RefusalException(RefusalCode.KEY_MALFORMED, "the key is malformed");
+    }
+    throw new RefusalException(RefusalCode.KEY_UNKNOWN, "the key is not known");
+  }
+
   private boolean leaseEnded() {
     return control.keyLeaseEndsAtNanos() - clock.nowNanos() <= 0;
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
@@ -2,11 +2,14 @@
 
 import com.google.protobuf.ByteString;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.EventLog;
@@ -30,15 +33,24 @@
   static final int MAXIMUM_OUTCOME_BYTES = 16 * 1024;
 
   private static final EventLog LOG = EventLog.of(IdempotencyClaims.class);
-  private static final int MAXIMUM_RESENDS = 60;
   private static final long RESEND_SECONDS = 1;
 
   /** Claim that this process holds: it alone may send the call. */
   record Claim(IdempotencyRecord record, String commandId) {}
 
+  private record ClaimedKey(String account, String service, String idempotencyKey) {
+
+    static ClaimedKey of(IdempotencyRecord record) {
+      return new ClaimedKey(record.getAccount(), record.getService(), record.getIdempotencyKey());
+    }
+  }
+
   /** Answer to a claim: either the claim, or the outcome of an earlier run. */
   record Decision(@Nullable Claim claim, @Nullable ServiceOutcome earlier) {}
 
+  /** Keys with a command of this process whose answer is not known. */
+  private final Set<ClaimedKey> unsettled = ConcurrentHashMap.newKeySet();
+
   private final ControlGateway control;
   private final InstanceId instance;
   private final long boot;
@@ -85,13 +97,19 @@
             .setProposedAtMillis(clock.nowMillis())
             .setClaimIdempotency(ClaimIdempotency.newBuilder().setClaim(wanted))
             .build();
+    ClaimedKey key = ClaimedKey.of(wanted);
+    if (!unsettled.add(key)) {
+      throw new RefusalException(
+          RefusalCode.IDEMPOTENCY_KEY_IN_USE,
+          "an earlier call with this idempotency key is not settled");
+    }
     CommandAnswer answer = propose(command);
     if (answer == null) {
-      // The claim may still be committed: free the key again, because the call is not sent.
-      record(new Claim(wanted, commandId), wanted.toBuilder(), IdempotencyRecord.State.NOT_RUN);
+      settleUnsentClaim(command, new Claim(wanted, commandId));
       throw new RefusalException(
           RefusalCode.CONTROL_UNREACHABLE, "the call could not be claimed; it was not sent");
     }
+    unsettled.remove(key);
     if (answer.getStatus() == CommandAnswer.Status.ACCEPTED) {
       return new Decision(new Claim(wanted, commandId), null);
     }
@@ -152,39 +170,69 @@
 
   private void record(
       Claim claim, IdempotencyRecord.Builder outcome, IdempotencyRecord.State state) {
-    Command command =
-        Command.newBuilder()
-            .setRequestId("outcome:" + claim.commandId())
-            .setProposedAtMillis(clock.nowMillis())
-            .setRecordOutcome(RecordOutcome.newBuilder().setOutcome(outcome.setState(state)))
-            .build();
+    Command command = outcomeCommand(claim, outcome, state);
+    ClaimedKey key = ClaimedKey.of(claim.record());
+    unsettled.add(key);
     // A caller that hears of the outcome may repeat the call at once, so the commit comes first.
     if (propose(command) == null) {
       LOG.warn(RelayEvent.OUTCOME_NOT_RECORDED, "command", command.getRequestId());
-      resend(command, 1);
+      proposeUntilAnswered(command, answer -> unsettled.remove(key));
+    } else {
+      unsettled.remove(key);
     }
   }
 
-  private void resend(Command command, int count) {
-    if (count > MAXIMUM_RESENDS || resends.isShutdown()) {
-      return;
-    }
-    resendLater(
-        () -> {
-          if (propose(command) == null) {
-            resend(command, count + 1);
+  /**
+   * Finds out whether an unanswered claim was accepted, and frees its key if so, because the call
+   * is not sent. Until then a new claim of the key by this process is refused: the late record that
+   * the first call did not run would free the key while the second call runs.
+   */
+  private void settleUnsentClaim(Command command, Claim claim) {
+    proposeUntilAnswered(
+        command,
+        answer -> {
+          if (answer.getStatus() != CommandAnswer.Status.ACCEPTED) {
+            unsettled.remove(ClaimedKey.of(claim.record()));
+            return;
           }
+          Command freed =
+              outcomeCommand(claim, claim.record().toBuilder(), IdempotencyRecord.State.NOT_RUN);
+          proposeUntilAnswered(freed, last -> unsettled.remove(ClaimedKey.of(claim.record())));
         });
   }
 
-  private void resendLater(Runnable resend) {
+  private void proposeUntilAnswered(Command command, Consumer<CommandAnswer> then) {
+    Runnable attempt =
+        () -> {
+          var unused =
+              control
+                  .propose(command)
+                  .whenComplete(
+                      (answer, failure) -> {
+                        if (failure == null) {
+                          then.accept(answer);
+                        } else {
+                          proposeUntilAnswered(command, then);
+                        }
+                      });
+        };
     try {
-      var unused = resends.schedule(resend, RESEND_SECONDS, TimeUnit.SECONDS);
+      var unused = resends.schedule(attempt, RESEND_SECONDS, TimeUnit.SECONDS);
     } catch (RejectedExecutionException e) {
-      LOG.warn(RelayEvent.OUTCOME_NOT_RECORDED, "cause", "relay is closed");
+      // The process ends, which makes its running claims unknown.
+      LOG.warn(RelayEvent.OUTCOME_NOT_RECORDED, "command", command.getRequestId());
     }
   }
 
+  private Command outcomeCommand(
+      Claim claim, IdempotencyRecord.Builder outcome, IdempotencyRecord.State state) {
+    return Command.newBuilder()
+        .setRequestId("outcome:" + claim.commandId())
+        .setProposedAtMillis(clock.nowMillis())
+        .setRecordOutcome(RecordOutcome.newBuilder().setOutcome(outcome.setState(state)))
+        .build();
+  }
+
   private @Nullable CommandAnswer propose(Command command) {
     try {
       return control.propose(command).get(timeoutMillis, TimeUnit.MILLISECONDS);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -194,7 +194,6 @@
     private MonotonicClock clock = MonotonicClock.SYSTEM;
     private WallClock wallClock = WallClock.SYSTEM;
     private @Nullable ControlGateway control;
-    private @Nullable KeyCheck keys;
     private @Nullable AdmissionDuty admission;
     private @Nullable ServerDirectory directory;
     private @Nullable EngineClient engines;
@@ -224,10 +223,9 @@
       return this;
     }
 
-    /** Sets the access to the control state and the check of keys. */
-    public Builder control(ControlGateway gateway, KeyCheck keyCheck) {
+    /** Sets the access to the control state. */
+    public Builder control(ControlGateway gateway) {
       control = gateway;
-      keys = keyCheck;
       return this;
     }
 
@@ -277,7 +275,7 @@
       return new RelayContext(
           settings,
           gateway,
-          new CallerGate(gateway, require(keys, "key check"), clock),
+          new CallerGate(gateway, clock),
           require(admission, "admission duty"),
           require(directory, "server directory"),
           require(engines, "engine client"),
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/fleet/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the fleet duty. */
+@NullMarked
+package org.teaseltrestle.node.fleet;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -57,10 +57,12 @@
       try (RelayHarness relay = new RelayHarness()) {
         assertRefused(relay, "", "key_missing");
         assertRefused(relay, "Authorization: Basic abc\r\n", "key_malformed");
-        assertRefused(relay, "X-Api-Key: wrong\r\n", "key_unknown");
+        assertRefused(relay, "X-Api-Key: wrong\r\n", "key_malformed");
+        String unknown = StubControl.KEY.substring(0, StubControl.KEY.length() - 4) + "AAAA";
+        assertRefused(relay, "X-Api-Key: " + unknown + "\r\n", "key_unknown");
         assertRefused(
             relay, "X-Api-Key: wrong\r\nApi-Key: " + StubControl.KEY + "\r\n", "key_malformed");
-        assertEquals(relay.counter("refusal.key_malformed"), 2);
+        assertEquals(relay.counter("refusal.key_malformed"), 3);
       }
     }
 
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -66,7 +66,7 @@
         RelayService.builder()
             .settings(settings.shutdownDelay(shutdownDelay).build())
             .metrics(metrics)
-            .control(control, control)
+            .control(control)
             .admission(admission)
             .directory(this)
             .backends(new HttpEngineClient(http), new HttpServiceClient(http))
--- a/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
@@ -62,7 +62,7 @@
           assertEquals(sent.body(), bodyless ? "" : "body");
           assertEquals(sent.header("X-Kept"), "yes");
           assertEquals(sent.header("X-Trestle-Account"), "yard");
-          assertFalse(sent.toString().contains("secretsecret"), sent.toString());
+          assertFalse(sent.toString().contains(StubControl.KEY), sent.toString());
         }
       }
     }
@@ -204,8 +204,10 @@
         assertTrue(refused.body().contains("control_unreachable"), refused.body());
         assertTrue(refused.body().contains("\"not_run\":true"), refused.body());
         assertEquals(service.received.size(), 0);
+        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 409);
         relay.control.reachable = true;
-        assertEquals(relay.send(hold(relay, "k1")).statusCode(), 201);
+        RelayHarness.await(() -> relay.send(hold(relay, "k1")).statusCode() == 201);
+        assertEquals(service.received.size(), 1);
       }
     }
 
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -1,5 +1,7 @@
 package org.teaseltrestle.node.relay;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -11,12 +13,12 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.KeyVerifier;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.ItemName;
 import org.teaseltrestle.model.PlanName;
 import org.teaseltrestle.model.PoolId;
-import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.model.lists.ModelEntry;
 import org.teaseltrestle.model.lists.Plan;
@@ -34,10 +36,11 @@
 import org.teaseltrestle.wire.PlatformOrder;
 
 /** Control state in memory with one account, one model, one service and one key. */
-final class StubControl implements ControlGateway, ControlView, KeyCheck {
+final class StubControl implements ControlGateway, ControlView {
 
-  static final String KEY = "tt_0123456789abcdef_secretsecret";
-  static final String KEY_ID = "0123456789abcdef";
+  private static final KeyVerifier.IssuedKey ISSUED =
+      KeyVerifier.issue(new ClientAccount("yard"), "test", "0123456789".repeat(8).getBytes(UTF_8));
+  static final String KEY = ISSUED.text().reveal();
 
   final List<Command> proposed = new CopyOnWriteArrayList<>();
   final List<PlanChange> changes = new CopyOnWriteArrayList<>();
@@ -53,16 +56,6 @@
     index++;
   }
 
-  @Override
-  public Result check(String keyText, ControlView view) {
-    if (!keyText.equals(KEY)) {
-      return new Invalid(RefusalCode.KEY_UNKNOWN);
-    }
-    return withdrawn
-        ? new Invalid(RefusalCode.KEY_WITHDRAWN)
-        : new Valid(KEY_ID, new ClientAccount("yard"));
-  }
-
   @Override
   public ControlView view() {
     return this;
@@ -162,8 +155,8 @@
 
   @Override
   public Optional<KeyRecord> key(String keyId) {
-    return Optional.of(
-        KeyRecord.newBuilder().setKeyId(keyId).setWithdrawnAtMillis(withdrawn ? 5 : 0).build());
+    return Optional.of(ISSUED.record().toBuilder().setWithdrawnAtMillis(withdrawn ? 5 : 0).build())
+        .filter(key -> key.getKeyId().equals(keyId));
   }
 
   @Override
