--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -132,7 +132,11 @@
   }
 
   static void await(BooleanSupplier condition) {
-    long deadline = System.nanoTime() + Duration.ofSeconds(10).toNanos();
+    await(Duration.ofSeconds(10), condition);
+  }
+
+  static void await(Duration bound, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + bound.toNanos();
     while (!condition.getAsBoolean()) {
       if (System.nanoTime() > deadline) {
         throw new AssertionError("condition was not met in time");
