Keep one HTTP client for each timeout and send the end marker with the last chunk

Cause: building a client for each attempt and a packet for the end marker cost processor time. Change: clients by timeout; last chunk and marker in one write; a test of pipelined requests.

--- a/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
@@ -2,6 +2,8 @@
 
 import java.net.Proxy;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import okhttp3.ConnectionPool;
 import okhttp3.Interceptor;
@@ -29,6 +31,10 @@
   private final OkHttpClient fresh;
   private final OkHttpClient polling;
 
+  // Timeouts are settings, so there are few; building a client for each call is costly.
+  private final Map<Duration, OkHttpClient> pooledByTimeout = new ConcurrentHashMap<>();
+  private final Map<Duration, OkHttpClient> freshByTimeout = new ConcurrentHashMap<>();
+
   /**
    * Creates the clients.
    *
@@ -62,12 +68,14 @@
 
   /** Returns the client that keeps connections, with a limit on the wait for each read. */
   OkHttpClient pooled(Duration readTimeout) {
-    return pooled.newBuilder().readTimeout(readTimeout).build();
+    return pooledByTimeout.computeIfAbsent(
+        readTimeout, timeout -> pooled.newBuilder().readTimeout(timeout).build());
   }
 
   /** Returns the client that opens a connection for each call. */
   OkHttpClient fresh(Duration readTimeout) {
-    return fresh.newBuilder().readTimeout(readTimeout).build();
+    return freshByTimeout.computeIfAbsent(
+        readTimeout, timeout -> fresh.newBuilder().readTimeout(timeout).build());
   }
 
   /** Returns the client for short calls in the background. */
--- a/node/src/main/java/org/teaseltrestle/node/relay/StreamSink.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/StreamSink.java
@@ -5,7 +5,7 @@
 /** Passes each chunk on as a server-sent event. */
 final class StreamSink implements AnswerSink {
 
-  private static final byte[] DONE = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+  private static final String DONE = "data: [DONE]\n\n";
 
   private final CallerResponse response;
 
@@ -15,7 +15,7 @@
 
   @Override
   public void chunk(AnswerChecker.Chunk chunk, Following following) {
-    write(chunk);
+    write(chunk, "");
     if (following == Following.AWAITED) {
       response.flush();
     }
@@ -23,8 +23,7 @@
 
   @Override
   public void last(AnswerChecker.Chunk chunk, int outputTokens) {
-    write(chunk);
-    response.write(DONE, DONE.length);
+    write(chunk, DONE);
     response.finish();
   }
 
@@ -35,12 +34,12 @@
     response.finish();
   }
 
-  private void write(AnswerChecker.Chunk chunk) {
+  private void write(AnswerChecker.Chunk chunk, String appended) {
     if (!response.hasBegun()) {
       response.header("Cache-Control", "no-cache");
       response.begin(200, "text/event-stream; charset=utf-8", -1);
     }
-    byte[] event = ("data: " + chunk.data() + "\n\n").getBytes(StandardCharsets.UTF_8);
+    byte[] event = ("data: " + chunk.data() + "\n\n" + appended).getBytes(StandardCharsets.UTF_8);
     response.write(event, event.length);
   }
 }
--- a/node/src/test/java/org/teaseltrestle/node/relay/CompletionTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/CompletionTest.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
 
@@ -224,6 +225,31 @@
       }
     }
 
+    /** Guards against a watch that swallows a byte of the next request, or takes it for a close. */
+    @Test
+    public void pipelinedRequestsAreAnsweredInTurn() throws IOException {
+      CompletableFuture<Boolean> answerNow = new CompletableFuture<>();
+      StandIn.Behaviour waits =
+          (request, output) -> {
+            answerNow.join();
+            return StandIn.engine(TOKENS).answer(request, output);
+          };
+      try (StandIn engine = new StandIn(waits);
+          RelayHarness relay = new RelayHarness().with("models", engine);
+          Socket socket = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
+        socket.getOutputStream().write(rawChat());
+        RelayHarness.await(() -> engine.received.size() == 1);
+        socket.getOutputStream().write(rawChat());
+        socket.getOutputStream().write(rawChat());
+        answerNow.complete(true);
+        StringBuilder answers = new StringBuilder();
+        while (answers.toString().split("\\[DONE\\]", -1).length <= 3) {
+          answers.append((char) socket.getInputStream().read());
+        }
+        assertEquals(engine.received.size(), 3);
+      }
+    }
+
     /** Guards against unbounded memory and threads held by a caller that reads nothing. */
     @Test
     public void callerThatReadsNothingIsCutOff() throws IOException {
