--- a/kernel/src/main/java/org/teaseltrestle/kernel/EventLog.java
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/EventLog.java
@@ -24,27 +24,27 @@
    *
    * @param namesAndValues alternating names and values
    */
-  public void info(LogEvent event, Object... namesAndValues) {
+  public void info(LogEvent event, @Nullable Object... namesAndValues) {
     write(Level.INFO, event, null, namesAndValues);
   }
 
   /** Writes an event that an operator should look at. */
-  public void warn(LogEvent event, Object... namesAndValues) {
+  public void warn(LogEvent event, @Nullable Object... namesAndValues) {
     write(Level.WARN, event, null, namesAndValues);
   }
 
   /** Writes an event that an operator should look at, with its cause. */
-  public void warn(LogEvent event, Throwable cause, Object... namesAndValues) {
+  public void warn(LogEvent event, Throwable cause, @Nullable Object... namesAndValues) {
     write(Level.WARN, event, cause, namesAndValues);
   }
 
   /** Writes a failure with its cause. */
-  public void error(LogEvent event, @Nullable Throwable cause, Object... namesAndValues) {
+  public void error(LogEvent event, @Nullable Throwable cause, @Nullable Object... namesAndValues) {
     write(Level.ERROR, event, cause, namesAndValues);
   }
 
   private void write(
-      Level level, LogEvent event, @Nullable Throwable cause, Object... namesAndValues) {
+      Level level, LogEvent event, @Nullable Throwable cause, @Nullable Object... namesAndValues) {
     if (!logger.isEnabledForLevel(level)) {
       return;
     }
