--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/usage/UsageJournal.java
@@ -0,0 +1,129 @@
+package org.teaseltrestle.control.usage;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.teaseltrestle.wire.UsageBatch;
+import org.teaseltrestle.wire.UsageEntry;
+import org.teaseltrestle.wire.UsageFigure;
+
+/**
+ * Usage records of one process start that are not committed yet, numbered without gaps. The origin
+ * and its partner hold the same records under the same numbers, so either may propose them: the
+ * control state counts each number once.
+ */
+public final class UsageJournal {
+
+  /** Most records in one batch, which bounds the size of a log entry. */
+  static final int MAXIMUM_BATCH_RECORDS = 10_000;
+
+  private final String instance;
+  private final long boot;
+  private final Deque<UsageEntry> entries = new ArrayDeque<>();
+  private long committedThrough;
+
+  /** Creates an empty journal of one process start. */
+  public UsageJournal(String instance, long boot) {
+    this.instance = instance;
+    this.boot = boot;
+  }
+
+  /** Appends a record and returns its sequence number, from 1. */
+  public long append(UsageEntry entry) {
+    entries.add(entry);
+    return lastSequence();
+  }
+
+  /**
+   * Adds a copy of records; records that are held already are passed over.
+   *
+   * @param firstSequence number of the first record of the copy
+   * @return number up to which all records are held or committed
+   */
+  public long appendCopy(long firstSequence, List<UsageEntry> copy) {
+    if (entries.isEmpty() && firstSequence > committedThrough + 1) {
+      // The origin copies everything that is not committed, so what precedes is committed.
+      committedThrough = firstSequence - 1;
+    }
+    long skip = lastSequence() + 1 - firstSequence;
+    if (skip >= 0 && skip < copy.size()) {
+      entries.addAll(copy.subList((int) skip, copy.size()));
+    }
+    return lastSequence();
+  }
+
+  /** Forgets the records up to a number, which the control state has counted. */
+  public void committedThrough(long sequence) {
+    while (committedThrough < sequence && !entries.isEmpty()) {
+      entries.poll();
+      committedThrough++;
+    }
+    committedThrough = Math.max(committedThrough, sequence);
+  }
+
+  /** Returns the number of the last record, 0 if there was none. */
+  public long lastSequence() {
+    return committedThrough + entries.size();
+  }
+
+  /** Returns the number of the first record that is not committed. */
+  public long firstUncommitted() {
+    return committedThrough + 1;
+  }
+
+  /** Tells whether every record is committed. */
+  public boolean isEmpty() {
+    return entries.isEmpty();
+  }
+
+  /** Returns all records that are not committed, for a copy. */
+  public List<UsageEntry> uncommitted() {
+    return List.copyOf(entries);
+  }
+
+  /**
+   * Returns the sums of the first records that belong to one window, or nothing if every record is
+   * committed.
+   */
+  public Optional<UsageBatch> nextBatch() {
+    if (entries.isEmpty()) {
+      return Optional.empty();
+    }
+    long window = entries.element().getWindow();
+    Map<String, UsageFigure.Builder> sums = new TreeMap<>();
+    long last = committedThrough;
+    for (UsageEntry entry : entries) {
+      if (entry.getWindow() != window || last - committedThrough >= MAXIMUM_BATCH_RECORDS) {
+        break;
+      }
+      last++;
+      add(sums, entry);
+    }
+    List<UsageFigure> figures = new ArrayList<>();
+    sums.values().forEach(sum -> figures.add(sum.build()));
+    return Optional.of(
+        UsageBatch.newBuilder()
+            .setInstance(instance)
+            .setBoot(boot)
+            .setFirstSequence(committedThrough + 1)
+            .setLastSequence(last)
+            .setWindow(window)
+            .addAllFigures(figures)
+            .build());
+  }
+
+  private static void add(Map<String, UsageFigure.Builder> sums, UsageEntry entry) {
+    UsageFigure.Builder sum =
+        sums.computeIfAbsent(
+            entry.getAccount() + '\n' + entry.getItem(),
+            key ->
+                UsageFigure.newBuilder().setAccount(entry.getAccount()).setItem(entry.getItem()));
+    sum.setPromptTokens(sum.getPromptTokens() + entry.getPromptTokens())
+        .setOutputTokens(sum.getOutputTokens() + entry.getOutputTokens())
+        .setRequests(sum.getRequests() + 1);
+  }
+}
