Add the usage duty

Cause: completed answers were only counted in memory. Change: a duty thread copies uncommitted records to a partner (same failure domain first), releases the answer when the copy is held or after 250 ms, and commits sums every second; it proposes records of an origin that has fallen silent.

--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -0,0 +1,283 @@
+package org.teaseltrestle.node.usage;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.usage.UsageCopies;
+import org.teaseltrestle.control.usage.UsageJournal;
+import org.teaseltrestle.kernel.DutyThread;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.CompletedAnswer;
+import org.teaseltrestle.node.port.UsageRecorder;
+import org.teaseltrestle.transport.PeerTransport;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.Envelope;
+import org.teaseltrestle.wire.UsageBatch;
+import org.teaseltrestle.wire.UsageCopy;
+import org.teaseltrestle.wire.UsageCopyAnswer;
+import org.teaseltrestle.wire.UsageEntry;
+
+/**
+ * Records completed answers: copies each record to a partner before the answer's last chunk is
+ * released, and commits the sums every second. Registered as service {@value #NAME}.
+ */
+public final class UsageService implements UsageRecorder, AutoCloseable {
+
+  /** Name of the service, also of its messages between nodes. */
+  public static final String NAME = "usage";
+
+  private static final EventLog LOG = EventLog.of(UsageService.class);
+  private static final int RING_CAPACITY = 8_192;
+  private static final int COPY_KIND = 1;
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long COPY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long PARTNER_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
+  private static final long COMMIT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long RELEASE_TIMEOUT_MILLISECONDS = 250;
+  private static final long FLUSH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final InstanceId instance;
+  private final long boot;
+  private final long windowMillis;
+  private final ControlGateway control;
+  private final PeerTransport transport;
+  private final Function<InstanceId, Optional<InetSocketAddress>> addresses;
+  private final MonotonicClock clock;
+  private final WallClock wallClock;
+  private final PartnerResolver partners;
+  private final UsageJournal journal;
+  private final UsageCopies copies = new UsageCopies();
+  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private final CompletableFuture<Void> flushed = new CompletableFuture<>();
+  private final DutyThread<Runnable> duty;
+  private @Nullable InstanceId partner;
+  private long copiedThrough;
+  private boolean copying;
+  private boolean committing;
+  private long nextCommitNanos;
+  private volatile boolean flushing;
+
+  /**
+   * Creates the service; {@link #start()} starts it.
+   *
+   * @param windowSeconds length of a usage window in seconds
+   * @param addresses addresses of other instances
+   */
+  public UsageService(
+      InstanceId instance,
+      FailureDomain failureDomain,
+      long boot,
+      long windowSeconds,
+      ControlGateway control,
+      PeerTransport transport,
+      Function<InstanceId, Optional<InetSocketAddress>> addresses,
+      MonotonicClock clock,
+      WallClock wallClock) {
+    this.instance = instance;
+    this.boot = boot;
+    this.windowMillis = TimeUnit.SECONDS.toMillis(windowSeconds);
+    this.control = control;
+    this.transport = transport;
+    this.addresses = addresses;
+    this.clock = clock;
+    this.wallClock = wallClock;
+    this.partners = new PartnerResolver(instance, failureDomain);
+    this.journal = new UsageJournal(instance.value(), boot);
+    this.nextCommitNanos = clock.nowNanos();
+    this.duty = new DutyThread<>(NAME, RING_CAPACITY, Runnable::run, this::tick, TICK_NANOS, clock);
+  }
+
+  /** Starts the duty and takes copies of other instances. */
+  public void start() {
+    transport.register(NAME, this::onMessage);
+    duty.start();
+  }
+
+  @Override
+  public void record(CompletedAnswer answer) {
+    CompletableFuture<Void> released = new CompletableFuture<>();
+    while (!duty.offer(() -> append(answer, released))) {
+      Thread.onSpinWait();
+    }
+    try {
+      released.get(RELEASE_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn(UsageEvent.RECORD_WITHOUT_COPY, "request", answer.request());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException e) {
+      throw new TrestleException(ErrorCode.INTERNAL, "usage record failed", e);
+    }
+  }
+
+  /** Commits what is left, as far as a leader can be reached in time, and stops. */
+  @Override
+  public void close() {
+    flushing = true;
+    try {
+      flushed.get(FLUSH_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.warn(UsageEvent.FLUSH_INCOMPLETE);
+    }
+    duty.close();
+  }
+
+  private void append(CompletedAnswer answer, CompletableFuture<Void> released) {
+    long sequence =
+        journal.append(
+            UsageEntry.newBuilder()
+                .setAccount(answer.account().value())
+                .setItem(answer.item().value())
+                .setPromptTokens(answer.promptTokens())
+                .setOutputTokens(answer.outputTokens())
+                .setWindow(answer.completedAtMillis() / windowMillis)
+                .build());
+    waiters.add(new Waiter(sequence, released));
+    copy();
+  }
+
+  private void tick(long nowNanos) {
+    copy();
+    if (flushing && journal.isEmpty()) {
+      flushed.complete(null);
+    }
+    if (!committing && (flushing || nowNanos - nextCommitNanos >= 0)) {
+      nextCommitNanos = nowNanos + COMMIT_INTERVAL_NANOS;
+      journal.nextBatch().ifPresent(this::commitOwn);
+    }
+    for (UsageBatch batch : copies.overdue(nowNanos)) {
+      LOG.info(UsageEvent.TAKEOVER, "instance", batch.getInstance());
+      commitForOther(batch);
+    }
+  }
+
+  private void copy() {
+    if (copying || journal.lastSequence() <= copiedThrough) {
+      return;
+    }
+    long now = clock.nowNanos();
+    Optional<InstanceId> chosen = partners.choose(control.view().instances(), now);
+    Optional<InetSocketAddress> address = chosen.flatMap(addresses);
+    if (address.isEmpty()) {
+      release(journal.lastSequence());
+      return;
+    }
+    copying = true;
+    partner = chosen.get();
+    UsageCopy copy =
+        UsageCopy.newBuilder()
+            .setInstance(instance.value())
+            .setBoot(boot)
+            .setFirstSequence(journal.firstUncommitted())
+            .addAllEntries(journal.uncommitted())
+            .build();
+    transport
+        .call(address.get(), NAME, COPY_KIND, copy.toByteArray(), now + COPY_TIMEOUT_NANOS)
+        .whenComplete((body, failure) -> duty.offer(() -> copied(body, failure)));
+  }
+
+  private void copied(byte @Nullable [] body, @Nullable Throwable failure) {
+    copying = false;
+    if (body == null || failure != null) {
+      LOG.warn(UsageEvent.COPY_FAILED, "partner", partner);
+      if (partner != null) {
+        partners.avoid(partner, clock.nowNanos() + PARTNER_PAUSE_NANOS);
+      }
+    } else {
+      try {
+        copiedThrough = Math.max(copiedThrough, UsageCopyAnswer.parseFrom(body).getHeldThrough());
+        release(copiedThrough);
+      } catch (InvalidProtocolBufferException e) {
+        throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "malformed answer to a copy", e);
+      }
+    }
+    copy();
+  }
+
+  private void release(long through) {
+    while (!waiters.isEmpty() && waiters.element().sequence() <= through) {
+      waiters.remove().released().complete(null);
+    }
+  }
+
+  private void commitOwn(UsageBatch batch) {
+    committing = true;
+    propose(
+        batch,
+        answer -> {
+          committing = false;
+          if (answer != null) {
+            journal.committedThrough(answer.getLastSequence());
+            release(answer.getLastSequence());
+          }
+        });
+  }
+
+  private void commitForOther(UsageBatch batch) {
+    propose(
+        batch,
+        answer -> {
+          if (answer != null) {
+            copies.committed(
+                batch.getInstance(), batch.getBoot(), answer.getLastSequence(), clock.nowNanos());
+          }
+        });
+  }
+
+  private void propose(UsageBatch batch, Consumer<@Nullable CommandAnswer> whenAnswered) {
+    Command command =
+        Command.newBuilder()
+            .setRequestId(requestId(batch))
+            .setProposedAtMillis(wallClock.nowMillis())
+            .setUsageBatch(batch)
+            .build();
+    control
+        .propose(command)
+        .whenComplete((answer, failure) -> duty.offer(() -> whenAnswered.accept(answer)));
+  }
+
+  private static String requestId(UsageBatch batch) {
+    return "usage/"
+        + batch.getInstance()
+        + "/"
+        + Long.toHexString(batch.getBoot())
+        + "/"
+        + batch.getFirstSequence()
+        + "-"
+        + batch.getLastSequence();
+  }
+
+  private void onMessage(Envelope message, Consumer<byte[]> reply) {
+    try {
+      UsageCopy copy = UsageCopy.parseFrom(message.getBody());
+      duty.offer(
+          () -> {
+            long held = copies.add(copy, clock.nowNanos());
+            reply.accept(UsageCopyAnswer.newBuilder().setHeldThrough(held).build().toByteArray());
+          });
+    } catch (InvalidProtocolBufferException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "malformed usage copy", e);
+    }
+  }
+
+  private record Waiter(long sequence, CompletableFuture<Void> released) {}
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/usage/package-info.java
@@ -0,0 +1,5 @@
+/** Usage duty: copies records to a partner instance and commits them in batches. */
+@NullMarked
+package org.teaseltrestle.node.usage;
+
+import org.jspecify.annotations.NullMarked;
