Add the operators' API, the command line and the operations page

Operators change lists, keys and planned changes through any node. The API (Undertow) answers with the typed records of model.operators; the token is compared in constant time. Answers to changes name the instances that have not confirmed, through the new interface ConfirmationTracker.

The command line tries the next node when an answer is lost and sends the same request id. apply derives it from the base revision and the files; keys are made by the command line, so that a resend still ends in a key that can be shown, and no node learns the secret.

--- /dev/null
+++ b/commandline/src/main/java/org/teaseltrestle/commandline/ValidateCommand.java
@@ -0,0 +1,46 @@
+package org.teaseltrestle.commandline;
+
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.NoOptionLikeValues;
+import java.util.ArrayList;
+import java.util.List;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.model.json.ListProblem;
+import org.teaseltrestle.model.operators.OperatorJson;
+
+/** Checks the list files without a node. */
+@Command(name = "validate", description = "Checks both list files; needs no node")
+public final class ValidateCommand implements CommandAction {
+
+  @NoOptionLikeValues
+  @Arguments(
+      title = {"accounts.json", "plans.json"},
+      description = "list files")
+  private List<String> files = new ArrayList<>();
+
+  @Option(
+      name = {"--json"},
+      description = "print the faults as one JSON document")
+  private boolean json;
+
+  @Override
+  public ExitCode run(Terminal terminal) {
+    List<ListProblem> problems;
+    try {
+      problems = ListFiles.read(files).parse().problems();
+    } catch (TrestleException e) {
+      terminal.error().println("teaseltrestle: " + e.getMessage());
+      return ExitCode.of(e.code());
+    }
+    if (json) {
+      terminal.output().println(OperatorJson.write(problems));
+    } else if (problems.isEmpty()) {
+      terminal.output().println("The lists are valid.");
+    } else {
+      terminal.error().println(ListFiles.describe(problems));
+    }
+    return problems.isEmpty() ? ExitCode.DONE : ExitCode.INVALID;
+  }
+}
--- /dev/null
+++ b/commandline/src/main/java/org/teaseltrestle/commandline/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line. */
+@NullMarked
+package org.teaseltrestle.commandline;
+
+import org.jspecify.annotations.NullMarked;
--- a/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
+++ b/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
@@ -18,6 +18,8 @@
   MALFORMED_MESSAGE,
   /** A peer, backend server or platform interface could not be reached in time. */
   UNREACHABLE,
+  /** The other side refused the request; sending it again gives the same answer. */
+  REFUSED,
   /** An operation was attempted after its component had been closed. */
   CLOSED,
   /** An invariant of the program itself was violated. */
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/KeysAnswer.java
@@ -0,0 +1,28 @@
+package org.teaseltrestle.model.operators;
+
+import java.util.List;
+
+/**
+ * All keys, withdrawn ones included.
+ *
+ * @param keys keys by id
+ */
+public record KeysAnswer(List<Entry> keys) {
+
+  /** Copies the list. */
+  public KeysAnswer {
+    keys = List.copyOf(keys);
+  }
+
+  /**
+   * A key.
+   *
+   * @param keyId key id
+   * @param account account that the key belongs to
+   * @param label remark for operators
+   * @param issuedAtMillis time of issue
+   * @param withdrawnAtMillis time of withdrawal, 0 while the key is valid
+   */
+  public record Entry(
+      String keyId, String account, String label, long issuedAtMillis, long withdrawnAtMillis) {}
+}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/ListsAnswer.java
@@ -0,0 +1,12 @@
+package org.teaseltrestle.model.operators;
+
+/**
+ * The lists in force.
+ *
+ * @param revision revision of the lists, 0 before the first accepted change
+ * @param appliedIndex log index of the answering node's view
+ * @param accountsJson list of accounts as its author wrote it
+ * @param plansJson list of plans as its author wrote it
+ */
+public record ListsAnswer(
+    long revision, long appliedIndex, String accountsJson, String plansJson) {}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/ListsChange.java
@@ -0,0 +1,17 @@
+package org.teaseltrestle.model.operators;
+
+/**
+ * Request to replace both lists.
+ *
+ * @param requestId chosen by the operator; a resend gets the first answer
+ * @param baseRevision revision that the change replaces
+ * @param accountsJson new list of accounts
+ * @param plansJson new list of plans
+ * @param operatorName who asks for the change
+ */
+public record ListsChange(
+    String requestId,
+    long baseRevision,
+    String accountsJson,
+    String plansJson,
+    String operatorName) {}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/ListsProposal.java
@@ -0,0 +1,9 @@
+package org.teaseltrestle.model.operators;
+
+/**
+ * Lists to compare with those in force.
+ *
+ * @param accountsJson list of accounts
+ * @param plansJson list of plans
+ */
+public record ListsProposal(String accountsJson, String plansJson) {}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/PlanAnswer.java
@@ -0,0 +1,22 @@
+package org.teaseltrestle.model.operators;
+
+import java.util.List;
+import org.teaseltrestle.model.json.ListProblem;
+import org.teaseltrestle.model.lists.ListsDifference;
+
+/**
+ * What proposed lists would change.
+ *
+ * @param baseRevision revision that the lists were compared with
+ * @param problems faults of the proposed lists; no changes are given if there are any
+ * @param changes differences in the order account, plan, model, service
+ */
+public record PlanAnswer(
+    long baseRevision, List<ListProblem> problems, List<ListsDifference.Change> changes) {
+
+  /** Copies the lists. */
+  public PlanAnswer {
+    problems = List.copyOf(problems);
+    changes = List.copyOf(changes);
+  }
+}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/StatusAnswer.java
@@ -0,0 +1,78 @@
+package org.teaseltrestle.model.operators;
+
+import java.util.List;
+
+/**
+ * State of the system as the answering node sees it.
+ *
+ * @param instance answering instance
+ * @param ready whether the node has confirmed the committed state since its start
+ * @param appliedIndex log index of its view
+ * @param listsRevision revision of the lists
+ * @param authorityTerm newest authority term
+ * @param authorityInstance instance that holds it
+ * @param confirmation how far the asked index, or else the view's own, is in force
+ * @param instances registered instances
+ * @param backendServers backend servers
+ * @param openOrders orders that are not settled
+ */
+public record StatusAnswer(
+    String instance,
+    boolean ready,
+    long appliedIndex,
+    long listsRevision,
+    long authorityTerm,
+    String authorityInstance,
+    Confirmation confirmation,
+    List<Instance> instances,
+    List<Server> backendServers,
+    List<Order> openOrders) {
+
+  /** Copies the lists. */
+  public StatusAnswer {
+    instances = List.copyOf(instances);
+    backendServers = List.copyOf(backendServers);
+    openOrders = List.copyOf(openOrders);
+  }
+
+  /**
+   * A registered instance.
+   *
+   * @param instance instance id
+   * @param failureDomain failure domain
+   * @param region region
+   * @param voter whether it votes
+   */
+  public record Instance(String instance, String failureDomain, String region, boolean voter) {}
+
+  /**
+   * A backend server.
+   *
+   * @param id backend server id
+   * @param pool pool
+   * @param failureDomain failure domain
+   * @param kind engine or service
+   * @param capacity regular or cheap
+   * @param state live or leaving
+   * @param role role of an engine
+   * @param plannedChange drain or replace, empty if none is planned
+   */
+  public record Server(
+      String id,
+      String pool,
+      String failureDomain,
+      String kind,
+      String capacity,
+      String state,
+      String role,
+      String plannedChange) {}
+
+  /**
+   * An open order.
+   *
+   * @param orderId order id
+   * @param target engine or platform that the order is for
+   * @param text what is ordered
+   */
+  public record Order(String orderId, String target, String text) {}
+}
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/operators/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Requests and answers of the operators' HTTP API. Times are wall times in milliseconds since 1970.
+ */
+@NullMarked
+package org.teaseltrestle.model.operators;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/operators/ViewRecords.java
@@ -0,0 +1,125 @@
+package org.teaseltrestle.node.operators;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.operators.Confirmation;
+import org.teaseltrestle.model.operators.KeysAnswer;
+import org.teaseltrestle.model.operators.StatusAnswer;
+import org.teaseltrestle.model.operators.UsageAnswer;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.PlanChange;
+import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.UsageWindow;
+
+/** Turns views into the operators' records. */
+final class ViewRecords {
+
+  private ViewRecords() {}
+
+  static KeysAnswer keys(ControlView view) {
+    return new KeysAnswer(
+        view.keys().stream()
+            .map(
+                key ->
+                    new KeysAnswer.Entry(
+                        key.getKeyId(),
+                        key.getAccount(),
+                        key.getLabel(),
+                        key.getIssuedAtMillis(),
+                        key.getWithdrawnAtMillis()))
+            .toList());
+  }
+
+  static UsageAnswer usage(ControlView view) {
+    return new UsageAnswer(view.usageWindows().stream().map(ViewRecords::window).toList());
+  }
+
+  static StatusAnswer status(
+      InstanceId instance, boolean ready, ControlView view, Confirmation confirmation) {
+    Map<String, String> changes =
+        view.plannedChanges().stream()
+            .collect(Collectors.toMap(PlanChange::getBackendServer, PlanChange::getKind));
+    return new StatusAnswer(
+        instance.value(),
+        ready,
+        view.appliedIndex(),
+        view.listsRevision(),
+        view.authority().getTerm(),
+        view.authority().getInstance(),
+        confirmation,
+        view.instances().stream()
+            .map(
+                each ->
+                    new StatusAnswer.Instance(
+                        each.getInstance(),
+                        each.getFailureDomain(),
+                        each.getRegion(),
+                        each.getVoter()))
+            .toList(),
+        view.backendServers().stream()
+            .map(each -> server(each, changes.getOrDefault(each.getId(), "")))
+            .toList(),
+        orders(view));
+  }
+
+  private static UsageAnswer.Window window(UsageWindow window) {
+    UsageAnswer.State state =
+        window.getReported()
+            ? UsageAnswer.State.REPORTED
+            : window.getClosed() ? UsageAnswer.State.CLOSED : UsageAnswer.State.OPEN;
+    return new UsageAnswer.Window(
+        window.getWindow(),
+        state,
+        window.getFiguresList().stream()
+            .map(
+                figure ->
+                    new UsageAnswer.Figure(
+                        figure.getAccount(),
+                        figure.getItem(),
+                        figure.getPromptTokens(),
+                        figure.getOutputTokens(),
+                        figure.getRequests(),
+                        figure.getLateRequests()))
+            .toList());
+  }
+
+  private static StatusAnswer.Server server(BackendServerRecord server, String plannedChange) {
+    return new StatusAnswer.Server(
+        server.getId(),
+        server.getPool(),
+        server.getFailureDomain(),
+        server.getKind(),
+        server.getCapacity(),
+        server.getState(),
+        server.getRole(),
+        plannedChange);
+  }
+
+  private static List<StatusAnswer.Order> orders(ControlView view) {
+    List<StatusAnswer.Order> orders = new ArrayList<>();
+    for (EngineOrder order : view.openEngineOrders()) {
+      String text = (order.getKind() + " " + order.getRole() + " " + order.getModel()).strip();
+      orders.add(new StatusAnswer.Order(order.getOrderId(), order.getBackendServer(), text));
+    }
+    for (PlatformOrder order : view.openPlatformOrders()) {
+      String text =
+          order.getRelease().isEmpty()
+              ? "buy "
+                  + order.getCount()
+                  + " "
+                  + order.getCapacity()
+                  + " for "
+                  + order.getPool()
+                  + " in "
+                  + order.getFailureDomain()
+              : "release " + order.getRelease();
+      orders.add(new StatusAnswer.Order(order.getOrderId(), "platform", text));
+    }
+    return orders;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/operators/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' HTTP API: lists, keys, planned changes, status and usage. */
+@NullMarked
+package org.teaseltrestle.node.operators;
+
+import org.jspecify.annotations.NullMarked;
