Queue fairly, refuse early and choose replicas by cost

Cause: the core queued by arrival and chose servers in turn, so one account could take the whole pool, late work ran anyway, and lagging reports, prefix caches and cache memory were ignored. Change: weighted fair queueing by virtual time in work, corrected by real lengths; early refusal from the measured drain rate and prefill rate; shedding by plan priority; dispatch bounded by cache pieces, by requests waiting in the engine and by a running limit that keeps the time between tokens. Choice by estimated cost among two random servers of the own domain, two of others, and the best prefix holder; cheap capacity only for repeatable work of plans that allow it. Round robin, least load and first come stay selectable.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -9,6 +9,8 @@
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.policy.PolicyConfiguration.Queueing;
+import org.teaseltrestle.policy.PolicyConfiguration.ReplicaChoice;
 import org.teaseltrestle.policy.RequestState.Phase;
 import org.teaseltrestle.policy.RetryTable.Progress;
 import org.teaseltrestle.policy.RetryTable.RetryAction;
@@ -26,7 +28,10 @@
   /** Waiting requests looked at when the first of a lane finds no server that may run it. */
   private static final int MAXIMUM_BYPASS = 8;
 
-  private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofSeconds(1);
+  /** Waiting requests refused at most to make room for one of a better priority. */
+  private static final int MAXIMUM_SHED = 8;
+
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
 
   private final PolicyConfiguration configuration;
   private final Map<RequestId, RequestState> requests = new HashMap<>();
@@ -34,7 +39,9 @@
   private final AccountLimiter limiter = new AccountLimiter();
   private final RetryBudget retryBudget;
   private final WaitingRequests waiting;
+  private final CandidateFinder finder;
   private final ReplicaChooser chooser;
+  private final DeadlineCheck deadlines;
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
   private long nextSequence;
 
@@ -43,8 +50,13 @@
     this.configuration = configuration;
     this.fleet = new Fleet(configuration);
     this.retryBudget = new RetryBudget(configuration.retryRatio());
-    this.waiting = new WaitingRequests(FirstComeQueue::new);
-    this.chooser = new RoundRobinChooser();
+    this.waiting =
+        new WaitingRequests(
+            configuration.queueing() == Queueing.FAIR ? FairQueue::new : FirstComeQueue::new);
+    CostModel costs = new CostModel(configuration);
+    this.finder = new CandidateFinder(configuration, fleet);
+    this.chooser = chooser(configuration.replicaChoice(), costs);
+    this.deadlines = new DeadlineCheck(configuration, costs);
     addOpenRoutes();
   }
 
@@ -78,6 +90,8 @@
   private void change(AdmissionEvent event, long nowNanos, List<AdmissionAction> actions) {
     if (event instanceof AdmissionEvent.LoadReported reported) {
       fleet.report(reported.report());
+    } else if (event instanceof AdmissionEvent.CacheChanged changed) {
+      fleet.prefixes().change(changed);
     } else if (event instanceof AdmissionEvent.FleetChanged changed) {
       fleet.replace(changed.servers());
     } else if (event instanceof AdmissionEvent.ServerLeaving leaving) {
@@ -106,17 +120,13 @@
     }
     RequestState request =
         new RequestState(work, plan, nextSequence++, nowNanos + configuration.maximumQueueNanos());
-    if (!fleet.canServe(request, nowNanos)) {
-      actions.add(refusal(work.request(), RefusalCode.NO_BACKEND_SERVER, NO_SERVER_RETRY_AFTER));
-      return;
+    AccountLimiter.Denial denial = denial(request, nowNanos);
+    if (denial == null && isFull(request) && !shedFor(request, actions)) {
+      denial = new AccountLimiter.Denial(RefusalCode.QUEUE_FULL, RETRY_AFTER);
     }
-    RequestQueue queue = waiting.queue(request.queueKey);
-    if (queue.size() >= configuration.maximumQueuedRequests()
-        || queue.work() + work.workTokens() > configuration.maximumQueuedWork()) {
-      actions.add(refusal(work.request(), RefusalCode.QUEUE_FULL, NO_SERVER_RETRY_AFTER));
-      return;
+    if (denial == null) {
+      denial = limiter.admit(plan, work.workTokens(), nowNanos);
     }
-    AccountLimiter.Denial denial = limiter.admit(plan, work.workTokens(), nowNanos);
     if (denial != null) {
       actions.add(refusal(work.request(), denial.code(), denial.retryAfter()));
       return;
@@ -127,6 +137,42 @@
     dispatchWaiting(request.queueKey, nowNanos, actions);
   }
 
+  private AccountLimiter.@Nullable Denial denial(RequestState request, long nowNanos) {
+    if (!fleet.canServe(request, nowNanos)) {
+      return new AccountLimiter.Denial(RefusalCode.NO_BACKEND_SERVER, RETRY_AFTER);
+    }
+    if (!finder.fits(request)) {
+      return new AccountLimiter.Denial(RefusalCode.PROMPT_TOO_LONG, null);
+    }
+    RefusalCode code =
+        deadlines.atArrival(
+            request,
+            waiting.queue(request.queueKey),
+            waiting.drain(request.queueKey),
+            fleet.usable(request, nowNanos),
+            nowNanos);
+    return code == null ? null : new AccountLimiter.Denial(code, RETRY_AFTER);
+  }
+
+  private boolean isFull(RequestState request) {
+    RequestQueue queue = waiting.queue(request.queueKey);
+    return queue.size() >= configuration.maximumQueuedRequests()
+        || queue.work() + request.work.workTokens() > configuration.maximumQueuedWork();
+  }
+
+  /** Makes room in a full queue by refusing requests of plans with a lower priority. */
+  private boolean shedFor(RequestState request, List<AdmissionAction> actions) {
+    RequestQueue queue = waiting.queue(request.queueKey);
+    for (int i = 0; i < MAXIMUM_SHED && isFull(request); i++) {
+      RequestState shed = queue.shedCandidate(request.limits.priority());
+      if (shed == null) {
+        return false;
+      }
+      refuseWaiting(shed, RefusalCode.OVERLOAD_SHED, RETRY_AFTER, actions);
+    }
+    return !isFull(request);
+  }
+
   private void finish(
       AdmissionEvent.AttemptFinished event, long nowNanos, List<AdmissionAction> actions) {
     RequestState request = requests.get(event.request());
@@ -135,7 +181,8 @@
     }
     ServerState server = request.server;
     request.server = null;
-    server.running--;
+    server.load.ended(request);
+    server.learn(request, event.outcome(), nowNanos);
     FailureKind failure = event.outcome().failure();
     fleet.observe(server, request, failure, nowNanos);
     fleet.forgetIfGone(server);
@@ -197,6 +244,9 @@
   private void receive(AdmissionEvent.TokensReceived event) {
     RequestState request = requests.get(event.request());
     if (request != null && request.phase == Phase.RUNNING) {
+      if (request.attemptTokens == 0 && request.server != null) {
+        request.server.load.firstToken(request);
+      }
       request.attemptTokens += event.count();
     }
   }
@@ -242,7 +292,7 @@
     for (RequestState request : waiting.expired(nowNanos)) {
       boolean servable = fleet.canServe(request, nowNanos);
       RefusalCode code = servable ? RefusalCode.QUEUE_TIMEOUT : RefusalCode.NO_BACKEND_SERVER;
-      refuseWaiting(request, request.truthful(code), NO_SERVER_RETRY_AFTER, actions);
+      refuseWaiting(request, request.truthful(code), RETRY_AFTER, actions);
     }
   }
 
@@ -251,9 +301,9 @@
     while (progressed) {
       progressed = false;
       for (RequestState request : waiting.next(key, MAXIMUM_BYPASS)) {
-        List<ServerState> candidates = fleet.candidates(request, nowNanos);
+        List<Candidate> candidates = finder.find(request, nowNanos);
         if (!candidates.isEmpty()) {
-          dispatch(request, chooser.choose(request, candidates, nowNanos), nowNanos, actions);
+          place(request, candidates, nowNanos, actions);
           progressed = true;
           break;
         }
@@ -261,15 +311,35 @@
     }
   }
 
+  private void place(
+      RequestState request,
+      List<Candidate> candidates,
+      long nowNanos,
+      List<AdmissionAction> actions) {
+    Candidate choice = chooser.choose(request, candidates);
+    if (deadlines.missedAt(request, choice, nowNanos)) {
+      choice = deadlines.fastest(request, candidates);
+      if (deadlines.missedAt(request, choice, nowNanos)) {
+        refuseWaiting(request, RefusalCode.DEADLINE_UNREACHABLE, RETRY_AFTER, actions);
+        return;
+      }
+    }
+    dispatch(request, choice, nowNanos, actions);
+  }
+
   private void dispatch(
-      RequestState request, ServerState server, long nowNanos, List<AdmissionAction> actions) {
-    waiting.take(request);
+      RequestState request, Candidate choice, long nowNanos, List<AdmissionAction> actions) {
+    waiting.take(request, nowNanos);
+    ServerState server = choice.server();
     request.phase = Phase.RUNNING;
     request.attempt++;
     request.server = server;
     request.dispatchedAtNanos = nowNanos;
     request.attemptTokens = 0;
-    server.running++;
+    request.prefillTokens = choice.prefillTokens();
+    request.prefillAheadTokens = server.load.queuedPromptTokens();
+    request.reservedPieces = choice.pieces();
+    server.load.dispatched(request);
     server.health.dispatched();
     actions.add(
         new AdmissionAction.Dispatch(
@@ -300,7 +370,17 @@
   private void endRun(RequestState request) {
     requests.remove(request.id());
     WorkRequest work = request.work;
-    limiter.end(work.account(), work.expectedOutputTokens() - request.outputTokens);
+    int unused = work.expectedOutputTokens() - request.outputTokens;
+    limiter.end(work.account(), unused);
+    waiting.queue(request.queueKey).correct(request, -unused);
+  }
+
+  private static ReplicaChooser chooser(ReplicaChoice choice, CostModel costs) {
+    return switch (choice) {
+      case ROUND_ROBIN -> new RoundRobinChooser();
+      case LEAST_LOAD -> new LeastLoadChooser();
+      case ADAPTIVE -> new AdaptiveChooser(costs);
+    };
   }
 
   private void addOpenRoutes() {
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -28,6 +28,7 @@
   private final PolicyConfiguration configuration;
   private final Map<BackendServerId, ServerState> servers = new HashMap<>();
   private final Map<QueueKey, List<ServerState>> byKey = new HashMap<>();
+  private final PrefixIndex prefixes = new PrefixIndex();
 
   Fleet(PolicyConfiguration configuration) {
     this.configuration = configuration;
@@ -38,12 +39,13 @@
     Set<BackendServerId> listed = new HashSet<>();
     for (BackendServer server : current) {
       listed.add(server.id());
-      ServerState state = servers.computeIfAbsent(server.id(), id -> new ServerState(server));
+      ServerState state = servers.computeIfAbsent(server.id(), id -> newState(server));
       state.server = server;
       state.listed = true;
     }
     servers.values().forEach(state -> state.listed = listed.contains(state.server.id()));
-    servers.values().removeIf(state -> !state.listed && state.running == 0);
+    servers.values().removeIf(state -> !state.listed && state.load.ownRunning() == 0);
+    prefixes.retain(listed);
     byKey.clear();
   }
 
@@ -61,7 +63,7 @@
   /** Returns whether any server may take this request, now or when it has room. */
   boolean canServe(RequestState request, long nowNanos) {
     for (ServerState state : serving(request)) {
-      if (state.acceptsWork(nowNanos)) {
+      if (state.acceptsWork(nowNanos) && state.allows(request)) {
         return true;
       }
     }
@@ -69,18 +71,22 @@
   }
 
   /**
-   * Returns the servers with room for the request; those not tried before if there are any. An open
-   * breaker shuts a server out only as long as another server accepts work.
+   * Returns the servers that may take a request if they have room. An open breaker shuts a server
+   * out only as long as another server accepts work.
    */
-  List<ServerState> candidates(RequestState request, long nowNanos) {
+  List<ServerState> usable(RequestState request, long nowNanos) {
     List<ServerState> healthy = new ArrayList<>();
     List<ServerState> broken = new ArrayList<>(0);
     for (ServerState state : serving(request)) {
-      if (state.acceptsWork(nowNanos)) {
+      if (state.acceptsWork(nowNanos) && state.allows(request)) {
         (isHealthy(state, request, nowNanos) ? healthy : broken).add(state);
       }
     }
-    return withRoom(healthy.isEmpty() ? broken : healthy, request, nowNanos);
+    return healthy.isEmpty() ? broken : healthy;
+  }
+
+  PrefixIndex prefixes() {
+    return prefixes;
   }
 
   /** Notes the end of an attempt for the breaker; ejects a server that fails too often. */
@@ -107,16 +113,15 @@
   /** Takes over a load report unless a newer measurement is known. */
   void report(LoadReport report) {
     ServerState state = servers.get(report.server());
-    if (state != null
-        && (state.report == null || state.report.measuredAtNanos() <= report.measuredAtNanos())) {
-      state.report = report;
+    if (state != null && state.load.reported(report)) {
+      state.speed.inRole(report.role());
       state.busyUntilNanos = Long.MIN_VALUE;
     }
   }
 
   /** Forgets a server that left the list once its last attempt has ended. */
   void forgetIfGone(ServerState state) {
-    if (!state.listed && state.running == 0) {
+    if (!state.listed && state.load.ownRunning() == 0) {
       servers.remove(state.server.id());
     }
   }
@@ -146,26 +151,12 @@
     return ejected + 1 <= peers.size() * MAXIMUM_EJECTED;
   }
 
-  private List<ServerState> withRoom(
-      List<ServerState> states, RequestState request, long nowNanos) {
-    List<ServerState> fresh = new ArrayList<>(states.size());
-    List<ServerState> tried = new ArrayList<>(0);
-    for (ServerState state : states) {
-      if (hasRoom(state, nowNanos)) {
-        (request.tried.contains(state.server.id()) ? tried : fresh).add(state);
-      }
-    }
-    return fresh.isEmpty() ? tried : fresh;
-  }
-
-  private boolean hasRoom(ServerState state, long nowNanos) {
-    LoadReport report = state.report;
-    return nowNanos >= state.busyUntilNanos
-        && state.running < configuration.maximumRunningPerServer()
-        && (report == null || report.waiting() <= configuration.maximumWaitingPerServer());
+  private ServerState newState(BackendServer server) {
+    return new ServerState(server, configuration);
   }
 
-  private List<ServerState> serving(RequestState request) {
+  /** Returns the listed servers that run a request's model or service. */
+  List<ServerState> serving(RequestState request) {
     return byKey.computeIfAbsent(request.queueKey, key -> collect(key, request.work.kind()));
   }
 
--- a/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
@@ -82,6 +82,11 @@
     return values.initialPrefillTokensPerSecond;
   }
 
+  /** Returns the time between two tokens that engines are to keep, in nanoseconds. */
+  public long betweenTokensNanos() {
+    return values.betweenTokensNanos;
+  }
+
   /** Returns the cost of leaving the own failure domain, as nanoseconds of queueing. */
   public long spillCostNanos() {
     return values.spillCostNanos;
@@ -143,6 +148,7 @@
     private int maximumAttempts = 3;
     private double retryRatio = 0.1;
     private double initialPrefillTokensPerSecond = 8_000;
+    private long betweenTokensNanos = 41_000_000L;
     private long spillCostNanos = 30_000_000L;
     private PlanLimits openRouteLimits =
         new PlanLimits(
@@ -235,6 +241,12 @@
       return this;
     }
 
+    /** Sets the time between two tokens that engines are to keep. */
+    public Builder betweenTokensNanos(long value) {
+      betweenTokensNanos = value;
+      return this;
+    }
+
     /** Sets the cost of leaving the own failure domain, as nanoseconds of queueing. */
     public Builder spillCostNanos(long value) {
       spillCostNanos = value;
@@ -263,6 +275,7 @@
       copy.maximumAttempts = maximumAttempts;
       copy.retryRatio = retryRatio;
       copy.initialPrefillTokensPerSecond = initialPrefillTokensPerSecond;
+      copy.betweenTokensNanos = betweenTokensNanos;
       copy.spillCostNanos = spillCostNanos;
       copy.openRouteLimits = openRouteLimits;
       return new PolicyConfiguration(copy);
--- a/policy/src/main/java/org/teaseltrestle/policy/ReplicaChooser.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ReplicaChooser.java
@@ -11,5 +11,5 @@
    *
    * @param candidates servers with room for the request, not empty
    */
-  ServerState choose(RequestState request, List<ServerState> candidates, long nowNanos);
+  Candidate choose(RequestState request, List<Candidate> candidates);
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -15,6 +15,10 @@
   final PlanLimits limits;
   final long sequence;
   final QueueKey queueKey;
+
+  /** Hash chain of the prompt's pieces. */
+  final long[] prefix;
+
   final List<BackendServerId> tried = new ArrayList<>(1);
   long queueDeadlineNanos;
   Phase phase = Phase.QUEUED;
@@ -36,6 +40,9 @@
   /** Prompt tokens of other requests that were ahead when the running attempt was dispatched. */
   int prefillAheadTokens;
 
+  /** Prompt tokens that count as queued at the server on top of its last report. */
+  int countedPrompt;
+
   /** Cache pieces reserved by the running attempt. */
   int reservedPieces;
 
@@ -53,6 +60,7 @@
     this.sequence = sequence;
     this.queueKey = new QueueKey(work.pool(), work.item());
     this.queueDeadlineNanos = queueDeadlineNanos;
+    this.prefix = PrefixIndex.compact(work.prefixHashes());
   }
 
   /** Where a request stands. */
@@ -70,6 +78,15 @@
     return work.request();
   }
 
+  /** Returns the prompt of the next attempt: a resumed answer's tokens are prefilled again. */
+  int promptTokens() {
+    return work.promptTokens() + outputTokens;
+  }
+
+  int remainingOutputTokens() {
+    return Math.max(1, work.expectedOutputTokens() - outputTokens);
+  }
+
   /** Remembers that an attempt which may have run ended with this code. */
   void rememberPossibleRun(RefusalCode code) {
     if (possibleRunCode == null) {
--- a/policy/src/main/java/org/teaseltrestle/policy/RoundRobinChooser.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RoundRobinChooser.java
@@ -8,7 +8,7 @@
   private int turn;
 
   @Override
-  public ServerState choose(RequestState request, List<ServerState> candidates, long nowNanos) {
+  public Candidate choose(RequestState request, List<Candidate> candidates) {
     turn = (turn + 1) & Integer.MAX_VALUE;
     return candidates.get(turn % candidates.size());
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -1,17 +1,13 @@
 package org.teaseltrestle.policy;
 
-import org.jspecify.annotations.Nullable;
-
 /** What this instance knows of one backend server. */
 final class ServerState {
 
-  BackendServer server;
-  @Nullable LoadReport report;
-
-  /** Running attempts of this instance. */
-  int running;
-
+  final ServerLoad load = new ServerLoad();
   final ServerHealth health = new ServerHealth();
+  final EngineSpeed speed;
+  final RunningLimit runningLimit;
+  BackendServer server;
 
   /** Monotonic time until which a server that refused as busy gets nothing. */
   long busyUntilNanos = Long.MIN_VALUE;
@@ -22,8 +18,12 @@
   /** Whether the fleet list still names the server. */
   boolean listed = true;
 
-  ServerState(BackendServer server) {
+  ServerState(BackendServer server, PolicyConfiguration configuration) {
     this.server = server;
+    this.speed = new EngineSpeed(configuration.initialPrefillTokensPerSecond());
+    this.runningLimit =
+        new RunningLimit(
+            configuration.maximumRunningPerServer(), configuration.betweenTokensNanos());
   }
 
   /** Returns whether new work may be sent. */
@@ -31,6 +31,29 @@
     return listed
         && server.state() == BackendServer.State.LIVE
         && nowNanos >= leavingUntilNanos
-        && (report == null || report.role() != EngineRole.CHANGING);
+        && load.role() != EngineRole.CHANGING;
+  }
+
+  /** Returns whether this server may run the request without harm if it vanishes. */
+  boolean allows(RequestState request) {
+    return server.capacity() == BackendServer.Capacity.REGULAR
+        || (request.work.repeatable() == WorkRequest.Repeatable.IDEMPOTENT
+            && request.limits.cheapCapacity() == PlanLimits.CheapCapacity.ALLOWED);
+  }
+
+  /** Learns the server's speed from the end of an attempt. */
+  void learn(RequestState request, AttemptOutcome outcome, long nowNanos) {
+    if (outcome.firstTokenNanos() > 0 && outcome.outputTokens() > 0) {
+      speed.prefilled(
+          request.prefillTokens + request.prefillAheadTokens, outcome.firstTokenNanos());
+      long decodeNanos = nowNanos - request.dispatchedAtNanos - outcome.firstTokenNanos();
+      if (outcome.outputTokens() > 1 && decodeNanos > 0) {
+        int gaps = outcome.outputTokens() - 1;
+        speed.decoded(gaps, decodeNanos);
+        runningLimit.observed((double) decodeNanos / gaps, load.running(), nowNanos);
+      }
+    } else if (request.work.kind() == WorkRequest.WorkKind.SERVICE_CALL && outcome.succeeded()) {
+      speed.called(nowNanos - request.dispatchedAtNanos);
+    }
   }
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/WaitingRequests.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WaitingRequests.java
@@ -47,14 +47,20 @@
   }
 
   /** Removes a request that is dispatched now. */
-  void take(RequestState request) {
+  void take(RequestState request, long nowNanos) {
     Lane lane = lane(request.queueKey);
     if (!lane.retries.remove(request)) {
       lane.queue.take(request);
+      lane.drain.dispatched(request.work.workTokens(), lane.queue.size() > 0, nowNanos);
     }
     byDeadline.remove(request);
   }
 
+  /** Returns the rate at which work leaves a lane. */
+  DrainRate drain(QueueKey key) {
+    return lane(key).drain;
+  }
+
   /** Returns the next requests of a lane in order; those that have run before go first. */
   List<RequestState> next(QueueKey key, int maximum) {
     Lane lane = lane(key);
@@ -110,6 +116,7 @@
 
   private static final class Lane {
     final RequestQueue queue;
+    final DrainRate drain = new DrainRate();
     final Set<RequestState> retries = new LinkedHashSet<>();
 
     Lane(RequestQueue queue) {
--- a/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
@@ -134,6 +134,7 @@
       for (int i = 1; i < 100; i++) {
         AdmissionAction.Dispatch next = Bench.dispatch(bench.arrive(work(bench, i)));
         assertFalse(next.server().equals(first.server()));
+        bench.end(next, new AttemptOutcome(null, 10, 1_000_000));
       }
     }
   }
