--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/EntryInstance.java
@@ -0,0 +1,12 @@
+package org.teaseltrestle.policy.fleet;
+
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.InstanceId;
+
+/**
+ * An entry instance that watches backend servers.
+ *
+ * @param id identifier
+ * @param failureDomain failure domain it runs in
+ */
+public record EntryInstance(InstanceId id, FailureDomain failureDomain) {}
