--- /dev/null
+++ b/policy/src/test/java/org/teaseltrestle/policy/fleet/RoleControllerTest.java
@@ -0,0 +1,127 @@
+package org.teaseltrestle.policy.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.policy.EngineRole;
+import org.teaseltrestle.policy.PolicyConfiguration.Roles;
+import org.teaseltrestle.policy.fleet.RoleController.Demand;
+import org.teaseltrestle.policy.fleet.RoleController.Engine;
+import org.teaseltrestle.policy.fleet.RoleController.RoleChange;
+import org.teaseltrestle.policy.fleet.RoleController.Settings;
+import org.testng.Reporter;
+import org.testng.annotations.Test;
+
+/** Tests of the role controller against eight engines whose changes take eight seconds. */
+public final class RoleControllerTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private static final int ENGINES = 8;
+  private static final PoolId POOL = new PoolId("pren-models");
+
+  private static final class Pool {
+    final RoleController controller;
+    final Map<BackendServerId, EngineRole> roles = new HashMap<>();
+    final Map<BackendServerId, Long> readyAt = new HashMap<>();
+    final Map<BackendServerId, EngineRole> wanted = new HashMap<>();
+    final Map<BackendServerId, Integer> changes = new HashMap<>();
+    int running = 10;
+    int mostChanging;
+    long now;
+
+    Pool(Roles mode) {
+      controller = new RoleController(mode, Settings.DEFAULT);
+      for (int i = 0; i < ENGINES; i++) {
+        EngineRole role = i < 3 ? EngineRole.PREFILL : EngineRole.DECODE;
+        roles.put(new BackendServerId("e" + i), i == 7 ? EngineRole.MIXED : role);
+      }
+    }
+
+    /** Runs one second with this much prefill and decode work, counted in engines. */
+    void step(double prefill, double decode) {
+      now += SECOND;
+      List<Engine> engines = new ArrayList<>();
+      roles.replaceAll(
+          (id, role) -> now >= readyAt.getOrDefault(id, 0L) ? wanted.getOrDefault(id, role) : role);
+      roles.forEach((id, role) -> engines.add(new Engine(id, role, running, true)));
+      Demand demand = new Demand(POOL, prefill * 8_000, decode * 2_000, 0, 8_000, 2_000);
+      for (RoleChange change : controller.decide(demand, engines, now)) {
+        wanted.put(change.engine(), change.role());
+        roles.put(change.engine(), EngineRole.CHANGING);
+        readyAt.put(change.engine(), now + 8 * SECOND);
+        changes.merge(change.engine(), 1, Integer::sum);
+      }
+      mostChanging = Math.max(mostChanging, count(EngineRole.CHANGING));
+    }
+
+    int count(EngineRole role) {
+      return (int) roles.values().stream().filter(role::equals).count();
+    }
+
+    int total() {
+      return changes.values().stream().mapToInt(Integer::intValue).sum();
+    }
+  }
+
+  /** Guards against roles that do not follow a swing, or change more than once in it. */
+  @Test
+  public void followsSwingsWithOneChangePerEngine() {
+    Pool pool = new Pool(Roles.ADAPTIVE);
+    Random random = new Random(1);
+    for (int swing = 1; swing <= 4; swing++) {
+      boolean prefillHeavy = swing % 2 == 1;
+      pool.changes.clear();
+      for (int second = 0; second < 240; second++) {
+        double noise = 0.9 + 0.2 * random.nextDouble();
+        double heavy = 5.0 * noise;
+        double light = 2.0 / noise;
+        pool.step(prefillHeavy ? heavy : light, prefillHeavy ? light : heavy);
+      }
+      String state = "swing " + swing + " roles " + pool.roles + " changes " + pool.changes;
+      Reporter.log("swing " + swing + ": changes " + pool.total(), true);
+      EngineRole needed = prefillHeavy ? EngineRole.PREFILL : EngineRole.DECODE;
+      assertTrue(pool.count(needed) + pool.count(EngineRole.MIXED) >= 5, state);
+      assertTrue(pool.changes.values().stream().allMatch(count -> count <= 1), state);
+      assertEquals(pool.mostChanging, 1);
+    }
+  }
+
+  /** Guards against changes that fluctuations cause. */
+  @Test
+  public void staysPutUnderNoise() {
+    Pool pool = new Pool(Roles.ADAPTIVE);
+    Random random = new Random(2);
+    for (int second = 0; second < 600; second++) {
+      pool.step(2.5 + random.nextDouble(), 3.5 + random.nextDouble());
+    }
+    assertTrue(pool.total() <= 1, "changes " + pool.changes);
+  }
+
+  /** Guards against running requests that the remaining engines cannot carry. */
+  @Test
+  public void keepsWhatRunningRequestsNeed() {
+    Pool pool = new Pool(Roles.ADAPTIVE);
+    pool.running = 60;
+    for (int second = 0; second < 120; second++) {
+      pool.step(5, 2);
+    }
+    assertEquals(pool.total(), 0);
+  }
+
+  /** Guards against a baseline that is not one. */
+  @Test
+  public void staticRolesStay() {
+    Pool pool = new Pool(Roles.STATIC);
+    for (int second = 0; second < 120; second++) {
+      pool.step(6, 1);
+    }
+    assertEquals(pool.total(), 0);
+  }
+}
