Order and release backend servers by demand

Change: SpendingController for the leader. It buys for the demand forecast at the arrival time, releases one server at a time after a surplus has lasted, counts outstanding orders as capacity, and chooses the cheapest mix of regular and cheap servers that serves the demand and still keeps the promise when one domain's cheap servers vanish. Domains where cheap servers were reclaimed are avoided for a while. Static spending now means that nothing is ordered or released.

--- a/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
@@ -125,7 +125,7 @@
 
   /** Whether the number of backend servers follows the demand. */
   public enum Spending {
-    /** The number stays at the configured maximum. Baseline. */
+    /** Nothing is ordered or released. Baseline. */
     STATIC,
     /** The number follows the demand. */
     ADAPTIVE
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/SpendingController.java
@@ -0,0 +1,384 @@
+package org.teaseltrestle.policy.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.BackendServer.Capacity;
+import org.teaseltrestle.policy.BackendServer.State;
+import org.teaseltrestle.policy.PolicyConfiguration;
+
+/**
+ * Orders and releases a pool's backend servers. Pure; runs on the leader, with one call for each
+ * pool.
+ *
+ * <p>Purchases follow the demand forecast for the time at which they arrive, and happen at once.
+ * Releases wait until the demand has been lower for a while, one server at a time. Orders that have
+ * not arrived count as capacity, so a late answer buys nothing twice.
+ */
+public final class SpendingController {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** Cost, compared with the cheapest mix, up to which the present mix is kept. */
+  private static final double KEPT_COST = 1.1;
+
+  private final PolicyConfiguration.Spending mode;
+  private final Settings settings;
+  private final Map<PoolId, PoolState> pools = new HashMap<>();
+
+  /** Creates a controller. */
+  public SpendingController(PolicyConfiguration.Spending mode, Settings settings) {
+    this.mode = mode;
+    this.settings = settings;
+  }
+
+  /**
+   * Settings of the controller.
+   *
+   * @param smoothingSeconds time over which demand is averaged
+   * @param trendSeconds time over which the trend is averaged
+   * @param targetUtilization utilization that servers are ordered for
+   * @param promisedUtilization utilization at which the promised service is still given
+   * @param holdSeconds time for which a surplus must last before a release
+   * @param releaseSeconds least time between two releases
+   * @param avoidSeconds time for which no cheap server is ordered where cheap ones were reclaimed
+   * @param cheapPrice price of a cheap server, as a ratio of a regular one's
+   */
+  public record Settings(
+      double smoothingSeconds,
+      double trendSeconds,
+      double targetUtilization,
+      double promisedUtilization,
+      double holdSeconds,
+      double releaseSeconds,
+      double avoidSeconds,
+      double cheapPrice) {
+
+    /** Default settings. */
+    public static final Settings DEFAULT = new Settings(15, 60, 0.7, 0.95, 120, 30, 600, 0.4);
+  }
+
+  /**
+   * Demand for one pool and its bounds.
+   *
+   * @param demand work asked for, as the number of servers that it would keep wholly busy
+   * @param cheapPart part of the work that may run on cheap capacity, 0 to 1
+   * @param minimumServers servers always kept, all of them regular
+   * @param maximumServers servers that may be paid for at once
+   * @param arrivalSeconds time from an order to the server's first request
+   * @param domains failure domains in which servers can be ordered
+   */
+  public record Demand(
+      PoolId pool,
+      double demand,
+      double cheapPart,
+      int minimumServers,
+      int maximumServers,
+      double arrivalSeconds,
+      Set<FailureDomain> domains) {
+
+    /** Copies the domains. */
+    public Demand {
+      domains = Set.copyOf(domains);
+    }
+  }
+
+  /** A server that is paid for, with the number of requests that it runs. */
+  public record PaidServer(BackendServer server, int running) {}
+
+  /** An order that has not arrived. */
+  public record Outstanding(FailureDomain failureDomain, Capacity capacity, int count) {}
+
+  /** What to order from the platform. */
+  public sealed interface Decision {
+
+    /** Orders servers. */
+    record Purchase(PoolId pool, FailureDomain failureDomain, Capacity capacity, int count)
+        implements Decision {}
+
+    /** Gives a server back, after it has been drained. */
+    record Release(BackendServerId server) implements Decision {}
+  }
+
+  /**
+   * Returns the orders to place now.
+   *
+   * @param outstanding all purchases that have not arrived, the ones decided last included
+   */
+  public List<Decision> decide(
+      Demand demand, List<PaidServer> servers, List<Outstanding> outstanding, long nowNanos) {
+    if (mode == PolicyConfiguration.Spending.STATIC) {
+      return List.of();
+    }
+    PoolState pool = pools.computeIfAbsent(demand.pool(), id -> new PoolState());
+    pool.smooth(demand.demand(), nowNanos, settings);
+    pool.noteReclaimed(servers, nowNanos, settings);
+    Holdings holdings = Holdings.of(servers, outstanding, pool.released);
+    Target target = target(demand, pool, nowNanos);
+    boolean mayReplace = pool.mayReplace(holdings.total() >= target.total(), nowNanos, settings);
+    List<Decision> purchases = purchases(demand, holdings, target, mayReplace);
+    if (!purchases.isEmpty() || !outstanding.isEmpty()) {
+      pool.surplusSinceNanos = Long.MAX_VALUE;
+      return purchases;
+    }
+    return release(pool, servers, holdings, target, nowNanos);
+  }
+
+  /** Forgets pools that are no longer in the lists. */
+  public void retain(Set<PoolId> current) {
+    pools.keySet().retainAll(current);
+  }
+
+  private Target target(Demand demand, PoolState pool, long nowNanos) {
+    double forecast = Math.max(pool.level, pool.level + pool.trend * demand.arrivalSeconds());
+    int total = bounded(servers(forecast, settings.targetUtilization()), demand);
+    int promised = Math.min(total, servers(forecast, settings.promisedUtilization()));
+    int fixed = servers(forecast * (1 - demand.cheapPart()), settings.targetUtilization());
+    int leastRegular = Math.min(total, Math.max(demand.minimumServers(), fixed));
+    List<FailureDomain> domains = new ArrayList<>();
+    for (FailureDomain domain : new TreeSet<>(demand.domains())) {
+      if (nowNanos >= pool.avoidUntil.getOrDefault(domain, Long.MIN_VALUE)) {
+        domains.add(domain);
+      }
+    }
+    FleetMix.Need need =
+        new FleetMix.Need(total, promised, leastRegular, demand.maximumServers(), domains.size());
+    FleetMix mix = FleetMix.cheapest(need, settings.cheapPrice());
+    FleetMix kept = pool.mix;
+    // A mix that costs little more is kept, since each replacement pays two servers for a while.
+    if (kept == null
+        || !kept.fulfils(need)
+        || kept.cost(settings.cheapPrice()) > KEPT_COST * mix.cost(settings.cheapPrice())) {
+      pool.mix = mix;
+    } else {
+      mix = kept;
+    }
+    Map<FailureDomain, Integer> cheap = new TreeMap<>();
+    for (int i = 0; i < domains.size(); i++) {
+      cheap.put(domains.get(i), mix.cheapIn(i, domains.size()));
+    }
+    return new Target(mix.regular(), cheap);
+  }
+
+  private static int servers(double demand, double utilization) {
+    return (int) Math.ceil(demand / utilization - 1e-9);
+  }
+
+  private static int bounded(int servers, Demand demand) {
+    return Math.max(demand.minimumServers(), Math.min(demand.maximumServers(), servers));
+  }
+
+  /**
+   * Returns what to buy.
+   *
+   * @param mayReplace whether cheap servers may be bought in place of regular ones, which are
+   *     released later
+   */
+  private static List<Decision> purchases(
+      Demand demand, Holdings holdings, Target target, boolean mayReplace) {
+    Map<FailureDomain, Integer> cheap = new TreeMap<>();
+    Map<FailureDomain, Integer> regular = new TreeMap<>();
+    int total = holdings.total();
+    for (Map.Entry<FailureDomain, Integer> entry : target.cheap().entrySet()) {
+      int lacking = entry.getValue() - holdings.count(entry.getKey(), Capacity.CHEAP);
+      int most = mayReplace ? demand.maximumServers() : target.total();
+      int count = Math.min(lacking, most - total);
+      if (count > 0) {
+        cheap.put(entry.getKey(), count);
+        total += count;
+      }
+    }
+    int regularHeld = holdings.all(Capacity.REGULAR);
+    while (!demand.domains().isEmpty()
+        && total < demand.maximumServers()
+        && (total < target.total() || regularHeld < target.regular())) {
+      FailureDomain domain = holdings.fewest(demand.domains(), regular);
+      regular.merge(domain, 1, Integer::sum);
+      total++;
+      regularHeld++;
+    }
+    List<Decision> purchases = new ArrayList<>();
+    cheap.forEach(
+        (domain, count) ->
+            purchases.add(new Decision.Purchase(demand.pool(), domain, Capacity.CHEAP, count)));
+    regular.forEach(
+        (domain, count) ->
+            purchases.add(new Decision.Purchase(demand.pool(), domain, Capacity.REGULAR, count)));
+    return purchases;
+  }
+
+  private List<Decision> release(
+      PoolState pool, List<PaidServer> servers, Holdings holdings, Target target, long nowNanos) {
+    PaidServer surplus = surplus(servers, holdings, target, pool.released);
+    if (surplus == null) {
+      pool.surplusSinceNanos = Long.MAX_VALUE;
+      return List.of();
+    }
+    if (pool.surplusSinceNanos == Long.MAX_VALUE) {
+      pool.surplusSinceNanos = nowNanos;
+    }
+    boolean held = nowNanos - pool.surplusSinceNanos >= settings.holdSeconds() * NANOS_PER_SECOND;
+    boolean rested =
+        pool.releasedAtNanos == Long.MIN_VALUE
+            || nowNanos - pool.releasedAtNanos >= settings.releaseSeconds() * NANOS_PER_SECOND;
+    if (!held || !rested) {
+      return List.of();
+    }
+    pool.releasedAtNanos = nowNanos;
+    pool.released.add(surplus.server().id());
+    return List.of(new Decision.Release(surplus.server().id()));
+  }
+
+  /** Returns the least busy server of the kind and domain that has most to spare. */
+  private static @Nullable PaidServer surplus(
+      List<PaidServer> servers, Holdings holdings, Target target, Set<BackendServerId> released) {
+    if (holdings.total() <= target.total()) {
+      return null;
+    }
+    boolean sparesRegular = holdings.all(Capacity.REGULAR) > target.regular();
+    PaidServer best = null;
+    for (PaidServer paid : servers) {
+      BackendServer server = paid.server();
+      FailureDomain domain = server.failureDomain();
+      boolean cheap = server.capacity() == Capacity.CHEAP;
+      boolean spare =
+          cheap
+              ? holdings.count(domain, Capacity.CHEAP) > target.cheap().getOrDefault(domain, 0)
+              : sparesRegular;
+      boolean live = server.state() == State.LIVE && !released.contains(server.id());
+      if (live && spare && isBetter(paid, best, holdings)) {
+        best = paid;
+      }
+    }
+    return best;
+  }
+
+  private static boolean isBetter(PaidServer paid, @Nullable PaidServer best, Holdings holdings) {
+    if (best == null) {
+      return true;
+    }
+    int held = holdings.count(paid.server().failureDomain(), paid.server().capacity());
+    int bestHeld = holdings.count(best.server().failureDomain(), best.server().capacity());
+    return held > bestHeld || (held == bestHeld && paid.running() < best.running());
+  }
+
+  /** Regular servers wanted, and cheap ones by domain. */
+  private record Target(int regular, Map<FailureDomain, Integer> cheap) {
+    int total() {
+      return regular + cheap.values().stream().mapToInt(Integer::intValue).sum();
+    }
+  }
+
+  /** Servers that serve or are on their way. */
+  private record Holdings(Map<FailureDomain, Integer> regular, Map<FailureDomain, Integer> cheap) {
+
+    static Holdings of(
+        List<PaidServer> servers, List<Outstanding> outstanding, Set<BackendServerId> released) {
+      Holdings holdings = new Holdings(new TreeMap<>(), new TreeMap<>());
+      for (PaidServer paid : servers) {
+        // The platform's list lags: a server that was given back is listed for a while.
+        if (paid.server().state() == State.LIVE && !released.contains(paid.server().id())) {
+          holdings
+              .by(paid.server().capacity())
+              .merge(paid.server().failureDomain(), 1, Integer::sum);
+        }
+      }
+      for (Outstanding order : outstanding) {
+        holdings.by(order.capacity()).merge(order.failureDomain(), order.count(), Integer::sum);
+      }
+      return holdings;
+    }
+
+    private Map<FailureDomain, Integer> by(Capacity capacity) {
+      return capacity == Capacity.CHEAP ? cheap : regular;
+    }
+
+    int count(FailureDomain domain, Capacity capacity) {
+      return by(capacity).getOrDefault(domain, 0);
+    }
+
+    int all(Capacity capacity) {
+      return by(capacity).values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    int total() {
+      return all(Capacity.REGULAR) + all(Capacity.CHEAP);
+    }
+
+    /** Returns the domain with the fewest regular servers, new orders included. */
+    FailureDomain fewest(Set<FailureDomain> domains, Map<FailureDomain, Integer> ordered) {
+      return new TreeSet<>(domains)
+          .stream()
+              .min(
+                  (left, right) ->
+                      Integer.compare(
+                          regular.getOrDefault(left, 0) + ordered.getOrDefault(left, 0),
+                          regular.getOrDefault(right, 0) + ordered.getOrDefault(right, 0)))
+              .orElseThrow();
+    }
+  }
+
+  /** Smoothed demand with its trend, and what happened to the pool's servers. */
+  private static final class PoolState {
+    double level;
+    double trend;
+    @Nullable FleetMix mix;
+    long smoothedAtNanos = Long.MIN_VALUE;
+    long surplusSinceNanos = Long.MAX_VALUE;
+    long metSinceNanos = Long.MAX_VALUE;
+    long releasedAtNanos = Long.MIN_VALUE;
+    final Set<BackendServerId> released = new TreeSet<>();
+    final Map<FailureDomain, Long> avoidUntil = new TreeMap<>();
+
+    void smooth(double demand, long nowNanos, Settings settings) {
+      if (smoothedAtNanos == Long.MIN_VALUE) {
+        level = demand;
+      } else if (nowNanos > smoothedAtNanos) {
+        double seconds = (nowNanos - smoothedAtNanos) / NANOS_PER_SECOND;
+        double before = level;
+        double newest = 1 - Math.exp(-seconds / settings.smoothingSeconds());
+        level += newest * (demand - level);
+        double newestTrend = 1 - Math.exp(-seconds / settings.trendSeconds());
+        trend += newestTrend * ((level - before) / seconds - trend);
+      }
+      smoothedAtNanos = nowNanos;
+    }
+
+    /** Returns whether the demand has been met for long enough to think of replacements. */
+    boolean mayReplace(boolean met, long nowNanos, Settings settings) {
+      if (!met) {
+        metSinceNanos = Long.MAX_VALUE;
+        return false;
+      }
+      if (metSinceNanos == Long.MAX_VALUE) {
+        metSinceNanos = nowNanos;
+      }
+      return nowNanos - metSinceNanos >= settings.holdSeconds() * NANOS_PER_SECOND;
+    }
+
+    /** Notes domains whose cheap servers leave although they were not given back. */
+    void noteReclaimed(List<PaidServer> servers, long nowNanos, Settings settings) {
+      Set<BackendServerId> present = new TreeSet<>();
+      for (PaidServer paid : servers) {
+        BackendServer server = paid.server();
+        present.add(server.id());
+        if (server.capacity() == Capacity.CHEAP
+            && server.state() == State.LEAVING
+            && !released.contains(server.id())) {
+          long until = nowNanos + (long) (settings.avoidSeconds() * NANOS_PER_SECOND);
+          avoidUntil.put(server.failureDomain(), until);
+        }
+      }
+      released.retainAll(present);
+    }
+  }
+}
