--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
@@ -0,0 +1,279 @@
+package org.teaseltrestle.testkit.cluster;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.Closer;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.fakes.FleetFile;
+import org.teaseltrestle.testkit.http.HttpClients;
+import org.teaseltrestle.testkit.http.Json;
+import org.teaseltrestle.testkit.proxy.FaultProxy;
+import org.teaseltrestle.testkit.proxy.LinkMode;
+import org.teaseltrestle.testkit.proxy.ProxyLink;
+
+/**
+ * Node processes and fakes on loopback: starts, stops, kills, freezes and restarts nodes, and cuts
+ * the links between them.
+ */
+public final class LocalCluster implements AutoCloseable {
+
+  private static final int TOKEN_BYTES = 16;
+  private static final String NODE_JAR = "node/target/node-0.1.0-all.jar";
+  private static final String PLATFORM = "platform";
+
+  private final ClusterPlan plan;
+  private final LocalFakes fakes;
+  private final @Nullable FaultProxy proxy;
+  private final Closer closer = new Closer();
+  private final Map<String, ManagedProcess> processes = new ConcurrentHashMap<>();
+  private final Path tokenFile;
+
+  private LocalCluster(ClusterPlan plan) {
+    this.plan = plan;
+    this.tokenFile = plan.workFolder.resolve("operator-token");
+    writeToken();
+    FleetFile fleet =
+        SampleFleet.create(
+            plan.domains,
+            plan.nodes.stream().map(ClusterNode::instance).toList(),
+            plan.engineSettings,
+            plan.platformSettings);
+    this.fakes = closer.register(LocalFakes.start(fleet));
+    this.proxy =
+        plan.peerLinks == ClusterPlan.PeerLinks.PROXIED ? closer.register(new FaultProxy()) : null;
+  }
+
+  /** Prepares a cluster: fakes and links run, settings files are written, no node runs yet. */
+  public static LocalCluster prepare(ClusterPlan plan) {
+    LocalCluster cluster = new LocalCluster(plan);
+    SettingsWriter writer = new SettingsWriter(plan, cluster.tokenFile);
+    for (ClusterNode node : plan.nodes) {
+      writer.write(node, cluster.platformRoute(node), cluster::openRoute);
+    }
+    cluster.writeFleet();
+    return cluster;
+  }
+
+  /** Prepares a cluster, starts all nodes and waits until they are ready. */
+  public static LocalCluster start(ClusterPlan plan) {
+    LocalCluster cluster = prepare(plan);
+    try {
+      plan.nodes.forEach(node -> cluster.startNode(node.instance()));
+      plan.nodes.forEach(node -> cluster.awaitReady(node.instance()));
+      return cluster;
+    } catch (TrestleException e) {
+      cluster.close();
+      throw e;
+    }
+  }
+
+  /** Returns the nodes as planned. */
+  public List<ClusterNode> nodes() {
+    return plan.nodes;
+  }
+
+  /** Returns a node by its instance id. */
+  public ClusterNode node(String instance) {
+    return plan.nodes.stream()
+        .filter(node -> node.instance().equals(instance))
+        .findFirst()
+        .orElseThrow(
+            () -> new TrestleException(ErrorCode.SERVICE_NOT_FOUND, "no node " + instance));
+  }
+
+  /** Returns the instance ids of a failure domain's nodes. */
+  public List<String> instancesIn(String failureDomain) {
+    return plan.nodes.stream()
+        .filter(node -> node.failureDomain().equals(failureDomain))
+        .map(ClusterNode::instance)
+        .toList();
+  }
+
+  /** Returns the callers' addresses of all nodes. */
+  public List<String> callerAddresses() {
+    return plan.nodes.stream().map(ClusterNode::callerAddress).toList();
+  }
+
+  /** Returns the fakes. */
+  public LocalFakes fakes() {
+    return fakes;
+  }
+
+  /** Returns the file with the operators' token. */
+  public Path tokenFile() {
+    return tokenFile;
+  }
+
+  /** Returns the fleet file. */
+  public Path fleetFile() {
+    return plan.workFolder.resolve("fleet.json");
+  }
+
+  /** Starts a node that does not run. */
+  public void startNode(String instance) {
+    ClusterNode node = node(instance);
+    ManagedProcess old = processes.get(instance);
+    if (old != null && old.isAlive()) {
+      throw new TrestleException(ErrorCode.INTERNAL, instance + " runs already");
+    }
+    Path jar = plan.root.resolve(NODE_JAR);
+    if (!Files.exists(jar)) {
+      throw new TrestleException(ErrorCode.FILE_ACCESS, jar + " is missing; build it first");
+    }
+    List<String> command =
+        List.of(
+            javaBinary(),
+            "-Xmx256m",
+            "-XX:+UseSerialGC",
+            "-XX:+ExitOnOutOfMemoryError",
+            "-jar",
+            jar.toString(),
+            node.settingsFile().toString());
+    processes.put(instance, ManagedProcess.start(instance, command, node.logFile()));
+  }
+
+  /** Returns a node's process. */
+  public ManagedProcess process(String instance) {
+    ManagedProcess process = processes.get(instance);
+    if (process == null) {
+      throw new TrestleException(ErrorCode.SERVICE_NOT_FOUND, instance + " was never started");
+    }
+    return process;
+  }
+
+  /** Kills a node by SIGKILL, also a frozen one. */
+  public void kill(String instance) {
+    process(instance).kill();
+  }
+
+  /** Deletes the data folder of a node that does not run, as a lost disk does. */
+  public void loseDisk(String instance) {
+    if (process(instance).isAlive()) {
+      throw new TrestleException(ErrorCode.INTERNAL, instance + " still runs");
+    }
+    Folders.delete(node(instance).dataFolder());
+  }
+
+  /** Waits until a node is ready. */
+  public void awaitReady(String instance) {
+    Await.until(
+        instance + " is ready",
+        plan.startLimit,
+        () -> {
+          if (!process(instance).isAlive()) {
+            throw new TrestleException(
+                ErrorCode.UNREACHABLE,
+                instance + " ended at start; its log is " + node(instance).logFile());
+          }
+          return isReady(instance);
+        });
+  }
+
+  /** Returns whether a node reports that it is ready. */
+  public boolean isReady(String instance) {
+    return HttpClients.status("http://" + node(instance).callerAddress() + "/health/ready") == 200;
+  }
+
+  /** Cuts everything that one group of instances sends to another, in that direction only. */
+  public void cutOneWay(List<String> from, List<String> to) {
+    for (String sender : from) {
+      for (String receiver : to) {
+        drop(link(sender, receiver), LinkMode.DROP_FORWARD);
+        drop(link(receiver, sender), LinkMode.DROP_BACKWARD);
+      }
+    }
+  }
+
+  /** Cuts everything between two groups of instances. */
+  public void cutBothWays(List<String> some, List<String> others) {
+    cutOneWay(some, others);
+    cutOneWay(others, some);
+  }
+
+  /** Cuts an instance off from the platform. */
+  public void cutPlatform(String instance) {
+    proxy().link(linkName(instance, PLATFORM)).set(LinkMode.DROP_BOTH);
+  }
+
+  /** Ends all cuts; bytes that were held back arrive now. */
+  public void heal() {
+    proxy().healAll();
+  }
+
+  /** Returns the link from one instance to another. */
+  public ProxyLink link(String from, String to) {
+    return proxy().link(linkName(from, to));
+  }
+
+  @Override
+  public void close() {
+    processes.values().forEach(ManagedProcess::close);
+    closer.close();
+  }
+
+  private static void drop(ProxyLink link, LinkMode mode) {
+    boolean other = link.mode() != LinkMode.PASS && link.mode() != mode;
+    link.set(other ? LinkMode.DROP_BOTH : mode);
+  }
+
+  private FaultProxy proxy() {
+    if (proxy == null) {
+      throw new TrestleException(ErrorCode.INVALID_SETTINGS, "the cluster has no fault proxy");
+    }
+    return proxy;
+  }
+
+  private @Nullable String openRoute(ClusterNode from, ClusterNode to) {
+    if (proxy == null || from.equals(to)) {
+      return null;
+    }
+    String name = linkName(from.instance(), to.instance());
+    return proxy.open(name, "127.0.0.1:0", to.peerAddress()).address();
+  }
+
+  private String platformRoute(ClusterNode node) {
+    String address = fakes.platformAddress();
+    if (proxy == null) {
+      return address;
+    }
+    return proxy.open(linkName(node.instance(), PLATFORM), "127.0.0.1:0", address).address();
+  }
+
+  private static String linkName(String from, String to) {
+    return from + "_to_" + to;
+  }
+
+  private static String javaBinary() {
+    return Path.of(System.getProperty("java.home"), "bin", "java").toString();
+  }
+
+  private void writeToken() {
+    byte[] token = new byte[TOKEN_BYTES];
+    new SecureRandom().nextBytes(token);
+    write(tokenFile, HexFormat.of().formatHex(token) + "\n");
+  }
+
+  private void writeFleet() {
+    write(fleetFile(), Json.text(fakes.fleet()) + "\n");
+  }
+
+  private static void write(Path file, String text) {
+    try {
+      Path folder = file.getParent();
+      if (folder != null) {
+        Files.createDirectories(folder);
+      }
+      Files.writeString(file, text);
+    } catch (IOException e) {
+      throw new TrestleException(ErrorCode.FILE_ACCESS, file + " cannot be written", e);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/SettingsWriter.java
@@ -0,0 +1,112 @@
+package org.teaseltrestle.testkit.cluster;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.BiFunction;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.testkit.certificates.TestAuthority;
+import org.teaseltrestle.testkit.http.Json;
+
+/** Writes the settings files of a cluster's nodes. */
+final class SettingsWriter {
+
+  /** Long enough for the balancer of a test, short enough for a test. */
+  private static final int SHUTDOWN_DELAY_MILLIS = 300;
+
+  private final ClusterPlan plan;
+  private final Path tokenFile;
+  private final @Nullable TestAuthority authority;
+
+  SettingsWriter(ClusterPlan plan, Path tokenFile) {
+    this.plan = plan;
+    this.tokenFile = tokenFile;
+    this.authority =
+        plan.peerSecurity == ClusterPlan.PeerSecurity.MUTUAL_TLS
+            ? new TestAuthority("teaseltrestle-test")
+            : null;
+  }
+
+  /**
+   * Writes one node's settings.
+   *
+   * @param platformAddress address under which this node reaches the platform
+   * @param route address under which the node reaches another one, null for its own address
+   */
+  void write(
+      ClusterNode node,
+      String platformAddress,
+      BiFunction<ClusterNode, ClusterNode, @Nullable String> route) {
+    ObjectNode settings = Json.object();
+    settings.put("instance", node.instance()).put("failureDomain", node.failureDomain());
+    settings.put("region", "cymru");
+    settings.put("callerAddress", node.callerAddress());
+    settings.put("operatorAddress", node.operatorAddress());
+    settings.put("peerAddress", node.peerAddress());
+    if (node.voter()) {
+      settings.put("dataFolder", node.dataFolder().toString());
+    }
+    voters(settings.putArray("voters"));
+    routes(settings, node, route);
+    settings.put("platformAddress", "http://" + platformAddress);
+    settings.put("operatorTokenFile", tokenFile.toString());
+    settings.put("shutdownDelayMilliseconds", SHUTDOWN_DELAY_MILLIS);
+    tls(settings, node);
+    settings.setAll(plan.nodeSettings);
+    writeFile(node, settings);
+  }
+
+  private void voters(ArrayNode voters) {
+    for (ClusterNode node : plan.nodes) {
+      if (node.voter()) {
+        voters
+            .addObject()
+            .put("instance", node.instance())
+            .put("failureDomain", node.failureDomain())
+            .put("peerAddress", node.peerAddress());
+      }
+    }
+  }
+
+  private void routes(
+      ObjectNode settings,
+      ClusterNode from,
+      BiFunction<ClusterNode, ClusterNode, @Nullable String> route) {
+    ArrayNode routes = Json.MAPPER.createArrayNode();
+    for (ClusterNode to : plan.nodes) {
+      String address = route.apply(from, to);
+      if (address != null) {
+        routes.addObject().put("instance", to.instance()).put("peerAddress", address);
+      }
+    }
+    if (!routes.isEmpty()) {
+      settings.set("peerRoutes", routes);
+    }
+  }
+
+  private void tls(ObjectNode settings, ClusterNode node) {
+    if (authority == null) {
+      return;
+    }
+    TestAuthority.Issued issued = authority.issue(node.folder(), node.instance());
+    settings
+        .putObject("tls")
+        .put("certificateFile", issued.certificateFile().toString())
+        .put("privateKeyFile", issued.privateKeyFile().toString())
+        .put("trustFile", issued.trustFile().toString());
+  }
+
+  private static void writeFile(ClusterNode node, ObjectNode settings) {
+    try {
+      Files.createDirectories(node.folder());
+      Files.writeString(node.settingsFile(), settings.toPrettyString() + "\n");
+    } catch (IOException e) {
+      throw new TrestleException(
+          ErrorCode.FILE_ACCESS, node.settingsFile() + " cannot be written", e);
+    }
+  }
+}
--- a/testkit/src/main/java/org/teaseltrestle/testkit/engine/FakeEngine.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/engine/FakeEngine.java
@@ -132,6 +132,7 @@
     ObjectNode details = order.deepCopy();
     details.put("sender", call.sender()).put("effect", outcome.effect());
     details.put("instance", call.header("X-Trestle-Instance", ""));
+    details.put("authority", call.header("X-Trestle-Authority", ""));
     record.add("order", details);
     call.reply(outcome.status(), outcome.answer().put("engine", id));
   }
@@ -212,8 +213,13 @@
     }
     StringBuilder text = new StringBuilder();
     for (JsonNode message : body.path("messages")) {
-      text.append(text.isEmpty() ? "" : "\n").append(message.path("content").asText());
+      JsonNode content = message.path("content");
+      if (content.isArray()) {
+        content.forEach(part -> text.append(part.path("text").asText()).append('\n'));
+      } else {
+        text.append(content.asText()).append('\n');
+      }
     }
-    return text.toString();
+    return text.toString().strip();
   }
 }
--- a/testkit/src/main/java/org/teaseltrestle/testkit/fakes/FakePlatform.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/FakePlatform.java
@@ -85,10 +85,6 @@
     record.received(call);
     JsonNode order = call.json();
     ObjectNode answer = core.order(order, now);
-    if (answer == null) {
-      call.refuse(400, "malformed_request");
-      return;
-    }
     record.add("order", sent(call, order).put("repeated", answer.has("repeated")));
     answer.remove("repeated");
     answer(call, answer);
@@ -123,6 +119,7 @@
   private static ObjectNode sent(Call call, JsonNode body) {
     ObjectNode details = body.deepCopy();
     details.put("sender", call.sender());
+    details.put("authority", call.header("X-Trestle-Authority", ""));
     return details.put("instance", call.header("X-Trestle-Instance", ""));
   }
 
--- a/testkit/src/main/java/org/teaseltrestle/testkit/fakes/PlatformCore.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/PlatformCore.java
@@ -10,7 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.testkit.http.Json;
 
 /** State of the fake platform: what is listed when, orders, usage windows, fetches of weights. */
@@ -75,11 +76,11 @@
     later(now + settings.listLagMillis(), () -> entryInstances.put(id, state));
   }
 
-  /** Handles an order; a repeated order id gets the first answer. Null if it is malformed. */
-  synchronized @Nullable ObjectNode order(JsonNode order, long now) {
+  /** Handles an order; a repeated order id gets the first answer. */
+  synchronized ObjectNode order(JsonNode order, long now) {
     String orderId = order.path("orderId").asText();
     if (orderId.isEmpty()) {
-      return null;
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "order without orderId");
     }
     ObjectNode first = orders.get(orderId);
     if (first != null) {
