--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
@@ -0,0 +1,156 @@
+package org.teaseltrestle.node.backend;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Set;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.node.port.EngineOrders;
+import org.teaseltrestle.node.port.EntryInstances;
+import org.teaseltrestle.node.port.OrderAnswer;
+import org.teaseltrestle.node.port.OrderAnswer.Kind;
+import org.teaseltrestle.node.port.PlatformOrders;
+import org.teaseltrestle.node.port.PlatformUsage;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.UsageFigure;
+import org.teaseltrestle.wire.UsageWindow;
+
+/** Sends orders and usage reports over HTTP; each call is sent at most once. */
+public final class HttpOrders {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final MediaType JSON_TYPE = MediaType.get("application/json");
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_CONFLICT = 409;
+  private static final int STATUS_TOO_MANY = 429;
+  private static final int STATUS_SERVER_ERROR = 500;
+
+  private final BackendHttp http;
+  private final StatusReader status;
+  private final String platformAddress;
+
+  /** Creates the adapter for the platform's base URL. */
+  public HttpOrders(BackendHttp http, String platformAddress) {
+    this.http = http;
+    this.status = new StatusReader(http);
+    this.platformAddress = platformAddress;
+  }
+
+  /** Returns the port for orders to engines. */
+  public EngineOrders engineOrders() {
+    return (address, order) -> post(address, "/orders", engineOrder(order));
+  }
+
+  /** Returns the port for orders to the platform. */
+  public PlatformOrders platformOrders() {
+    return order -> post(platformAddress, "/orders", platformOrder(order));
+  }
+
+  /** Returns the port for usage reports. */
+  public PlatformUsage platformUsage() {
+    return (window, fencingNumber) ->
+        post(platformAddress, "/usage", usageReport(window, fencingNumber));
+  }
+
+  /** Returns the port for the list of this system's own instances. */
+  public EntryInstances entryInstances() {
+    return () -> {
+      Set<InstanceId> gone = new HashSet<>();
+      for (JsonNode entry : status.get(platformAddress, "/entry-instances").path("instances")) {
+        if (entry.path("state").asText().equals("gone")) {
+          gone.add(new InstanceId(entry.path("id").asText()));
+        }
+      }
+      return gone;
+    };
+  }
+
+  private static ObjectNode engineOrder(EngineOrder order) {
+    ObjectNode body =
+        JSON.createObjectNode()
+            .put("orderId", order.getOrderId())
+            .put("fencingNumber", order.getFencingNumber())
+            .put("kind", order.getKind());
+    if (!order.getRole().isEmpty()) {
+      body.put("role", order.getRole());
+    }
+    if (!order.getModel().isEmpty()) {
+      body.put("model", order.getModel());
+    }
+    return body;
+  }
+
+  private static ObjectNode platformOrder(PlatformOrder order) {
+    ObjectNode body =
+        JSON.createObjectNode()
+            .put("orderId", order.getOrderId())
+            .put("fencingNumber", order.getFencingNumber());
+    if (!order.getRelease().isEmpty()) {
+      return body.put("release", order.getRelease());
+    }
+    return body.put("pool", order.getPool())
+        .put("failureDomain", order.getFailureDomain())
+        .put("capacity", order.getCapacity())
+        .put("count", order.getCount());
+  }
+
+  private static ObjectNode usageReport(UsageWindow window, long fencingNumber) {
+    ObjectNode body =
+        JSON.createObjectNode()
+            .put("windowId", Long.toString(window.getWindow()))
+            .put("fencingNumber", fencingNumber);
+    ArrayNode figures = body.putArray("figures");
+    for (UsageFigure figure : window.getFiguresList()) {
+      figures
+          .addObject()
+          .put("account", figure.getAccount())
+          .put("item", figure.getItem())
+          .put("promptTokens", figure.getPromptTokens())
+          .put("outputTokens", figure.getOutputTokens())
+          .put("requests", figure.getRequests())
+          .put("lateRequests", figure.getLateRequests());
+    }
+    return body;
+  }
+
+  private OrderAnswer post(String address, String path, ObjectNode body) {
+    try {
+      Request request =
+          new Request.Builder()
+              .url(BackendAddress.url(address, path))
+              .post(new OneShotBody(JSON.writeValueAsBytes(body), JSON_TYPE))
+              .tag(AttemptProgress.class, new AttemptProgress(new AttemptHandle()))
+              .build();
+      try (Response response = http.polling().newCall(request).execute()) {
+        return answer(response);
+      }
+    } catch (IOException e) {
+      return new OrderAnswer(Kind.UNKNOWN, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private static OrderAnswer answer(Response response) throws IOException {
+    ResponseBody body = response.body();
+    String text = body == null ? "" : body.string();
+    if (response.code() == STATUS_OK) {
+      return new OrderAnswer(Kind.ACCEPTED, "accepted");
+    }
+    if (response.code() == STATUS_CONFLICT && text.contains("stale_fencing_number")) {
+      return new OrderAnswer(Kind.STALE, "stale fencing number");
+    }
+    if ((response.code() == STATUS_CONFLICT && text.contains("busy"))
+        || response.code() == STATUS_TOO_MANY) {
+      return new OrderAnswer(Kind.BUSY, "busy");
+    }
+    Kind kind = response.code() >= STATUS_SERVER_ERROR ? Kind.UNKNOWN : Kind.REFUSED;
+    return new OrderAnswer(kind, "status " + response.code());
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/backend/OneShotBody.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/OneShotBody.java
@@ -10,14 +10,21 @@
 final class OneShotBody extends RequestBody {
 
   private final byte[] content;
+  private final @Nullable MediaType type;
 
+  /** Creates a body whose content type, if any, is set as a header of the request. */
   OneShotBody(byte[] content) {
+    this(content, null);
+  }
+
+  OneShotBody(byte[] content, @Nullable MediaType type) {
     this.content = content;
+    this.type = type;
   }
 
   @Override
   public @Nullable MediaType contentType() {
-    return null;
+    return type;
   }
 
   @Override
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/EngineOrders.java
@@ -0,0 +1,11 @@
+package org.teaseltrestle.node.port;
+
+import org.teaseltrestle.wire.EngineOrder;
+
+/** Sends orders to engines. The caller checks its authority directly before each call. */
+@FunctionalInterface
+public interface EngineOrders {
+
+  /** Sends an order once and returns what became of it; never throws for a failed call. */
+  OrderAnswer send(String address, EngineOrder order);
+}
--- a/node/src/main/java/org/teaseltrestle/node/settings/NodeSettingsParser.java
+++ b/node/src/main/java/org/teaseltrestle/node/settings/NodeSettingsParser.java
@@ -21,6 +21,10 @@
 import org.teaseltrestle.model.json.Located;
 import org.teaseltrestle.model.json.ObjectReader;
 import org.teaseltrestle.model.json.ProblemCollector;
+import org.teaseltrestle.policy.PolicyConfiguration.Queueing;
+import org.teaseltrestle.policy.PolicyConfiguration.ReplicaChoice;
+import org.teaseltrestle.policy.PolicyConfiguration.Roles;
+import org.teaseltrestle.policy.PolicyConfiguration.Spending;
 import org.teaseltrestle.transport.TlsMaterial;
 
 /** Reads a node's settings file and reports every fault at once. */
@@ -222,24 +226,15 @@
     Optional<ObjectReader> section = root.optionalObject("policy");
     if (section.isEmpty()) {
       return new PolicySettings(
-          PolicySettings.ReplicaChoice.ADAPTIVE,
-          PolicySettings.Queueing.FAIR,
-          PolicySettings.Variant.ADAPTIVE,
-          PolicySettings.Variant.ADAPTIVE);
+          ReplicaChoice.ADAPTIVE, Queueing.FAIR, Roles.ADAPTIVE, Spending.ADAPTIVE);
     }
     ObjectReader policy = section.get();
     PolicySettings settings =
         new PolicySettings(
-            policy.optionalChoice(
-                "replicaChoice",
-                PolicySettings.ReplicaChoice.class,
-                PolicySettings.ReplicaChoice.ADAPTIVE),
-            policy.optionalChoice(
-                "queueing", PolicySettings.Queueing.class, PolicySettings.Queueing.FAIR),
-            policy.optionalChoice(
-                "roles", PolicySettings.Variant.class, PolicySettings.Variant.ADAPTIVE),
-            policy.optionalChoice(
-                "spending", PolicySettings.Variant.class, PolicySettings.Variant.ADAPTIVE));
+            policy.optionalChoice("replicaChoice", ReplicaChoice.class, ReplicaChoice.ADAPTIVE),
+            policy.optionalChoice("queueing", Queueing.class, Queueing.FAIR),
+            policy.optionalChoice("roles", Roles.class, Roles.ADAPTIVE),
+            policy.optionalChoice("spending", Spending.class, Spending.ADAPTIVE));
     policy.finish();
     return settings;
   }
--- a/node/src/main/java/org/teaseltrestle/node/settings/PolicySettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/settings/PolicySettings.java
@@ -1,25 +1,17 @@
 package org.teaseltrestle.node.settings;
 
-/** Which variant of each decision is in use; the baselines are kept for comparison. */
-public record PolicySettings(
-    ReplicaChoice replicaChoice, Queueing queueing, Variant roles, Variant spending) {
-
-  /** How a backend server is chosen. */
-  public enum ReplicaChoice {
-    ADAPTIVE,
-    LEAST_LOAD,
-    ROUND_ROBIN
-  }
+import org.teaseltrestle.policy.PolicyConfiguration;
 
-  /** Order of waiting requests. */
-  public enum Queueing {
-    FAIR,
-    FIRST_COME
-  }
-
-  /** Whether a controller acts or everything stays as it is. */
-  public enum Variant {
-    ADAPTIVE,
-    STATIC
-  }
-}
+/**
+ * Which variant of each decision is in use; the baselines are kept for comparison.
+ *
+ * @param replicaChoice how a backend server is chosen
+ * @param queueing order of waiting requests
+ * @param roles whether engine roles follow the mix of work
+ * @param spending whether the number of backend servers follows the demand
+ */
+public record PolicySettings(
+    PolicyConfiguration.ReplicaChoice replicaChoice,
+    PolicyConfiguration.Queueing queueing,
+    PolicyConfiguration.Roles roles,
+    PolicyConfiguration.Spending spending) {}
--- a/node/src/test/java/org/teaseltrestle/node/settings/NodeSettingsParserTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/settings/NodeSettingsParserTest.java
@@ -6,6 +6,7 @@
 
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.policy.PolicyConfiguration.Queueing;
 import org.testng.annotations.Test;
 
 /** Tests of the settings file's checks. */
@@ -41,7 +42,7 @@
       NodeSettings settings = NodeSettingsParser.parse("node.json", VALID);
       assertTrue(settings.isVoter());
       assertEquals(settings.keyLeaseMilliseconds(), 300_000);
-      assertEquals(settings.policy().queueing(), PolicySettings.Queueing.FAIR);
+      assertEquals(settings.policy().queueing(), Queueing.FAIR);
     }
   }
 
