Add the Raft core and the replica's files

The control state needs one agreed log across voters that survives lost messages, crashes and lost disks. The core is a state machine without socket, thread, clock or random source; storage actions of a batch are synced once before any other action is executed.

Random schedules over 3 or 5 voters found two faults while this was written: a learner promoted before it held any entry, and an initial voter that refused the first configuration after it had heard a leader; each left a group without a quorum after one lost disk. Four variants that leave out a mechanism are noticed: unsaved vote, empty disk with its old identity, answer before sync, clock drift beyond the bound.

--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
@@ -0,0 +1,111 @@
+package org.teaseltrestle.consensus;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.teaseltrestle.consensus.RaftMessage.VoteAnswer;
+import org.teaseltrestle.consensus.RaftMessage.VoteKind;
+import org.teaseltrestle.consensus.RaftMessage.VoteRequest;
+import org.teaseltrestle.model.ReplicaId;
+
+/** Campaigns of this replica and its votes for others. */
+final class Elections {
+
+  private final ReplicaContext context;
+  private final Set<ReplicaId> votes = new HashSet<>();
+
+  Elections(ReplicaContext context) {
+    this.context = context;
+  }
+
+  void tick() {
+    if (context.role != RaftRole.LEADER
+        && context.isVoter()
+        && context.nowNanos - context.electionDeadlineNanos >= 0) {
+      campaign(VoteKind.PRE_VOTE);
+    }
+  }
+
+  void onRequest(ReplicaId from, VoteRequest request) {
+    if (context.log.isEmpty()) {
+      return;
+    }
+    boolean granted =
+        request.kind() == VoteKind.PRE_VOTE
+            ? request.term() > context.term && !context.refusesVotes() && isUpToDate(request)
+            : vote(from, request);
+    long term = granted ? request.term() : context.term;
+    context.send(from, new VoteAnswer(term, request.kind(), granted));
+  }
+
+  void onAnswer(ReplicaId from, VoteAnswer answer) {
+    if (!answer.granted()) {
+      if (answer.term() > context.term) {
+        context.follow(answer.term(), null);
+      }
+      return;
+    }
+    boolean preVote = answer.kind() == VoteKind.PRE_VOTE;
+    RaftRole expectedRole = preVote ? RaftRole.PRE_CANDIDATE : RaftRole.CANDIDATE;
+    long expectedTerm = preVote ? context.term + 1 : context.term;
+    if (context.role == expectedRole && answer.term() == expectedTerm) {
+      votes.add(from);
+      countVotes(answer.kind());
+    }
+  }
+
+  private boolean vote(ReplicaId from, VoteRequest request) {
+    if (request.term() < context.term || context.refusesVotes()) {
+      return false;
+    }
+    if (request.term() > context.term) {
+      context.follow(request.term(), null);
+    }
+    boolean free = context.votedFor == null || from.equals(context.votedFor);
+    if (!free || !isUpToDate(request)) {
+      return false;
+    }
+    if (context.votedFor == null) {
+      context.setHardState(context.term, from);
+    }
+    context.resetElectionDeadline();
+    return true;
+  }
+
+  private boolean isUpToDate(VoteRequest request) {
+    long lastTerm = context.log.lastTerm();
+    return request.lastTerm() > lastTerm
+        || (request.lastTerm() == lastTerm && request.lastIndex() >= context.log.lastIndex());
+  }
+
+  private void campaign(VoteKind kind) {
+    votes.clear();
+    votes.add(context.self);
+    long requestedTerm = context.term + 1;
+    if (kind == VoteKind.VOTE) {
+      context.setHardState(requestedTerm, context.self);
+      context.changeRole(RaftRole.CANDIDATE, null);
+    } else {
+      context.changeRole(RaftRole.PRE_CANDIDATE, null);
+    }
+    context.resetElectionDeadline();
+    VoteRequest request =
+        new VoteRequest(requestedTerm, kind, context.log.lastIndex(), context.log.lastTerm());
+    context.configuration().voters().stream()
+        .filter(voter -> !voter.equals(context.self))
+        .forEach(voter -> context.send(voter, request));
+    countVotes(kind);
+  }
+
+  private void countVotes(VoteKind kind) {
+    if (!context.configuration().isQuorum(votes)) {
+      return;
+    }
+    if (kind == VoteKind.PRE_VOTE) {
+      campaign(VoteKind.VOTE);
+    } else {
+      context.leadership = new Leadership(context);
+      context.changeRole(RaftRole.LEADER, context.self);
+      context.leadership.start();
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
@@ -0,0 +1,239 @@
+package org.teaseltrestle.consensus;
+
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.RaftAction.StoredEntries;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ReplicaId;
+import org.teaseltrestle.model.TrestleException;
+
+/** Storage in a data folder that is locked against other processes. */
+public final class FileReplicaStorage implements ReplicaStorage {
+
+  private static final String LOCK = "lock";
+  private static final String IDENTITY = "identity";
+  private static final String HARD_STATE = "hard-state";
+  private static final String SNAPSHOT_PREFIX = "snapshot-";
+  private static final String SNAPSHOT_SUFFIX = ".snapshot";
+
+  private final DurableFiles files;
+  private final SegmentedLog log;
+  private final FileChannel lockChannel;
+  private final ReplicaId identity;
+  private final RecoveredState recovered;
+  private final List<LogEntry> pendingEntries = new ArrayList<>();
+  private @Nullable HardState pendingHardState;
+  private boolean failed;
+
+  private interface FileOperation {
+    void run() throws IOException;
+  }
+
+  private FileReplicaStorage(
+      DurableFiles files, FileChannel lockChannel, ReplicaId identity, SegmentedLog log)
+      throws IOException {
+    this.files = files;
+    this.lockChannel = lockChannel;
+    this.identity = identity;
+    this.log = log;
+    this.recovered = recover();
+  }
+
+  /**
+   * Opens a data folder, or creates it.
+   *
+   * @param freshIncarnation random incarnation, used only if the folder is new
+   * @param maximumBytes most bytes the folder may hold, {@link Long#MAX_VALUE} for no limit
+   * @throws TrestleException with {@link ErrorCode#FILE_ACCESS} if the folder is locked or cannot
+   *     be used, with {@link ErrorCode#DATA_CORRUPTED} if its content is damaged: the replica must
+   *     then join as a new identity with an empty folder
+   */
+  public static FileReplicaStorage open(
+      Path folder, InstanceId instance, long freshIncarnation, long maximumBytes) {
+    FileChannel lockChannel = null;
+    boolean opened = false;
+    try {
+      DurableFiles files = new DurableFiles(folder, maximumBytes);
+      files.prepare();
+      lockChannel = lock(files);
+      ReplicaId identity = loadIdentity(files, new ReplicaId(instance, freshIncarnation));
+      FileReplicaStorage storage =
+          new FileReplicaStorage(files, lockChannel, identity, new SegmentedLog(files));
+      opened = true;
+      return storage;
+    } catch (IOException e) {
+      throw failure("cannot open the data folder " + folder, e);
+    } finally {
+      if (!opened) {
+        closeQuietly(lockChannel);
+      }
+    }
+  }
+
+  @Override
+  public ReplicaId identity() {
+    return identity;
+  }
+
+  @Override
+  public RecoveredState recovered() {
+    return recovered;
+  }
+
+  @Override
+  public void saveHardState(HardState state) {
+    pendingHardState = state;
+  }
+
+  @Override
+  public void append(List<LogEntry> entries) {
+    pendingEntries.addAll(entries);
+  }
+
+  @Override
+  public void saveSnapshot(Snapshot snapshot, StoredEntries entries, long firstRetainedIndex) {
+    guarded(
+        () -> {
+          writePending();
+          files.replace(snapshotName(snapshot.index()), StorageCodec.encodeSnapshot(snapshot));
+          if (entries == StoredEntries.DISCARD) {
+            log.discard();
+          } else {
+            log.prune(firstRetainedIndex);
+          }
+          deleteOldSnapshots(snapshot.index());
+        });
+  }
+
+  @Override
+  public void sync() {
+    guarded(this::writePending);
+  }
+
+  @Override
+  public void close() {
+    try {
+      log.close();
+    } catch (IOException e) {
+      throw failure("cannot close the log", e);
+    } finally {
+      closeQuietly(lockChannel);
+    }
+  }
+
+  private static FileChannel lock(DurableFiles files) throws IOException {
+    FileChannel channel =
+        FileChannel.open(files.path(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    FileLock lock = null;
+    try {
+      lock = channel.tryLock();
+    } catch (OverlappingFileLockException e) {
+      throw new IOException("the data folder is in use by this process", e);
+    } finally {
+      if (lock == null) {
+        channel.close();
+      }
+    }
+    if (lock == null) {
+      throw new IOException("the data folder is in use by another process");
+    }
+    return channel;
+  }
+
+  private static ReplicaId loadIdentity(DurableFiles files, ReplicaId fresh) throws IOException {
+    if (!files.names(IDENTITY, "").isEmpty()) {
+      ReplicaId stored = StorageCodec.decodeIdentity(files.read(IDENTITY));
+      if (!stored.instance().equals(fresh.instance())) {
+        throw new TrestleException(
+            ErrorCode.DATA_CORRUPTED,
+            "the data folder belongs to " + stored.instance() + ", not " + fresh.instance());
+      }
+      return stored;
+    }
+    if (files.names("", "").size() > 1) {
+      throw new TrestleException(
+          ErrorCode.DATA_CORRUPTED, "the data folder holds state but no identity");
+    }
+    files.replace(IDENTITY, StorageCodec.encodeIdentity(fresh));
+    return fresh;
+  }
+
+  private RecoveredState recover() throws IOException {
+    List<String> snapshots = files.names(SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX);
+    Snapshot snapshot =
+        snapshots.isEmpty()
+            ? null
+            : StorageCodec.decodeSnapshot(files.read(snapshots.get(snapshots.size() - 1)));
+    List<LogEntry> entries = log.open(snapshot);
+    if (!files.names(HARD_STATE, "").isEmpty()) {
+      HardState hardState = StorageCodec.decodeHardState(files.read(HARD_STATE));
+      return new RecoveredState(hardState, snapshot, entries);
+    }
+    if (snapshot != null || !entries.isEmpty()) {
+      throw new TrestleException(
+          ErrorCode.DATA_CORRUPTED, "the data folder holds a log but no term and vote");
+    }
+    return RecoveredState.empty();
+  }
+
+  private void writePending() throws IOException {
+    if (pendingHardState != null) {
+      files.replace(HARD_STATE, StorageCodec.encodeHardState(pendingHardState));
+      pendingHardState = null;
+    }
+    if (!pendingEntries.isEmpty()) {
+      log.append(pendingEntries);
+      pendingEntries.clear();
+    }
+  }
+
+  private void deleteOldSnapshots(long newestIndex) throws IOException {
+    String newest = snapshotName(newestIndex);
+    for (String name : files.names(SNAPSHOT_PREFIX, SNAPSHOT_SUFFIX)) {
+      if (name.compareTo(newest) < 0) {
+        files.delete(name);
+      }
+    }
+  }
+
+  private static String snapshotName(long index) {
+    return String.format(Locale.ROOT, "%s%020d%s", SNAPSHOT_PREFIX, index, SNAPSHOT_SUFFIX);
+  }
+
+  private void guarded(FileOperation operation) {
+    if (failed) {
+      throw new TrestleException(ErrorCode.CLOSED, "the storage has failed before");
+    }
+    try {
+      operation.run();
+    } catch (IOException e) {
+      failed = true;
+      throw failure("cannot write to the data folder", e);
+    }
+  }
+
+  private static TrestleException failure(String message, IOException cause) {
+    return new TrestleException(ErrorCode.FILE_ACCESS, message + ": " + cause.getMessage(), cause);
+  }
+
+  private static void closeQuietly(@Nullable FileChannel channel) {
+    if (channel == null) {
+      return;
+    }
+    try {
+      channel.close();
+    } catch (IOException e) {
+      // The lock ends with the process in any case, and the data is already synced.
+      return;
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
@@ -0,0 +1,199 @@
+package org.teaseltrestle.consensus;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.RaftAction.Refusal;
+import org.teaseltrestle.consensus.RaftAction.StoredEntries;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.ReplicaId;
+import org.teaseltrestle.model.TrestleException;
+
+/**
+ * Raft as a state machine: turns events into actions. It holds no socket, thread, clock or random
+ * source and is not safe for use by several threads.
+ *
+ * <p>The actions of one call, or of several calls in a row, are executed in two passes: first all
+ * {@link RaftAction.StorageAction}s in order, followed by one sync; then the others in order. If
+ * storage fails, the core must not be used any more.
+ */
+public final class RaftCore {
+
+  private final ReplicaContext context;
+  private final Elections elections;
+  private final FollowerLog followerLog;
+  private final GroupFormation formation;
+
+  /** Creates a core from what the replica found in its storage. */
+  public RaftCore(ReplicaId self, RaftSettings settings, RecoveredState recovered, long nowNanos) {
+    this.context = new ReplicaContext(self, settings, recovered, nowNanos);
+    this.elections = new Elections(context);
+    this.followerLog = new FollowerLog(context);
+    this.formation = new GroupFormation(context);
+  }
+
+  /**
+   * Handles an event.
+   *
+   * @param nowNanos monotonic time of this replica
+   * @throws TrestleException with {@link ErrorCode#INTERNAL} if an invariant is broken: the replica
+   *     has to stop
+   */
+  public List<RaftAction> handle(RaftEvent event, long nowNanos) {
+    context.nowNanos = nowNanos;
+    if (event instanceof RaftEvent.Received received) {
+      RaftEnvelope envelope = received.envelope();
+      if (envelope.to() == null || envelope.to().equals(context.self)) {
+        onMessage(envelope.from(), envelope.message());
+      }
+    } else if (event instanceof RaftEvent.Tick tick) {
+      onTick(tick.jitter());
+    } else if (event instanceof RaftEvent.SnapshotTaken taken) {
+      onSnapshotTaken(taken);
+    } else {
+      onRequest(event);
+    }
+    return context.takeActions();
+  }
+
+  /** Returns this replica's identity. */
+  public ReplicaId self() {
+    return context.self;
+  }
+
+  /** Returns the role. */
+  public RaftRole role() {
+    return context.role;
+  }
+
+  /** Returns the current term. */
+  public long term() {
+    return context.term;
+  }
+
+  /** Returns the leader of the current term, if known. */
+  public @Nullable ReplicaId leader() {
+    return context.leader;
+  }
+
+  /** Returns the index of the last entry known to be committed. */
+  public long commitIndex() {
+    return context.commitIndex;
+  }
+
+  /** Returns the index of the last entry in the log. */
+  public long lastIndex() {
+    return context.log.lastIndex();
+  }
+
+  /** Returns the newest configuration in the log, committed or not. */
+  public Configuration configuration() {
+    return context.configuration();
+  }
+
+  /** Returns whether this replica leads and has committed an entry of its own term. */
+  public boolean leadsWithCommittedEntry() {
+    return context.leadership != null && context.leadership.hasCommittedInTerm();
+  }
+
+  /**
+   * Returns the monotonic time of this replica at which its authority ends, or nothing if it has
+   * none. The owner publishes the value after each event; authority is valid strictly before it.
+   */
+  public OptionalLong authorityLeaseEndNanos() {
+    Leadership leadership = context.leadership;
+    OptionalLong sent = leadership == null ? OptionalLong.empty() : leadership.quorumSendNanos();
+    return sent.isPresent()
+        ? OptionalLong.of(sent.getAsLong() + context.settings.leaseNanos())
+        : OptionalLong.empty();
+  }
+
+  RaftLog log() {
+    return context.log;
+  }
+
+  private void onTick(double jitter) {
+    context.jitter = jitter;
+    if (context.leadership != null) {
+      context.leadership.tick();
+    } else {
+      formation.tick();
+      elections.tick();
+    }
+  }
+
+  private void onMessage(ReplicaId from, RaftMessage message) {
+    if (message instanceof RaftMessage.AppendRequest request) {
+      followerLog.onAppend(from, request);
+    } else if (message instanceof RaftMessage.AppendAnswer answer) {
+      onAnswer(answer.term(), leading -> leading.onAppendAnswer(from, answer));
+    } else if (message instanceof RaftMessage.VoteRequest request) {
+      elections.onRequest(from, request);
+    } else if (message instanceof RaftMessage.VoteAnswer answer) {
+      elections.onAnswer(from, answer);
+    } else if (message instanceof RaftMessage.SnapshotChunk chunk) {
+      followerLog.onChunk(from, chunk);
+    } else if (message instanceof RaftMessage.SnapshotAnswer answer) {
+      onAnswer(answer.term(), leading -> leading.onSnapshotAnswer(from, answer));
+    } else if (message instanceof RaftMessage.Formation step) {
+      formation.onFormation(from, step);
+    } else if (message instanceof RaftMessage.FirstConfiguration first) {
+      formation.onFirstConfiguration(from, first);
+    }
+  }
+
+  private void onAnswer(long term, Consumer<Leadership> handler) {
+    if (term > context.term) {
+      context.follow(term, null);
+    } else if (context.leadership != null) {
+      handler.accept(context.leadership);
+    }
+  }
+
+  private void onRequest(RaftEvent event) {
+    Leadership leadership = context.leadership;
+    ReplicaId leader = context.leader;
+    if (event instanceof RaftEvent.Propose propose) {
+      if (leadership == null) {
+        refuse(propose.proposalId(), leader);
+      } else {
+        leadership.propose(propose.proposalId(), EntryKind.COMMAND, propose.command());
+      }
+    } else if (event instanceof RaftEvent.ChangeMembership change) {
+      if (leadership == null) {
+        refuse(change.proposalId(), leader);
+      } else {
+        leadership.membership().request(change);
+      }
+    } else if (event instanceof RaftEvent.ReadIndex read) {
+      if (leadership == null) {
+        context.emit(new RaftAction.ReadFailed(read.readId(), Refusal.NOT_LEADER, leader));
+      } else {
+        leadership.read(read.readId());
+      }
+    }
+  }
+
+  private void refuse(long proposalId, @Nullable ReplicaId leader) {
+    context.emit(new RaftAction.ProposalFailed(proposalId, Refusal.NOT_LEADER, leader));
+  }
+
+  private void onSnapshotTaken(RaftEvent.SnapshotTaken taken) {
+    RaftLog log = context.log;
+    Snapshot previous = log.snapshot();
+    if (taken.index() > context.commitIndex
+        || taken.index() < log.baseIndex()
+        || (previous != null && previous.index() >= taken.index())) {
+      return;
+    }
+    Snapshot snapshot =
+        new Snapshot(
+            taken.index(),
+            log.termAt(taken.index()),
+            log.configurationAt(taken.index()),
+            taken.data());
+    log.compact(snapshot, context.settings.retainedEntries());
+    context.emit(new RaftAction.SaveSnapshot(snapshot, StoredEntries.PRUNE, log.baseIndex() + 1));
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftRole.java
@@ -0,0 +1,9 @@
+package org.teaseltrestle.consensus;
+
+/** Role of a replica. */
+public enum RaftRole {
+  FOLLOWER,
+  PRE_CANDIDATE,
+  CANDIDATE,
+  LEADER
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftSettings.java
@@ -0,0 +1,164 @@
+package org.teaseltrestle.consensus;
+
+import java.util.Collections;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.TrestleException;
+
+/** Immutable settings of a core, made by {@link Builder}. */
+public final class RaftSettings {
+
+  private static final double MAXIMUM_CLOCK_DRIFT = 0.02;
+
+  // A follower with a fast clock may vote for another after 98% of the shortest election timeout,
+  // and the leader's clock may be slow by 2%, so the lease has to leave room for both.
+  private static final double MAXIMUM_LEASE_SHARE = 0.9;
+
+  private final Builder values;
+
+  private RaftSettings(Builder values) {
+    this.values = values;
+  }
+
+  /** Returns a builder with the default values. */
+  public static Builder builder() {
+    return new Builder();
+  }
+
+  /** Returns the instances that may hold a voter. */
+  public Set<InstanceId> initialVoters() {
+    return values.initialVoters;
+  }
+
+  /** Returns the time between two heartbeats, in nanoseconds. */
+  public long heartbeatNanos() {
+    return values.heartbeatNanos;
+  }
+
+  /** Returns the shortest election timeout, in nanoseconds. */
+  public long electionMinimumNanos() {
+    return values.electionMinimumNanos;
+  }
+
+  /** Returns the longest election timeout, in nanoseconds. */
+  public long electionMaximumNanos() {
+    return values.electionMaximumNanos;
+  }
+
+  /** Returns the length of an authority lease after deduction of clock drift, in nanoseconds. */
+  public long leaseNanos() {
+    return (long) (values.leaseNanos * (1 - MAXIMUM_CLOCK_DRIFT));
+  }
+
+  /** Returns the most proposals appended and not committed. */
+  public int maximumInFlight() {
+    return values.maximumInFlight;
+  }
+
+  /** Returns the most entry bytes in one append request, beyond a first entry. */
+  public int maximumAppendBytes() {
+    return values.maximumAppendBytes;
+  }
+
+  /** Returns the most bytes in one snapshot chunk. */
+  public int snapshotChunkBytes() {
+    return values.snapshotChunkBytes;
+  }
+
+  /** Returns the largest snapshot accepted from a leader, in bytes. */
+  public int maximumSnapshotBytes() {
+    return values.maximumSnapshotBytes;
+  }
+
+  /** Returns how many entries stay in the log behind a snapshot, for slow followers. */
+  public long retainedEntries() {
+    return values.retainedEntries;
+  }
+
+  /** Collects settings. */
+  public static final class Builder implements Cloneable {
+    private Set<InstanceId> initialVoters = Set.of();
+    private long heartbeatNanos = TimeUnit.MILLISECONDS.toNanos(100);
+    private long electionMinimumNanos = TimeUnit.MILLISECONDS.toNanos(1_000);
+    private long electionMaximumNanos = TimeUnit.MILLISECONDS.toNanos(2_000);
+    private long leaseNanos = TimeUnit.MILLISECONDS.toNanos(900);
+    private int maximumInFlight = 1_024;
+    private int maximumAppendBytes = 256 * 1024;
+    private int snapshotChunkBytes = 256 * 1024;
+    private int maximumSnapshotBytes = 256 * 1024 * 1024;
+    private long retainedEntries = 256;
+
+    private Builder() {}
+
+    /** Sets the instances that may hold a voter. */
+    public Builder initialVoters(Set<InstanceId> instances) {
+      initialVoters = Collections.unmodifiableSet(new TreeSet<>(instances));
+      return this;
+    }
+
+    /** Sets the time between two heartbeats, in nanoseconds. */
+    public Builder heartbeatNanos(long nanos) {
+      heartbeatNanos = nanos;
+      return this;
+    }
+
+    /** Sets the range of the election timeout, in nanoseconds. */
+    public Builder electionNanos(long minimum, long maximum) {
+      electionMinimumNanos = minimum;
+      electionMaximumNanos = maximum;
+      return this;
+    }
+
+    /** Sets the length of an authority lease before deduction of clock drift, in nanoseconds. */
+    public Builder leaseNanos(long nanos) {
+      leaseNanos = nanos;
+      return this;
+    }
+
+    /** Sets the most proposals appended and not committed. */
+    public Builder maximumInFlight(int count) {
+      maximumInFlight = count;
+      return this;
+    }
+
+    /** Sets the most bytes in one snapshot chunk. */
+    public Builder snapshotChunkBytes(int bytes) {
+      snapshotChunkBytes = bytes;
+      return this;
+    }
+
+    /** Sets how many entries stay in the log behind a snapshot. */
+    public Builder retainedEntries(long count) {
+      retainedEntries = count;
+      return this;
+    }
+
+    /**
+     * Builds the settings.
+     *
+     * @throws TrestleException with {@link ErrorCode#INVALID_SETTINGS} if timings contradict
+     */
+    public RaftSettings build() {
+      if (heartbeatNanos <= 0
+          || electionMinimumNanos <= 2 * heartbeatNanos
+          || electionMaximumNanos <= electionMinimumNanos) {
+        throw new TrestleException(
+            ErrorCode.INVALID_SETTINGS,
+            "the election timeout must exceed two heartbeats and have a range");
+      }
+      if (leaseNanos > electionMinimumNanos * MAXIMUM_LEASE_SHARE) {
+        throw new TrestleException(
+            ErrorCode.INVALID_SETTINGS,
+            "the authority lease must be at most nine tenths of the shortest election timeout");
+      }
+      try {
+        return new RaftSettings((Builder) clone());
+      } catch (CloneNotSupportedException e) {
+        throw new AssertionError(e);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -0,0 +1,160 @@
+package org.teaseltrestle.consensus;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+
+/**
+ * Log in numbered segment files. An entry replaces a stored entry of the same index and all later
+ * ones, so a conflict needs no rewriting.
+ */
+final class SegmentedLog {
+
+  private static final String PREFIX = "log-";
+  private static final String SUFFIX = ".segment";
+  private static final long SEGMENT_BYTES = 4L * 1024 * 1024;
+
+  private final DurableFiles files;
+  private final List<Segment> segments = new ArrayList<>();
+  private @Nullable FileChannel channel;
+  private long nextNumber;
+
+  private static final class Segment {
+    final String name;
+    long lastIndex;
+
+    Segment(String name) {
+      this.name = name;
+    }
+  }
+
+  SegmentedLog(DurableFiles files) {
+    this.files = files;
+  }
+
+  /** Reads the entries after the snapshot and cuts an incomplete last record. */
+  List<LogEntry> open(@Nullable Snapshot snapshot) throws IOException {
+    List<LogEntry> entries = new ArrayList<>();
+    List<String> names = files.names(PREFIX, SUFFIX);
+    for (String name : names) {
+      boolean last = name.equals(names.get(names.size() - 1));
+      readSegment(name, last, entries, snapshot == null ? 0 : snapshot.index());
+      nextNumber = Long.parseLong(name.substring(PREFIX.length(), name.indexOf('.'))) + 1;
+    }
+    List<LogEntry> usable = usableEntries(entries, snapshot);
+    if (usable.isEmpty()) {
+      discard();
+    }
+    return usable;
+  }
+
+  void append(List<LogEntry> entries) throws IOException {
+    FileChannel current = channel;
+    if (current == null) {
+      String name = String.format(Locale.ROOT, "%s%020d%s", PREFIX, nextNumber++, SUFFIX);
+      current = files.create(name);
+      channel = current;
+      segments.add(new Segment(name));
+    }
+    files.append(current, RecordFormat.encode(StorageCodec.encodeEntries(entries)));
+    Segment segment = segments.get(segments.size() - 1);
+    entries.forEach(entry -> segment.lastIndex = Math.max(segment.lastIndex, entry.index()));
+    if (current.size() > SEGMENT_BYTES) {
+      startNewSegment();
+    }
+  }
+
+  /** Deletes the segments that hold only entries before an index. */
+  void prune(long firstRetainedIndex) throws IOException {
+    startNewSegment();
+    while (!segments.isEmpty() && segments.get(0).lastIndex < firstRetainedIndex) {
+      files.delete(segments.remove(0).name);
+    }
+    files.sync();
+  }
+
+  /** Deletes all segments, newest first, so that a crash leaves no gap that looks like damage. */
+  void discard() throws IOException {
+    startNewSegment();
+    while (!segments.isEmpty()) {
+      files.delete(segments.remove(segments.size() - 1).name);
+      files.sync();
+    }
+  }
+
+  void close() throws IOException {
+    startNewSegment();
+  }
+
+  private void startNewSegment() throws IOException {
+    if (channel != null) {
+      channel.close();
+      channel = null;
+    }
+  }
+
+  private void readSegment(String name, boolean last, List<LogEntry> entries, long snapshotIndex)
+      throws IOException {
+    byte[] content = files.readAll(name);
+    RecordFormat.Scan scan = RecordFormat.scan(name, ByteBuffer.wrap(content));
+    if (scan.validBytes() < content.length) {
+      if (!last) {
+        throw new TrestleException(
+            ErrorCode.DATA_CORRUPTED, name + " ends in an incomplete record before the last file");
+      }
+      cut(name, scan.validBytes());
+    }
+    Segment segment = new Segment(name);
+    segments.add(segment);
+    for (byte[] payload : scan.payloads()) {
+      for (LogEntry entry : StorageCodec.decodeEntries(payload)) {
+        segment.lastIndex = Math.max(segment.lastIndex, entry.index());
+        put(name, entries, entry, snapshotIndex);
+      }
+    }
+  }
+
+  private static void put(String name, List<LogEntry> entries, LogEntry entry, long snapshotIndex) {
+    while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
+      entries.remove(entries.size() - 1);
+    }
+    boolean follows =
+        !entries.isEmpty() && entries.get(entries.size() - 1).index() == entry.index() - 1;
+    if (!follows) {
+      // Pruned or discarded entries leave a gap only where the snapshot stands in for them.
+      if (entry.index() > snapshotIndex + 1) {
+        throw new TrestleException(
+            ErrorCode.DATA_CORRUPTED, name + " lacks the entries before " + entry.index());
+      }
+      entries.clear();
+    }
+    entries.add(entry);
+  }
+
+  private static List<LogEntry> usableEntries(List<LogEntry> entries, @Nullable Snapshot snapshot) {
+    if (snapshot == null) {
+      return entries;
+    }
+    boolean conflicts =
+        entries.stream()
+            .anyMatch(
+                entry -> entry.index() == snapshot.index() && entry.term() != snapshot.term());
+    return conflicts
+        ? List.of()
+        : entries.stream().filter(entry -> entry.index() > snapshot.index()).toList();
+  }
+
+  private void cut(String name, long validBytes) throws IOException {
+    try (FileChannel file = FileChannel.open(files.path(name), StandardOpenOption.WRITE)) {
+      file.truncate(validBytes);
+      file.force(true);
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/package-info.java
@@ -0,0 +1,10 @@
+/**
+ * Raft: a pure core that turns events into actions, and the files that make a replica durable.
+ *
+ * <p>The owner of a core executes all storage actions of a batch, syncs once, and only then
+ * executes the remaining actions in order.
+ */
+@NullMarked
+package org.teaseltrestle.consensus;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/RaftCoreTest.java
@@ -0,0 +1,69 @@
+package org.teaseltrestle.consensus;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of the Raft core. */
+public final class RaftCoreTest {
+
+  private static final long FIRST_SEED = Long.getLong("trestle.seed", 1);
+  private static final long FAULT_SECONDS = Long.getLong("trestle.faultSeconds", 0);
+  private static final int DEFAULT_SEEDS = 60;
+
+  /** Guards against a breach of any promise of Raft or of the authority lease under faults. */
+  public static final class RandomFaultsTest {
+
+    @Test
+    public void keepsAllPromises() {
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FAULT_SECONDS);
+      long seed = FIRST_SEED;
+      while (seed < FIRST_SEED + DEFAULT_SEEDS || System.nanoTime() - end < 0) {
+        run(seed++, RandomSchedule.Variant.COMPLETE);
+      }
+      System.out.println("raft schedules: " + FIRST_SEED + " to " + (seed - 1));
+    }
+  }
+
+  /** Guards against a checker that would not notice a missing mechanism. */
+  public static final class MissingMechanismTest {
+
+    private static final int MAXIMUM_SEEDS = 3_000;
+
+    /** Returns the schedules that leave out one mechanism each. */
+    @DataProvider
+    public Object[][] variants() {
+      return new Object[][] {
+        {RandomSchedule.Variant.VOTE_NOT_PERSISTED},
+        {RandomSchedule.Variant.EMPTY_DISK_KEEPS_IDENTITY},
+        {RandomSchedule.Variant.ANSWER_BEFORE_SYNC},
+        {RandomSchedule.Variant.CLOCK_DRIFT_BEYOND_BOUND},
+      };
+    }
+
+    @Test(dataProvider = "variants")
+    public void isNoticed(RandomSchedule.Variant variant) {
+      for (long seed = 1; seed <= MAXIMUM_SEEDS; seed++) {
+        try {
+          run(seed, variant);
+        } catch (AssertionError breach) {
+          if (breach.getCause() instanceof SafetyChecker.SafetyBreach) {
+            System.out.println(variant + ": " + breach.getMessage());
+            return;
+          }
+        }
+      }
+      assertTrue(false, variant + " was not noticed in " + MAXIMUM_SEEDS + " seeds");
+    }
+  }
+
+  private static void run(long seed, RandomSchedule.Variant variant) {
+    try {
+      new RandomSchedule(seed, variant).run();
+    } catch (AssertionError | RuntimeException e) {
+      throw new AssertionError("-Dtrestle.seed=" + seed + ": " + e.getMessage(), e);
+    }
+  }
+}
--- /dev/null
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the Raft core under random schedules, and of the replica's files. */
+@NullMarked
+package org.teaseltrestle.consensus;
+
+import org.jspecify.annotations.NullMarked;
