--- a/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
@@ -49,6 +49,9 @@
       return;
     }
     acceptLeader(from, chunk.term());
+    if (chunk.totalLength() > context.settings.maximumSnapshotBytes()) {
+      return;
+    }
     int next = chunk.index() <= context.commitIndex ? chunk.totalLength() : collect(chunk);
     if (next == chunk.totalLength()
         && chunk.index() > context.commitIndex
@@ -99,10 +102,6 @@
   }
 
   private int collect(SnapshotChunk chunk) {
-    if (chunk.totalLength() > context.settings.maximumSnapshotBytes()) {
-      throw new TrestleException(
-          ErrorCode.MALFORMED_MESSAGE, "snapshot too large: " + chunk.totalLength());
-    }
     SnapshotChunk first = firstChunk;
     if (first == null
         || first.term() != chunk.term()
--- a/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
@@ -67,9 +67,11 @@
       context.emit(new RaftAction.ProposalFailed(proposalId, Refusal.OVERLOADED, context.leader));
       return;
     }
-    long index = appendOwn(kind, payload);
+    // Noted before the entry is appended, because a single voter commits it at once.
+    long index = context.log.lastIndex() + 1;
     proposals.add(new PendingProposal(proposalId, index));
     context.emit(new RaftAction.ProposalAppended(proposalId, index));
+    appendOwn(kind, payload);
     replicate();
   }
 
@@ -86,15 +88,14 @@
     confirmReads();
   }
 
-  /** Appends an entry of the current term and returns its index. */
-  long appendOwn(EntryKind kind, byte[] payload) {
+  /** Appends an entry of the current term. */
+  void appendOwn(EntryKind kind, byte[] payload) {
     long index = context.log.lastIndex() + 1;
     context.append(List.of(new LogEntry(index, context.term, kind, payload)));
     if (kind == EntryKind.CONFIGURATION) {
       peers.keySet().retainAll(context.configuration().members());
     }
     commitMatched();
-    return index;
   }
 
   /** Sends new entries to the members that await no answer. */
--- a/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
+++ b/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
@@ -18,6 +18,8 @@
   MALFORMED_MESSAGE,
   /** A peer, backend server or platform interface could not be reached in time. */
   UNREACHABLE,
+  /** A bounded queue is full; the operation was certainly not begun. */
+  OVERLOADED,
   /** An operation was attempted after its component had been closed. */
   CLOSED,
   /** An invariant of the program itself was violated. */
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AccountShares.java
@@ -0,0 +1,67 @@
+package org.teaseltrestle.node.replica;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.wire.AccountDemand;
+import org.teaseltrestle.wire.GrantBundle;
+
+/** Reports this node's demand and turns the demand of all nodes into this node's shares. */
+final class AccountShares {
+
+  private static final long SHARE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final DemandSource source;
+  private final ShareListener listener;
+  private final MonotonicClock clock;
+  private Map<ClientAccount, Double> reported = Map.of();
+
+  AccountShares(DemandSource source, ShareListener listener, MonotonicClock clock) {
+    this.source = source;
+    this.listener = listener;
+    this.clock = clock;
+  }
+
+  /** Returns this node's demand and remembers it as reported. */
+  Map<String, Double> report() {
+    reported = Map.copyOf(source.tokensPerSecond());
+    Map<String, Double> demand = new HashMap<>();
+    reported.forEach((account, tokens) -> demand.put(account.value(), tokens));
+    return demand;
+  }
+
+  void granted(GrantBundle bundle) {
+    Map<String, Double> total = toMap(bundle.getTotalDemandList());
+    Map<ClientAccount, Double> shares = new HashMap<>();
+    reported.forEach(
+        (account, own) -> {
+          double all = total.getOrDefault(account.value(), 0.0);
+          if (all > 0 && own > 0) {
+            shares.put(account, Math.min(1, own / all));
+          }
+        });
+    double defaultShare = 1.0 / Math.max(1, bundle.getRegisteredInstances());
+    listener.granted(shares, clock.nowNanos() + SHARE_NANOS, defaultShare);
+  }
+
+  static Map<String, Double> toMap(List<AccountDemand> demand) {
+    Map<String, Double> sums = new HashMap<>();
+    demand.forEach(each -> sums.merge(each.getAccount(), each.getTokensPerSecond(), Double::sum));
+    return sums;
+  }
+
+  static List<AccountDemand> toList(Map<String, Double> demand) {
+    return demand.entrySet().stream()
+        .filter(entry -> entry.getValue() > 0)
+        .map(
+            entry ->
+                AccountDemand.newBuilder()
+                    .setAccount(entry.getKey())
+                    .setTokensPerSecond(entry.getValue())
+                    .build())
+        .toList();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -0,0 +1,231 @@
+package org.teaseltrestle.node.replica;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.kernel.DutyThread;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.CommittedCommands;
+import org.teaseltrestle.wire.CommittedState;
+import org.teaseltrestle.wire.Envelope;
+import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.RenewalBundle;
+
+/**
+ * Non-voter: follows the committed log from its parent in the dissemination tree, serves its own
+ * children, sends renewals up and passes grants down.
+ */
+public final class FollowService implements ControlPlane {
+
+  private static final EventLog LOG = EventLog.of(FollowService.class);
+  private static final int RING_CAPACITY = 1_024;
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long PLACEMENT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  private final ControlPlaneSettings settings;
+  private final ControlPlaneContext context;
+  private final AppliedState state = new AppliedState();
+  private final PeerAddresses addresses;
+  private final LeaderCalls leaderCalls;
+  private final LeaderClient leader;
+  private final Readiness readiness;
+  private final KeyLease lease;
+  private final ChildFeeds children;
+  private final RenewalRound renewals;
+  private final ParentChooser parents;
+  private final DutyThread<Runnable> duty;
+  private final DutyInbox inbox;
+  private long servedIndex;
+  private long nextPlacementNanos;
+  private volatile ControlStatus status = new ControlStatus("following", 0, "", 0, 0);
+
+  /** Creates the service; {@link #start()} starts it. */
+  public FollowService(ControlPlaneSettings settings, ControlPlaneContext context) {
+    this.settings = settings;
+    this.context = context;
+    this.addresses = new PeerAddresses(settings);
+    this.leaderCalls =
+        new LeaderCalls(settings, context.transport(), addresses, context.clock(), null);
+    this.leader = new LeaderClient(leaderCalls, context.clock());
+    this.lease = new KeyLease(settings, context.clock());
+    long now = context.clock().nowNanos();
+    this.nextPlacementNanos = now;
+    this.parents = new ParentChooser(now);
+    this.children =
+        new ChildFeeds(context.transport(), addresses, context.clock(), this::rootAgeMillis);
+    this.renewals =
+        new RenewalRound(
+            settings,
+            RenewalRound.Subscription.FOLLOWS,
+            lease,
+            new AccountShares(context.demand(), context.shares(), context.clock()),
+            children,
+            now);
+    this.duty =
+        new DutyThread<>(
+            "follow", RING_CAPACITY, Runnable::run, this::tick, TICK_NANOS, context.clock());
+    this.inbox = new DutyInbox(duty::offer);
+    this.readiness = new Readiness(leader, inbox::offer);
+  }
+
+  /** Registers the message handler and starts the duty thread. */
+  public void start() {
+    context.endpoints().handle(FollowMessage.SERVICE, (message, reply) -> onMessage(message));
+    duty.start();
+  }
+
+  @Override
+  public ControlView view() {
+    return state.view();
+  }
+
+  @Override
+  public CompletableFuture<CommandAnswer> propose(Command command) {
+    return leader.propose(command);
+  }
+
+  @Override
+  public boolean isReady() {
+    return readiness.isReady();
+  }
+
+  @Override
+  public long keyLeaseEndsAtNanos() {
+    return lease.endsAtNanos();
+  }
+
+  @Override
+  public Optional<Authority> authority() {
+    return Optional.empty();
+  }
+
+  @Override
+  public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
+    return leader.withdrawalReport(index);
+  }
+
+  @Override
+  public ControlStatus status() {
+    return status;
+  }
+
+  @Override
+  public void close() {
+    duty.close();
+    leaderCalls.close();
+  }
+
+  private void tick(long nowNanos) {
+    placeIfDue(nowNanos);
+    if (parents.update(nowNanos)) {
+      renewals.hurry(nowNanos);
+    }
+    if (renewals.isDue(nowNanos)) {
+      sendUp(renewals.bundle(state, nowNanos));
+    }
+    readiness.tick(state.appliedIndex());
+    status =
+        new ControlStatus("following", 0, parents.parent(), state.appliedIndex(), inbox.dropped());
+  }
+
+  private void placeIfDue(long nowNanos) {
+    if (nowNanos - nextPlacementNanos >= 0) {
+      nextPlacementNanos = nowNanos + PLACEMENT_INTERVAL_NANOS;
+      parents.candidates(
+          TreePlacement.parents(
+              settings.instance(), settings.failureDomain(), settings.voters(), state.view()));
+    }
+  }
+
+  private void sendUp(RenewalBundle bundle) {
+    addresses
+        .find(parents.parent())
+        .ifPresent(
+            address ->
+                context
+                    .transport()
+                    .send(
+                        address,
+                        FollowMessage.SERVICE,
+                        FollowMessage.RENEWALS.kind(),
+                        bundle.toByteArray()));
+  }
+
+  private void onMessage(Envelope message) {
+    String sender = message.getSenderInstance();
+    FollowMessage kind = FollowMessage.of(message.getKind()).orElse(null);
+    if (kind == null) {
+      return;
+    }
+    switch (kind) {
+      case RENEWALS -> {
+        RenewalBundle bundle = MessageEndpoints.parse(message, RenewalBundle.parser());
+        inbox.offer(() -> children.onBundle(bundle, state));
+      }
+      case COMMANDS -> {
+        CommittedCommands commands = MessageEndpoints.parse(message, CommittedCommands.parser());
+        inbox.offer(() -> onCommands(sender, commands));
+      }
+      case STATE -> {
+        CommittedState whole = MessageEndpoints.parse(message, CommittedState.parser());
+        inbox.offer(() -> onState(sender, whole));
+      }
+      case GRANTS -> {
+        GrantBundle grants = MessageEndpoints.parse(message, GrantBundle.parser());
+        inbox.offer(() -> renewals.granted(grants));
+      }
+      default -> throw new IllegalArgumentException(kind.name());
+    }
+  }
+
+  private void onCommands(String sender, CommittedCommands message) {
+    long now = context.clock().nowNanos();
+    parents.heard(sender, message.getRootAgeMillis(), now);
+    apply(message.getCommandsList());
+    if (!message.getCommandsList().isEmpty() && state.appliedIndex() < message.getAppliedIndex()) {
+      renewals.hurry(now);
+    }
+    settle();
+  }
+
+  /** Applies the commands that follow; the next renewal asks again after a gap. */
+  private void apply(List<LoggedCommand> commands) {
+    try {
+      for (LoggedCommand command : commands) {
+        if (command.getIndex() == state.appliedIndex() + 1) {
+          state.apply(command.getIndex(), command.getCommand());
+        }
+      }
+    } finally {
+      state.publish();
+    }
+  }
+
+  private void onState(String sender, CommittedState message) {
+    long now = context.clock().nowNanos();
+    parents.heard(sender, parents.rootAgeMillis(now), now);
+    if (message.getAppliedIndex() > state.appliedIndex()) {
+      state.restore(message.getAppliedIndex(), message.getSnapshot().toByteArray());
+      LOG.info(ReplicaEvent.STATE_RESTORED, "index", message.getAppliedIndex());
+      renewals.hurry(now);
+    }
+    settle();
+  }
+
+  private void settle() {
+    if (state.appliedIndex() > servedIndex) {
+      servedIndex = state.appliedIndex();
+      addresses.update(state.view());
+      children.feed(state);
+    }
+  }
+
+  private long rootAgeMillis() {
+    return parents.rootAgeMillis(context.clock().nowNanos());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderClient.java
@@ -0,0 +1,60 @@
+package org.teaseltrestle.node.replica;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.LeaderAnswer;
+import org.teaseltrestle.wire.WithdrawalQuery;
+
+/** Typed requests to the leader. */
+final class LeaderClient {
+
+  private static final long PROPOSAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final long CONFIRMATION_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private final LeaderCalls calls;
+  private final MonotonicClock clock;
+
+  LeaderClient(LeaderCalls calls, MonotonicClock clock) {
+    this.calls = calls;
+    this.clock = clock;
+  }
+
+  CompletableFuture<CommandAnswer> propose(Command command) {
+    long deadline = clock.nowNanos() + PROPOSAL_NANOS;
+    return calls
+        .call(LeaderRequest.PROPOSE, command.toByteArray(), deadline)
+        .thenApply(LeaderAnswer::getAnswer);
+  }
+
+  /** Returns an index that a quorum confirmed as committed after this call. */
+  CompletableFuture<Long> confirmedIndex() {
+    long deadline = clock.nowNanos() + CONFIRMATION_NANOS;
+    return calls
+        .call(LeaderRequest.CONFIRM, new byte[0], deadline)
+        .thenApply(LeaderAnswer::getConfirmedIndex);
+  }
+
+  CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
+    long deadline = clock.nowNanos() + CONFIRMATION_NANOS;
+    byte[] query = WithdrawalQuery.newBuilder().setIndex(index).build().toByteArray();
+    return calls
+        .call(LeaderRequest.WITHDRAWAL, query, deadline)
+        .thenApply(answer -> report(index, answer));
+  }
+
+  private WithdrawalReport report(long index, LeaderAnswer answer) {
+    long now = clock.nowNanos();
+    return new WithdrawalReport(
+        index,
+        answer.getUnconfirmedList().stream()
+            .map(
+                each ->
+                    new WithdrawalReport.UnconfirmedLease(
+                        new InstanceId(each.getInstance()), now + each.getLeaseEndsInNanos()))
+            .toList());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderDuties.java
@@ -0,0 +1,161 @@
+package org.teaseltrestle.node.replica;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.RaftAction.Refusal;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.InstanceRecord;
+import org.teaseltrestle.wire.LeaderAnswer;
+import org.teaseltrestle.wire.RegisterInstance;
+import org.teaseltrestle.wire.RenewalBundle;
+import org.teaseltrestle.wire.RetireInstance;
+import org.teaseltrestle.wire.UnconfirmedInstance;
+import org.teaseltrestle.wire.WithdrawalQuery;
+
+/** What only the leader does with the control state. Used by the replica duty only. */
+final class LeaderDuties {
+
+  private static final EventLog LOG = EventLog.of(LeaderDuties.class);
+
+  // The nodes below a lost voter report through another one after a few seconds.
+  private static final long DEMAND_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final ControlPlaneSettings settings;
+  private final ReplicaDriver driver;
+  private final AppliedState state;
+  private final AuthorityKeeper authority;
+  private final MonotonicClock clock;
+  private final WallClock wallClock;
+  private final Map<String, Demand> demandBySender = new HashMap<>();
+  private final Set<String> retiring = new HashSet<>();
+  private @Nullable RenewalBook book;
+  private long nextRequest;
+
+  private record Demand(Map<String, Double> tokensPerSecond, long receivedAtNanos) {}
+
+  LeaderDuties(
+      ControlPlaneSettings settings,
+      ReplicaDriver driver,
+      AppliedState state,
+      AuthorityKeeper authority,
+      MonotonicClock clock,
+      WallClock wallClock) {
+    this.settings = settings;
+    this.driver = driver;
+    this.state = state;
+    this.authority = authority;
+    this.clock = clock;
+    this.wallClock = wallClock;
+  }
+
+  void elected() {
+    book = new RenewalBook(clock.nowNanos(), settings.keyLeaseNanos(), this::register);
+    demandBySender.clear();
+    retiring.clear();
+  }
+
+  void deposed() {
+    book = null;
+  }
+
+  /** Returns the grants for a bundle, without any unless this replica leads under a lease. */
+  GrantBundle renew(RenewalBundle bundle) {
+    long now = clock.nowNanos();
+    RenewalBook current = book;
+    GrantBundle.Builder grants = GrantBundle.newBuilder();
+    if (current == null || !authority.leads(now)) {
+      return grants.build();
+    }
+    demandBySender.put(
+        bundle.getInstance(), new Demand(AccountShares.toMap(bundle.getDemandList()), now));
+    demandBySender.values().removeIf(each -> now - each.receivedAtNanos() > DEMAND_RETENTION_NANOS);
+    Map<String, Double> total = new HashMap<>();
+    for (Demand each : demandBySender.values()) {
+      each.tokensPerSecond().forEach((account, sum) -> total.merge(account, sum, Double::sum));
+    }
+    return grants
+        .addAllGrants(current.renew(bundle.getRenewalsList(), state.view(), now))
+        .addAllTotalDemand(AccountShares.toList(total))
+        .setRegisteredInstances(state.view().instances().size())
+        .build();
+  }
+
+  void handle(LeaderRequest request, byte[] body, Consumer<LeaderAnswer> reply) {
+    switch (request) {
+      case PROPOSE -> driver.propose(body, reply);
+      case CONFIRM -> driver.confirm(reply);
+      case WITHDRAWAL -> unconfirmed(body, reply);
+      default -> throw new IllegalArgumentException(request.name());
+    }
+  }
+
+  /** Retires instances that the platform calls gone. */
+  void retire(Set<String> gone) {
+    if (book == null) {
+      return;
+    }
+    for (InstanceRecord each : state.view().instances()) {
+      if (gone.contains(each.getInstance()) && retiring.add(each.getInstance())) {
+        LOG.info(ReplicaEvent.INSTANCE_RETIRING, "instance", each.getInstance());
+        RetireInstance retirement =
+            RetireInstance.newBuilder()
+                .setInstance(each.getInstance())
+                .setReason("platform_gone")
+                .build();
+        propose(
+            Command.newBuilder().setRetireInstance(retirement),
+            answer -> retiring.remove(each.getInstance()));
+      }
+    }
+  }
+
+  private void unconfirmed(byte[] body, Consumer<LeaderAnswer> reply) {
+    long now = clock.nowNanos();
+    RenewalBook current = book;
+    if (current == null || !authority.leads(now)) {
+      reply.accept(LeaderAnswers.refused(Refusal.NOT_LEADER, driver.core().leader()));
+      return;
+    }
+    LeaderAnswer.Builder answer = LeaderAnswer.newBuilder().setStatus(LeaderAnswer.Status.ANSWERED);
+    current
+        .unconfirmed(state.view(), queriedIndex(body), now)
+        .forEach(
+            each ->
+                answer.addUnconfirmed(
+                    UnconfirmedInstance.newBuilder()
+                        .setInstance(each.instance())
+                        .setLeaseEndsInNanos(each.leaseEndsAtNanos() - now)));
+    reply.accept(answer.build());
+  }
+
+  private static long queriedIndex(byte[] body) {
+    try {
+      return WithdrawalQuery.parseFrom(body).getIndex();
+    } catch (InvalidProtocolBufferException e) {
+      return Long.MAX_VALUE;
+    }
+  }
+
+  private void register(InstanceRecord record) {
+    LOG.info(ReplicaEvent.INSTANCE_REGISTERING, "instance", record.getInstance());
+    propose(
+        Command.newBuilder().setRegisterInstance(RegisterInstance.newBuilder().setInstance(record)),
+        answer -> {});
+  }
+
+  private void propose(Command.Builder command, Consumer<LeaderAnswer> reply) {
+    String id = settings.instance() + "-" + Long.toHexString(settings.boot()) + "-" + nextRequest++;
+    command.setRequestId(id).setProposedAtMillis(wallClock.nowMillis());
+    driver.propose(command.build().toByteArray(), reply);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -0,0 +1,69 @@
+package org.teaseltrestle.node.replica;
+
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.node.settings.VoterSettings;
+import org.teaseltrestle.wire.InstanceRecord;
+
+/** Addresses of other nodes: routes and voters in the settings before registrations. */
+final class PeerAddresses {
+
+  private final Map<String, InetSocketAddress> routes = new HashMap<>();
+  private final Map<String, InetSocketAddress> voters = new HashMap<>();
+  private volatile Map<String, InetSocketAddress> registered = Map.of();
+
+  PeerAddresses(ControlPlaneSettings settings) {
+    settings.peerRoutes().forEach((instance, address) -> routes.put(instance.value(), address));
+    for (VoterSettings voter : settings.voters()) {
+      voters.put(voter.instance().value(), voter.peerAddress());
+    }
+  }
+
+  static String format(InetSocketAddress address) {
+    return address.getAddress() == null
+        ? address.getHostString() + ":" + address.getPort()
+        : address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  static Optional<InetSocketAddress> parse(String text) {
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return colon > 0
+          ? Optional.of(new InetSocketAddress(text.substring(0, colon), port))
+          : Optional.empty();
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
+  void update(ControlView view) {
+    Map<String, InetSocketAddress> updated = new HashMap<>();
+    for (InstanceRecord each : view.instances()) {
+      parse(each.getPeerAddress()).ifPresent(address -> updated.put(each.getInstance(), address));
+    }
+    registered = Map.copyOf(updated);
+  }
+
+  Optional<InetSocketAddress> find(InstanceId instance) {
+    return find(instance.value());
+  }
+
+  Optional<InetSocketAddress> find(String instance) {
+    InetSocketAddress address = routes.get(instance);
+    if (address == null) {
+      address = voters.get(instance);
+    }
+    return Optional.ofNullable(address == null ? registered.get(instance) : address);
+  }
+
+  /** Returns the address to answer a sender that states its own address. */
+  Optional<InetSocketAddress> reply(String instance, String statedAddress) {
+    InetSocketAddress route = routes.get(instance);
+    return route == null ? parse(statedAddress) : Optional.of(route);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/RaftWireCodec.java
@@ -0,0 +1,249 @@
+package org.teaseltrestle.node.replica;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import org.teaseltrestle.consensus.Configuration;
+import org.teaseltrestle.consensus.EntryKind;
+import org.teaseltrestle.consensus.LogEntry;
+import org.teaseltrestle.consensus.RaftEnvelope;
+import org.teaseltrestle.consensus.RaftMessage;
+import org.teaseltrestle.consensus.RaftMessage.AppendAnswer;
+import org.teaseltrestle.consensus.RaftMessage.AppendRequest;
+import org.teaseltrestle.consensus.RaftMessage.FirstConfiguration;
+import org.teaseltrestle.consensus.RaftMessage.Formation;
+import org.teaseltrestle.consensus.RaftMessage.FormationStep;
+import org.teaseltrestle.consensus.RaftMessage.SnapshotAnswer;
+import org.teaseltrestle.consensus.RaftMessage.SnapshotChunk;
+import org.teaseltrestle.consensus.RaftMessage.VoteAnswer;
+import org.teaseltrestle.consensus.RaftMessage.VoteKind;
+import org.teaseltrestle.consensus.RaftMessage.VoteRequest;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ReplicaId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.wire.RaftAppendAnswer;
+import org.teaseltrestle.wire.RaftAppendRequest;
+import org.teaseltrestle.wire.RaftFirstConfiguration;
+import org.teaseltrestle.wire.RaftFormation;
+import org.teaseltrestle.wire.RaftLogEntry;
+import org.teaseltrestle.wire.RaftPacket;
+import org.teaseltrestle.wire.RaftSnapshotAnswer;
+import org.teaseltrestle.wire.RaftSnapshotChunk;
+import org.teaseltrestle.wire.RaftVoteAnswer;
+import org.teaseltrestle.wire.RaftVoteRequest;
+import org.teaseltrestle.wire.ReplicaIdentity;
+
+/** Converts messages of the Raft core to their wire form and back. */
+final class RaftWireCodec {
+
+  private RaftWireCodec() {}
+
+  static byte[] encode(RaftEnvelope envelope) {
+    RaftPacket.Builder packet = RaftPacket.newBuilder().setFrom(identity(envelope.from()));
+    ReplicaId to = envelope.to();
+    if (to != null) {
+      packet.setTo(identity(to));
+    }
+    encodeMessage(envelope.message(), packet);
+    return packet.build().toByteArray();
+  }
+
+  /**
+   * Decodes a packet.
+   *
+   * @throws TrestleException with {@link ErrorCode#MALFORMED_MESSAGE} if it is malformed
+   */
+  static RaftEnvelope decode(InstanceId receiver, byte[] body) {
+    try {
+      RaftPacket packet = RaftPacket.parseFrom(body);
+      return new RaftEnvelope(
+          replica(packet.getFrom()),
+          receiver,
+          packet.hasTo() ? replica(packet.getTo()) : null,
+          decodeMessage(packet));
+    } catch (InvalidProtocolBufferException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "not a replica's message", e);
+    }
+  }
+
+  private static void encodeMessage(RaftMessage message, RaftPacket.Builder packet) {
+    if (message instanceof AppendRequest request) {
+      packet.setAppendRequest(appendRequest(request));
+    } else if (message instanceof AppendAnswer answer) {
+      packet.setAppendAnswer(
+          RaftAppendAnswer.newBuilder()
+              .setTerm(answer.term())
+              .setSuccessful(answer.successful())
+              .setMatchIndex(answer.matchIndex())
+              .setSentAtNanos(answer.sentAtNanos()));
+    } else if (message instanceof VoteRequest request) {
+      packet.setVoteRequest(
+          RaftVoteRequest.newBuilder()
+              .setTerm(request.term())
+              .setPreVote(request.kind() == VoteKind.PRE_VOTE)
+              .setLastIndex(request.lastIndex())
+              .setLastTerm(request.lastTerm()));
+    } else if (message instanceof VoteAnswer answer) {
+      packet.setVoteAnswer(
+          RaftVoteAnswer.newBuilder()
+              .setTerm(answer.term())
+              .setPreVote(answer.kind() == VoteKind.PRE_VOTE)
+              .setGranted(answer.granted()));
+    } else if (message instanceof SnapshotChunk chunk) {
+      packet.setSnapshotChunk(snapshotChunk(chunk));
+    } else if (message instanceof SnapshotAnswer answer) {
+      packet.setSnapshotAnswer(
+          RaftSnapshotAnswer.newBuilder()
+              .setTerm(answer.term())
+              .setIndex(answer.index())
+              .setNextOffset(answer.nextOffset())
+              .setSentAtNanos(answer.sentAtNanos()));
+    } else if (message instanceof Formation step) {
+      packet.setFormation(formation(step));
+    } else if (message instanceof FirstConfiguration first) {
+      packet.setFirstConfiguration(
+          RaftFirstConfiguration.newBuilder()
+              .setConfiguration(ByteString.copyFrom(first.configuration().encode())));
+    }
+  }
+
+  private static RaftAppendRequest appendRequest(AppendRequest request) {
+    RaftAppendRequest.Builder builder =
+        RaftAppendRequest.newBuilder()
+            .setTerm(request.term())
+            .setPreviousIndex(request.previousIndex())
+            .setPreviousTerm(request.previousTerm())
+            .setCommitIndex(request.commitIndex())
+            .setSentAtNanos(request.sentAtNanos());
+    for (LogEntry entry : request.entries()) {
+      builder.addEntries(
+          RaftLogEntry.newBuilder()
+              .setIndex(entry.index())
+              .setTerm(entry.term())
+              .setKind(RaftLogEntry.Kind.valueOf(entry.kind().name()))
+              .setPayload(ByteString.copyFrom(entry.payload())));
+    }
+    return builder.build();
+  }
+
+  private static RaftSnapshotChunk snapshotChunk(SnapshotChunk chunk) {
+    return RaftSnapshotChunk.newBuilder()
+        .setTerm(chunk.term())
+        .setIndex(chunk.index())
+        .setIndexTerm(chunk.indexTerm())
+        .setConfiguration(ByteString.copyFrom(chunk.configuration().encode()))
+        .setTotalLength(chunk.totalLength())
+        .setOffset(chunk.offset())
+        .setData(ByteString.copyFrom(chunk.data()))
+        .setSentAtNanos(chunk.sentAtNanos())
+        .build();
+  }
+
+  private static RaftFormation formation(Formation step) {
+    RaftFormation.Builder builder =
+        RaftFormation.newBuilder()
+            .setStep(RaftFormation.Step.valueOf(step.step().name()))
+            .setFormed(step.formed());
+    ReplicaId leader = step.leader();
+    return leader == null ? builder.build() : builder.setLeader(identity(leader)).build();
+  }
+
+  private static RaftMessage decodeMessage(RaftPacket packet) {
+    return switch (packet.getMessageCase()) {
+      case VOTE_REQUEST -> toVoteRequest(packet.getVoteRequest());
+      case VOTE_ANSWER -> toVoteAnswer(packet.getVoteAnswer());
+      case APPEND_REQUEST -> toAppendRequest(packet.getAppendRequest());
+      case APPEND_ANSWER -> toAppendAnswer(packet.getAppendAnswer());
+      case SNAPSHOT_CHUNK -> toSnapshotChunk(packet.getSnapshotChunk());
+      case SNAPSHOT_ANSWER -> toSnapshotAnswer(packet.getSnapshotAnswer());
+      case FORMATION -> toFormation(packet.getFormation());
+      case FIRST_CONFIGURATION ->
+          new FirstConfiguration(
+              Configuration.decode(
+                  packet.getFirstConfiguration().getConfiguration().toByteArray()));
+      case MESSAGE_NOT_SET ->
+          throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "packet without a message");
+    };
+  }
+
+  private static RaftMessage toVoteRequest(RaftVoteRequest request) {
+    return new VoteRequest(
+        request.getTerm(),
+        kind(request.getPreVote()),
+        request.getLastIndex(),
+        request.getLastTerm());
+  }
+
+  private static RaftMessage toVoteAnswer(RaftVoteAnswer answer) {
+    return new VoteAnswer(answer.getTerm(), kind(answer.getPreVote()), answer.getGranted());
+  }
+
+  private static RaftMessage toAppendRequest(RaftAppendRequest request) {
+    List<LogEntry> entries =
+        request.getEntriesList().stream()
+            .map(
+                entry ->
+                    new LogEntry(
+                        entry.getIndex(),
+                        entry.getTerm(),
+                        EntryKind.valueOf(entry.getKind().name()),
+                        entry.getPayload().toByteArray()))
+            .toList();
+    return new AppendRequest(
+        request.getTerm(),
+        request.getPreviousIndex(),
+        request.getPreviousTerm(),
+        entries,
+        request.getCommitIndex(),
+        request.getSentAtNanos());
+  }
+
+  private static RaftMessage toAppendAnswer(RaftAppendAnswer answer) {
+    return new AppendAnswer(
+        answer.getTerm(), answer.getSuccessful(), answer.getMatchIndex(), answer.getSentAtNanos());
+  }
+
+  private static RaftMessage toSnapshotChunk(RaftSnapshotChunk chunk) {
+    return new SnapshotChunk(
+        chunk.getTerm(),
+        chunk.getIndex(),
+        chunk.getIndexTerm(),
+        Configuration.decode(chunk.getConfiguration().toByteArray()),
+        chunk.getTotalLength(),
+        chunk.getOffset(),
+        chunk.getData().toByteArray(),
+        chunk.getSentAtNanos());
+  }
+
+  private static RaftMessage toSnapshotAnswer(RaftSnapshotAnswer answer) {
+    return new SnapshotAnswer(
+        answer.getTerm(), answer.getIndex(), answer.getNextOffset(), answer.getSentAtNanos());
+  }
+
+  private static RaftMessage toFormation(RaftFormation formation) {
+    try {
+      return new Formation(
+          FormationStep.valueOf(formation.getStep().name()),
+          formation.getFormed(),
+          formation.hasLeader() ? replica(formation.getLeader()) : null);
+    } catch (IllegalArgumentException e) {
+      throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "unknown formation step", e);
+    }
+  }
+
+  private static VoteKind kind(boolean preVote) {
+    return preVote ? VoteKind.PRE_VOTE : VoteKind.VOTE;
+  }
+
+  private static ReplicaIdentity identity(ReplicaId replica) {
+    return ReplicaIdentity.newBuilder()
+        .setInstance(replica.instance().value())
+        .setIncarnation(replica.incarnation())
+        .build();
+  }
+
+  private static ReplicaId replica(ReplicaIdentity identity) {
+    return new ReplicaId(new InstanceId(identity.getInstance()), identity.getIncarnation());
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaDriver.java
@@ -0,0 +1,188 @@
+package org.teaseltrestle.node.replica;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.teaseltrestle.consensus.EntryKind;
+import org.teaseltrestle.consensus.LogEntry;
+import org.teaseltrestle.consensus.RaftAction;
+import org.teaseltrestle.consensus.RaftCore;
+import org.teaseltrestle.consensus.RaftEnvelope;
+import org.teaseltrestle.consensus.RaftEvent;
+import org.teaseltrestle.consensus.ReplicaStorage;
+import org.teaseltrestle.consensus.Snapshot;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.LeaderAnswer;
+
+/**
+ * Executes the actions of the Raft core: stores and syncs, then sends, applies and answers. Events
+ * that arrive together share one sync. Used by the replica duty only.
+ */
+final class ReplicaDriver {
+
+  private static final EventLog LOG = EventLog.of(ReplicaDriver.class);
+
+  // A restart reads the snapshot and at most this much log.
+  private static final long SNAPSHOT_ENTRIES = 5_000;
+  private static final long SNAPSHOT_BYTES = 4L * 1024 * 1024;
+
+  private final RaftCore core;
+  private final ReplicaStorage storage;
+  private final AppliedState state;
+  private final MonotonicClock clock;
+  private final Consumer<RaftEnvelope> sender;
+  private final Consumer<RaftAction.RoleChanged> roleListener;
+  private final Map<Long, Consumer<LeaderAnswer>> waiting = new HashMap<>();
+  private final Map<Long, CommandAnswer> answers = new HashMap<>();
+  private List<RaftAction> pending = new ArrayList<>();
+  private long nextRequestId = 1;
+  private long entriesSinceSnapshot;
+  private long bytesSinceSnapshot;
+  private long lastSnapshotBytes;
+
+  ReplicaDriver(
+      RaftCore core,
+      ReplicaStorage storage,
+      AppliedState state,
+      MonotonicClock clock,
+      Consumer<RaftEnvelope> sender,
+      Consumer<RaftAction.RoleChanged> roleListener) {
+    this.core = core;
+    this.storage = storage;
+    this.state = state;
+    this.clock = clock;
+    this.sender = sender;
+    this.roleListener = roleListener;
+    Snapshot snapshot = storage.recovered().snapshot();
+    if (snapshot != null) {
+      restore(snapshot);
+    }
+  }
+
+  RaftCore core() {
+    return core;
+  }
+
+  /** Hands an event to the core; its actions are executed by the next {@link #flush()}. */
+  void handle(RaftEvent event) {
+    pending.addAll(core.handle(event, clock.nowNanos()));
+  }
+
+  int pendingActions() {
+    return pending.size();
+  }
+
+  void propose(byte[] command, Consumer<LeaderAnswer> reply) {
+    long id = nextRequestId++;
+    waiting.put(id, reply);
+    handle(new RaftEvent.Propose(id, command));
+  }
+
+  void confirm(Consumer<LeaderAnswer> reply) {
+    long id = nextRequestId++;
+    waiting.put(id, reply);
+    handle(new RaftEvent.ReadIndex(id));
+  }
+
+  /** Executes all pending actions: storage first, one sync, then the others in order. */
+  void flush() {
+    while (!pending.isEmpty()) {
+      List<RaftAction> batch = pending;
+      pending = new ArrayList<>();
+      boolean stores = false;
+      for (RaftAction action : batch) {
+        if (action instanceof RaftAction.StorageAction storageAction) {
+          storage.execute(storageAction);
+          stores = true;
+        }
+      }
+      if (stores) {
+        storage.sync();
+      }
+      batch.forEach(this::execute);
+      takeSnapshotIfDue();
+    }
+  }
+
+  /** Answers all waiting requests that their outcome is unknown. */
+  void abandon() {
+    List<Consumer<LeaderAnswer>> abandoned = new ArrayList<>(waiting.values());
+    waiting.clear();
+    abandoned.forEach(
+        reply -> reply.accept(LeaderAnswers.refused(RaftAction.Refusal.OUTCOME_UNKNOWN, null)));
+  }
+
+  private void execute(RaftAction action) {
+    if (action instanceof RaftAction.Send send) {
+      sender.accept(send.envelope());
+    } else if (action instanceof RaftAction.Apply apply) {
+      apply.entries().forEach(this::apply);
+      state.publish();
+    } else if (action instanceof RaftAction.ProposalAppended appended) {
+      answers.put(appended.index(), CommandAnswer.getDefaultInstance());
+    } else if (action instanceof RaftAction.ProposalCommitted done) {
+      CommandAnswer answer = answers.getOrDefault(done.index(), CommandAnswer.getDefaultInstance());
+      answers.remove(done.index());
+      reply(done.proposalId(), LeaderAnswers.answered(answer));
+    } else if (action instanceof RaftAction.ProposalFailed failed) {
+      reply(failed.proposalId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
+    } else if (action instanceof RaftAction.ReadConfirmed read) {
+      reply(read.readId(), LeaderAnswers.confirmed(read.index()));
+    } else if (action instanceof RaftAction.ReadFailed failed) {
+      reply(failed.readId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
+    } else if (action instanceof RaftAction.RestoreState restoreState) {
+      restore(restoreState.snapshot());
+    } else if (action instanceof RaftAction.RoleChanged changed) {
+      answers.clear();
+      roleListener.accept(changed);
+    }
+  }
+
+  private void apply(LogEntry entry) {
+    boolean command = entry.kind() == EntryKind.COMMAND;
+    CommandAnswer answer =
+        state.apply(
+            entry.index(), command ? ByteString.copyFrom(entry.payload()) : ByteString.EMPTY);
+    if (command) {
+      answers.replace(entry.index(), answer);
+    }
+    entriesSinceSnapshot++;
+    bytesSinceSnapshot += entry.payload().length;
+  }
+
+  private void reply(long requestId, LeaderAnswer answer) {
+    Consumer<LeaderAnswer> reply = waiting.remove(requestId);
+    if (reply != null) {
+      reply.accept(answer);
+    }
+  }
+
+  private void restore(Snapshot snapshot) {
+    state.restore(snapshot.index(), snapshot.data());
+    snapshotTaken(snapshot.data().length);
+    LOG.info(ReplicaEvent.STATE_RESTORED, "index", snapshot.index());
+  }
+
+  private void takeSnapshotIfDue() {
+    boolean due =
+        entriesSinceSnapshot >= SNAPSHOT_ENTRIES
+            || bytesSinceSnapshot >= Math.max(SNAPSHOT_BYTES, lastSnapshotBytes);
+    if (due) {
+      byte[] data = state.snapshot();
+      snapshotTaken(data.length);
+      handle(new RaftEvent.SnapshotTaken(state.appliedIndex(), data));
+      LOG.info(ReplicaEvent.SNAPSHOT_SAVED, "index", state.appliedIndex(), "bytes", data.length);
+    }
+  }
+
+  private void snapshotTaken(int bytes) {
+    entriesSinceSnapshot = 0;
+    bytesSinceSnapshot = 0;
+    lastSnapshotBytes = bytes;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -0,0 +1,324 @@
+package org.teaseltrestle.node.replica;
+
+import java.net.InetSocketAddress;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.teaseltrestle.consensus.RaftAction;
+import org.teaseltrestle.consensus.RaftCore;
+import org.teaseltrestle.consensus.RaftEnvelope;
+import org.teaseltrestle.consensus.RaftEvent;
+import org.teaseltrestle.consensus.RaftRole;
+import org.teaseltrestle.consensus.ReplicaStorage;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.kernel.DutyThread;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ReplicaId;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.LeaderAnswer;
+import org.teaseltrestle.wire.RenewalBundle;
+
+/**
+ * Voter: one duty thread drives the Raft core and its storage, applies committed commands and
+ * serves proposals, confirmations and the children of this node. A storage failure stops it; the
+ * listener given at construction is then called once.
+ */
+public final class ReplicaService implements ControlPlane {
+
+  private static final EventLog LOG = EventLog.of(ReplicaService.class);
+  private static final int RING_CAPACITY = 4_096;
+  private static final int MAXIMUM_PENDING_ACTIONS = 1_024;
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  private final ControlPlaneSettings settings;
+  private final ControlPlaneContext context;
+  private final RandomGenerator random;
+  private final ReplicaStorage storage;
+  private final Runnable stopListener;
+  private final AppliedState state = new AppliedState();
+  private final PeerAddresses addresses;
+  private final ReplicaDriver driver;
+  private final AuthorityKeeper authority;
+  private final LeaderDuties leaderDuties;
+  private final LeaderCalls leaderCalls;
+  private final LeaderClient leader;
+  private final Readiness readiness;
+  private final KeyLease lease;
+  private final ChildFeeds children;
+  private final RenewalRound renewals;
+  private final DutyThread<Runnable> duty;
+  private final DutyInbox inbox;
+  private long servedIndex;
+  private long leaderKnownAtNanos;
+  private volatile boolean stopped;
+  private volatile ControlStatus status = new ControlStatus("follower", 0, "", 0, 0);
+
+  /**
+   * Creates the service; {@link #start()} starts it. It owns the storage from then on.
+   *
+   * @param random source of election jitter
+   * @param stopListener called on the duty thread after the replica has stopped by itself
+   */
+  public ReplicaService(
+      ControlPlaneSettings settings,
+      ControlPlaneContext context,
+      ReplicaStorage storage,
+      RandomGenerator random,
+      Runnable stopListener) {
+    this.settings = settings;
+    this.context = context;
+    this.random = random;
+    this.leaderKnownAtNanos = context.clock().nowNanos();
+    this.storage = storage;
+    this.stopListener = stopListener;
+    this.addresses = new PeerAddresses(settings);
+    RaftCore core =
+        new RaftCore(
+            storage.identity(),
+            settings.raftSettings(),
+            storage.recovered(),
+            context.clock().nowNanos());
+    this.driver =
+        new ReplicaDriver(core, storage, state, context.clock(), this::transmit, this::roleChanged);
+    this.authority = new AuthorityKeeper(settings, driver, context.clock(), context.wallClock());
+    this.leaderDuties =
+        new LeaderDuties(settings, driver, state, authority, context.clock(), context.wallClock());
+    this.leaderCalls =
+        new LeaderCalls(
+            settings, context.transport(), addresses, context.clock(), this::serveLocally);
+    this.leader = new LeaderClient(leaderCalls, context.clock());
+    this.lease = new KeyLease(settings, context.clock());
+    this.children =
+        new ChildFeeds(context.transport(), addresses, context.clock(), this::leaderAgeMillis);
+    this.renewals =
+        new RenewalRound(
+            settings,
+            RenewalRound.Subscription.REPLICATES,
+            lease,
+            new AccountShares(context.demand(), context.shares(), context.clock()),
+            children,
+            context.clock().nowNanos());
+    this.duty =
+        new DutyThread<>(
+            "replica", RING_CAPACITY, this::run, this::tick, TICK_NANOS, context.clock());
+    this.inbox = new DutyInbox(duty::offer);
+    this.readiness = new Readiness(leader, inbox::offer);
+  }
+
+  /** Registers the message handlers and starts the duty thread. */
+  public void start() {
+    LOG.info(ReplicaEvent.REPLICA_OPENED, "replica", storage.identity());
+    new ReplicaEndpoint(settings, inbox, driver, leaderDuties, renewals)
+        .register(context.endpoints(), this::onBundle);
+    duty.start();
+  }
+
+  @Override
+  public ControlView view() {
+    return state.view();
+  }
+
+  @Override
+  public CompletableFuture<CommandAnswer> propose(Command command) {
+    return leader.propose(command);
+  }
+
+  @Override
+  public boolean isReady() {
+    return readiness.isReady();
+  }
+
+  @Override
+  public long keyLeaseEndsAtNanos() {
+    return lease.endsAtNanos();
+  }
+
+  @Override
+  public Optional<Authority> authority() {
+    return authority.current();
+  }
+
+  @Override
+  public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
+    return leader.withdrawalReport(index);
+  }
+
+  @Override
+  public ControlStatus status() {
+    return status;
+  }
+
+  /** Returns whether the replica has stopped, by itself or because it was closed. */
+  public boolean isStopped() {
+    return stopped;
+  }
+
+  @Override
+  public void retireGone(Set<String> instances) {
+    inbox.offer(() -> leaderDuties.retire(Set.copyOf(instances)));
+  }
+
+  @Override
+  public void close() {
+    stopped = true;
+    duty.close();
+    leaderCalls.close();
+    driver.abandon();
+    storage.close();
+  }
+
+  private void run(Runnable step) {
+    guarded(
+        () -> {
+          step.run();
+          // Events that wait already share the next sync.
+          if (duty.backlog() == 0 || driver.pendingActions() > MAXIMUM_PENDING_ACTIONS) {
+            settle();
+          }
+        });
+  }
+
+  private void tick(long nowNanos) {
+    guarded(
+        () -> {
+          driver.handle(new RaftEvent.Tick(random.nextDouble()));
+          settle();
+          if (renewals.isDue(nowNanos)) {
+            renew(renewals.bundle(state, nowNanos));
+          }
+          readiness.tick(state.appliedIndex());
+          settle();
+        });
+  }
+
+  private void settle() {
+    driver.flush();
+    authority.update();
+    driver.flush();
+    if (state.appliedIndex() > servedIndex) {
+      servedIndex = state.appliedIndex();
+      addresses.update(state.view());
+      children.feed(state);
+    }
+    publishStatus();
+  }
+
+  private void renew(RenewalBundle bundle) {
+    ReplicaId leading = driver.core().leader();
+    if (driver.core().role() == RaftRole.LEADER) {
+      renewals.granted(leaderDuties.renew(bundle));
+    } else if (leading != null) {
+      addresses
+          .find(leading.instance())
+          .ifPresent(address -> send(address, FollowMessage.RENEWALS, bundle.toByteArray()));
+    }
+  }
+
+  private void guarded(Runnable step) {
+    if (stopped) {
+      return;
+    }
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      stopAfter(e);
+    }
+  }
+
+  /** Stops voting for good: what is stored is unknown after a failure. */
+  private void stopAfter(RuntimeException failure) {
+    stopped = true;
+    LOG.error(ReplicaEvent.REPLICA_STOPPED, failure, "cause", String.valueOf(failure));
+    driver.abandon();
+    try {
+      storage.close();
+    } catch (TrestleException e) {
+      LOG.warn(ReplicaEvent.REPLICA_STOPPED, e, "code", e.code());
+    }
+    stopListener.run();
+  }
+
+  private void roleChanged(RaftAction.RoleChanged change) {
+    LOG.info(
+        ReplicaEvent.ROLE_CHANGED,
+        "role",
+        change.role(),
+        "term",
+        change.term(),
+        "leader",
+        String.valueOf(change.leader()));
+    ReplicaId newLeader = change.leader();
+    InstanceId instance = newLeader == null ? null : newLeader.instance();
+    leaderCalls.leaderIs(instance);
+    if (change.role() == RaftRole.LEADER) {
+      authority.elected();
+      leaderDuties.elected();
+    } else {
+      leaderDuties.deposed();
+    }
+  }
+
+  private long leaderAgeMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(context.clock().nowNanos() - leaderKnownAtNanos);
+  }
+
+  private void publishStatus() {
+    RaftCore core = driver.core();
+    ReplicaId known = core.leader();
+    if (known != null) {
+      leaderKnownAtNanos = context.clock().nowNanos();
+    }
+    String name = known == null ? "" : known.instance().value();
+    String role = core.role().name().toLowerCase(Locale.ROOT);
+    if (!status.role().equals(role)
+        || status.term() != core.term()
+        || !status.leader().equals(name)
+        || status.appliedIndex() != state.appliedIndex()) {
+      status = new ControlStatus(role, core.term(), name, state.appliedIndex(), inbox.dropped());
+    }
+  }
+
+  private void transmit(RaftEnvelope envelope) {
+    addresses
+        .find(envelope.instance())
+        .ifPresent(
+            address ->
+                context
+                    .transport()
+                    .send(
+                        address, ReplicaEndpoint.RAFT_SERVICE, 0, RaftWireCodec.encode(envelope)));
+  }
+
+  private void serveLocally(LeaderRequest request, byte[] body, Consumer<LeaderAnswer> reply) {
+    if (stopped) {
+      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.NOT_LEADER, null));
+    } else if (!inbox.offer(() -> leaderDuties.handle(request, body, reply))) {
+      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.OVERLOADED, null));
+    }
+  }
+
+  private void onBundle(RenewalBundle bundle) {
+    if (bundle.getFollows()) {
+      children.onBundle(bundle, state);
+      return;
+    }
+    GrantBundle grants = leaderDuties.renew(bundle);
+    if (grants.getGrantsCount() > 0) {
+      addresses
+          .reply(bundle.getInstance(), bundle.getReplyAddress())
+          .ifPresent(address -> send(address, FollowMessage.GRANTS, grants.toByteArray()));
+    }
+  }
+
+  private void send(InetSocketAddress address, FollowMessage message, byte[] body) {
+    context.transport().send(address, FollowMessage.SERVICE, message.kind(), body);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ShareListener.java
@@ -0,0 +1,18 @@
+package org.teaseltrestle.node.replica;
+
+import java.util.Map;
+import org.teaseltrestle.model.ClientAccount;
+
+/** Learns this node's share of each account's limits. */
+@FunctionalInterface
+public interface ShareListener {
+
+  /**
+   * Takes over shares; called from a duty thread and must not block.
+   *
+   * @param shares share of each account's limits, 0 to 1
+   * @param expiresAtNanos monotonic time after which the default share applies
+   * @param defaultShare share of accounts without an entry, 1/N of N registered instances
+   */
+  void granted(Map<ClientAccount, Double> shares, long expiresAtNanos, double defaultShare);
+}
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -100,6 +100,21 @@
     return appliedIndex_;
   }
 
+  public static final int ROOT_AGE_MILLIS_FIELD_NUMBER = 3;
+  private long rootAgeMillis_ = 0L;
+  /**
+   * <pre>
+   * Time since the sender, or a node above it, heard from a leader.
+   * </pre>
+   *
+   * <code>uint64 root_age_millis = 3;</code>
+   * @return The rootAgeMillis.
+   */
+  @java.lang.Override
+  public long getRootAgeMillis() {
+    return rootAgeMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +135,9 @@
     if (appliedIndex_ != 0L) {
       output.writeUInt64(2, appliedIndex_);
     }
+    if (rootAgeMillis_ != 0L) {
+      output.writeUInt64(3, rootAgeMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -137,6 +155,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, appliedIndex_);
     }
+    if (rootAgeMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, rootAgeMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -156,6 +178,8 @@
         .equals(other.getCommandsList())) return false;
     if (getAppliedIndex()
         != other.getAppliedIndex()) return false;
+    if (getRootAgeMillis()
+        != other.getRootAgeMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +198,9 @@
     hash = (37 * hash) + APPLIED_INDEX_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAppliedIndex());
+    hash = (37 * hash) + ROOT_AGE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRootAgeMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -317,6 +344,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000001);
       appliedIndex_ = 0L;
+      rootAgeMillis_ = 0L;
       return this;
     }
 
@@ -366,6 +394,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.appliedIndex_ = appliedIndex_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.rootAgeMillis_ = rootAgeMillis_;
+      }
     }
 
     @java.lang.Override
@@ -409,6 +440,9 @@
       if (other.getAppliedIndex() != 0L) {
         setAppliedIndex(other.getAppliedIndex());
       }
+      if (other.getRootAgeMillis() != 0L) {
+        setRootAgeMillis(other.getRootAgeMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -453,6 +487,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              rootAgeMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -742,6 +781,50 @@
       return this;
     }
 
+    private long rootAgeMillis_ ;
+    /**
+     * <pre>
+     * Time since the sender, or a node above it, heard from a leader.
+     * </pre>
+     *
+     * <code>uint64 root_age_millis = 3;</code>
+     * @return The rootAgeMillis.
+     */
+    @java.lang.Override
+    public long getRootAgeMillis() {
+      return rootAgeMillis_;
+    }
+    /**
+     * <pre>
+     * Time since the sender, or a node above it, heard from a leader.
+     * </pre>
+     *
+     * <code>uint64 root_age_millis = 3;</code>
+     * @param value The rootAgeMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRootAgeMillis(long value) {
+
+      rootAgeMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since the sender, or a node above it, heard from a leader.
+     * </pre>
+     *
+     * <code>uint64 root_age_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRootAgeMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      rootAgeMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommittedCommands)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The appliedIndex.
    */
   long getAppliedIndex();
+
+  /**
+   * <pre>
+   * Time since the sender, or a node above it, heard from a leader.
+   * </pre>
+   *
+   * <code>uint64 root_age_millis = 3;</code>
+   * @return The rootAgeMillis.
+   */
+  long getRootAgeMillis();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -105,22 +105,23 @@
       "\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rsent_at_nanos" +
       "\030\004 \001(\020\022-\n\014registration\030\005 \001(\0132\027.trestle.I" +
       "nstanceRecord\";\n\rAccountDemand\022\017\n\007accoun" +
-      "t\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(\001\"\256\001\n\rR" +
+      "t\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(\001\"\277\001\n\rR" +
       "enewalBundle\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002" +
       " \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rreply_add" +
       "ress\030\004 \001(\t\022\'\n\010renewals\030\005 \003(\0132\025.trestle.L" +
       "easeRenewal\022&\n\006demand\030\006 \003(\0132\026.trestle.Ac" +
-      "countDemand\"C\n\nLeaseGrant\022\020\n\010instance\030\001 " +
-      "\001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nanos\030\003 \001(\020" +
-      "\"~\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132\023.trestl" +
-      "e.LeaseGrant\022,\n\014total_demand\030\002 \003(\0132\026.tre" +
-      "stle.AccountDemand\022\034\n\024registered_instanc" +
-      "es\030\003 \001(\r\"/\n\rLoggedCommand\022\r\n\005index\030\001 \001(\004" +
-      "\022\017\n\007command\030\002 \001(\014\"T\n\021CommittedCommands\022(" +
-      "\n\010commands\030\001 \003(\0132\026.trestle.LoggedCommand" +
-      "\022\025\n\rapplied_index\030\002 \001(\004\"9\n\016CommittedStat" +
-      "e\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010snapshot\030\002 \001" +
-      "(\014B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
+      "countDemand\022\017\n\007follows\030\007 \001(\010\"C\n\nLeaseGra" +
+      "nt\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rse" +
+      "nt_at_nanos\030\003 \001(\020\"~\n\013GrantBundle\022#\n\006gran" +
+      "ts\030\001 \003(\0132\023.trestle.LeaseGrant\022,\n\014total_d" +
+      "emand\030\002 \003(\0132\026.trestle.AccountDemand\022\034\n\024r" +
+      "egistered_instances\030\003 \001(\r\"/\n\rLoggedComma" +
+      "nd\022\r\n\005index\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\"m\n\021Co" +
+      "mmittedCommands\022(\n\010commands\030\001 \003(\0132\026.tres" +
+      "tle.LoggedCommand\022\025\n\rapplied_index\030\002 \001(\004" +
+      "\022\027\n\017root_age_millis\030\003 \001(\004\"9\n\016CommittedSt" +
+      "ate\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010snapshot\030\002" +
+      " \001(\014B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -162,7 +163,7 @@
     internal_static_trestle_RenewalBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RenewalBundle_descriptor,
-        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", });
+        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", });
     internal_static_trestle_LeaseGrant_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_trestle_LeaseGrant_fieldAccessorTable = new
@@ -186,7 +187,7 @@
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
-        new java.lang.String[] { "Commands", "AppliedIndex", });
+        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", });
     internal_static_trestle_CommittedState_descriptor =
       getDescriptor().getMessageTypes().get(10);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
@@ -254,6 +254,21 @@
     return demand_.get(index);
   }
 
+  public static final int FOLLOWS_FIELD_NUMBER = 7;
+  private boolean follows_ = false;
+  /**
+   * <pre>
+   * Whether the receiver is to send the committed log; not set between voters.
+   * </pre>
+   *
+   * <code>bool follows = 7;</code>
+   * @return The follows.
+   */
+  @java.lang.Override
+  public boolean getFollows() {
+    return follows_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -286,6 +301,9 @@
     for (int i = 0; i < demand_.size(); i++) {
       output.writeMessage(6, demand_.get(i));
     }
+    if (follows_ != false) {
+      output.writeBool(7, follows_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -317,6 +335,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(6, demand_.get(i));
     }
+    if (follows_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, follows_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -344,6 +366,8 @@
         .equals(other.getRenewalsList())) return false;
     if (!getDemandList()
         .equals(other.getDemandList())) return false;
+    if (getFollows()
+        != other.getFollows()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -373,6 +397,9 @@
       hash = (37 * hash) + DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + getDemandList().hashCode();
     }
+    hash = (37 * hash) + FOLLOWS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getFollows());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -527,6 +554,7 @@
         demandBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000020);
+      follows_ = false;
       return this;
     }
 
@@ -594,6 +622,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.replyAddress_ = replyAddress_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.follows_ = follows_;
+      }
     }
 
     @java.lang.Override
@@ -676,6 +707,9 @@
           }
         }
       }
+      if (other.getFollows() != false) {
+        setFollows(other.getFollows());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -748,6 +782,11 @@
               }
               break;
             } // case 50
+            case 56: {
+              follows_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1525,6 +1564,50 @@
       return demandBuilder_;
     }
 
+    private boolean follows_ ;
+    /**
+     * <pre>
+     * Whether the receiver is to send the committed log; not set between voters.
+     * </pre>
+     *
+     * <code>bool follows = 7;</code>
+     * @return The follows.
+     */
+    @java.lang.Override
+    public boolean getFollows() {
+      return follows_;
+    }
+    /**
+     * <pre>
+     * Whether the receiver is to send the committed log; not set between voters.
+     * </pre>
+     *
+     * <code>bool follows = 7;</code>
+     * @param value The follows to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFollows(boolean value) {
+
+      follows_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the receiver is to send the committed log; not set between voters.
+     * </pre>
+     *
+     * <code>bool follows = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFollows() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      follows_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RenewalBundle)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
@@ -113,4 +113,14 @@
    */
   org.teaseltrestle.wire.AccountDemandOrBuilder getDemandOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether the receiver is to send the committed log; not set between voters.
+   * </pre>
+   *
+   * <code>bool follows = 7;</code>
+   * @return The follows.
+   */
+  boolean getFollows();
 }
