Bind idempotency outcomes to the command that made the claim

Two requests of one instance may claim the same key with the same digest. If the second one lost its answer, its NOT_RUN outcome freed the claim that the first one was running, so a third request could run the call again. RecordOutcome now names the claiming command, and only that command's outcome counts. NOT_RUN also voids a claim that is still on its way, and a resent claim of a call that did not run is no longer accepted, since nobody waits for it. The relay names its claim command in each outcome.

--- a/control/src/main/java/org/teaseltrestle/control/ClaimsArea.java
+++ b/control/src/main/java/org/teaseltrestle/control/ClaimsArea.java
@@ -7,6 +7,7 @@
 import org.teaseltrestle.wire.ControlSnapshot;
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.IdempotencyRecord.State;
+import org.teaseltrestle.wire.RecordOutcome;
 
 /**
  * Idempotency claims. A call is sent only by the runner whose claim was accepted, so it runs at
@@ -35,7 +36,7 @@
       IdempotencyRecord wanted, InstancesArea instances, CommandContext context) {
     String subject = wanted.getIdempotencyKey();
     Optional<ClaimSnapshot> existing = claims.get(ClaimKey.of(wanted));
-    if (existing.isPresent() && existing.get().getClaim().getState() != State.NOT_RUN) {
+    if (existing.filter(e -> blocks(e, context.requestId())).isPresent()) {
       return answerRepeat(existing.get(), wanted, context);
     }
     ProcessStart runner = runner(wanted);
@@ -62,14 +63,17 @@
     return Answers.accepted(subject).setClaim(claimed);
   }
 
-  CommandAnswer.Builder record(IdempotencyRecord outcome) {
+  CommandAnswer.Builder record(RecordOutcome change, CommandContext context) {
+    IdempotencyRecord outcome = change.getOutcome();
     String subject = outcome.getIdempotencyKey();
+    String claimId = change.getClaimRequestId();
     Optional<ClaimSnapshot> existing = claims.get(ClaimKey.of(outcome));
-    if (existing.isEmpty()) {
-      return Answers.rejected(subject, "there is no such claim");
+    if (existing.filter(e -> blocks(e, claimId)).isEmpty()) {
+      return voidClaim(outcome, claimId, context);
     }
     IdempotencyRecord claim = existing.get().getClaim();
-    if (!runner(claim).equals(runner(outcome))
+    if (!existing.get().getRequestId().equals(claimId)
+        || !runner(claim).equals(runner(outcome))
         || !claim.getRequestDigest().equals(outcome.getRequestDigest())) {
       return Answers.conflict(subject, "the claim belongs to another call").setClaim(claim);
     }
@@ -118,6 +122,32 @@
     snapshot.getClaimsList().forEach(this::store);
   }
 
+  // A key whose call did not run is free, but not for a resend of the command that claimed it: its
+  // runner no longer waits for the answer.
+  private static boolean blocks(ClaimSnapshot existing, String requestId) {
+    return existing.getClaim().getState() != State.NOT_RUN
+        || existing.getRequestId().equals(requestId);
+  }
+
+  private CommandAnswer.Builder voidClaim(
+      IdempotencyRecord outcome, String claimId, CommandContext context) {
+    String subject = outcome.getIdempotencyKey();
+    if (outcome.getState() != State.NOT_RUN || claimId.isEmpty()) {
+      return Answers.rejected(subject, "there is no such claim");
+    }
+    if (totalBytes + outcome.getSerializedSize() > MAXIMUM_TOTAL_BYTES) {
+      return Answers.rejected(subject, "the table of idempotency claims is full");
+    }
+    IdempotencyRecord voided = outcome.toBuilder().clearBody().build();
+    store(
+        ClaimSnapshot.newBuilder()
+            .setClaim(voided)
+            .setRequestId(claimId)
+            .setKeptSinceMillis(context.stateTimeMillis())
+            .build());
+    return Answers.accepted(subject).setClaim(voided);
+  }
+
   private static CommandAnswer.Builder answerRepeat(
       ClaimSnapshot existing, IdempotencyRecord wanted, CommandContext context) {
     IdempotencyRecord claim = existing.getClaim();
--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -174,7 +174,7 @@
       case USAGE_REPORTED -> usage.reported(command.getUsageReported(), authority);
       case CLAIM_IDEMPOTENCY ->
           claims.claim(command.getClaimIdempotency().getClaim(), instances, context);
-      case RECORD_OUTCOME -> claims.record(command.getRecordOutcome().getOutcome());
+      case RECORD_OUTCOME -> claims.record(command.getRecordOutcome(), context);
       case CHANGE_NOT_SET -> Answers.rejected("", "the command holds no known change");
     };
   }
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -213,9 +213,13 @@
         .build();
   }
 
-  static Command outcome(IdempotencyRecord.Builder call, IdempotencyRecord.State state) {
+  static Command outcome(
+      String claimId, IdempotencyRecord.Builder call, IdempotencyRecord.State state) {
     return command("outcome")
-        .setRecordOutcome(RecordOutcome.newBuilder().setOutcome(call.clone().setState(state)))
+        .setRecordOutcome(
+            RecordOutcome.newBuilder()
+                .setClaimRequestId(claimId)
+                .setOutcome(call.clone().setState(state)))
         .build();
   }
 
@@ -247,6 +251,7 @@
       default ->
           random.nextBoolean()
               ? outcome(
+                  "c" + random.nextInt(50),
                   call("k" + number, "d" + boot, instance, boot),
                   IdempotencyRecord.State.forNumber(1 + random.nextInt(4)))
               : command("p" + random.nextInt(99))
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -239,12 +239,13 @@
       expect(Status.CONFLICT, Commands.claim("c2", call));
       expect(Status.CONFLICT, Commands.claim("c3", Commands.call("k", "d", "i2", 1)));
       expect(Status.CONFLICT, Commands.claim("c4", Commands.call("k", "other", "i2", 1)));
-      expect(Status.CONFLICT, Commands.outcome(Commands.call("k", "d", "i2", 1), State.NOT_RUN));
-      expect(Status.ACCEPTED, Commands.outcome(call, State.COMPLETED));
+      expect(
+          Status.CONFLICT, Commands.outcome("c3", Commands.call("k", "d", "i2", 1), State.NOT_RUN));
+      expect(Status.ACCEPTED, Commands.outcome("c1", call, State.COMPLETED));
       CommandAnswer repeat = apply(Commands.claim("c1", call));
       assertEquals(repeat.getStatus(), Status.CONFLICT);
       assertEquals(repeat.getClaim().getState(), State.COMPLETED);
-      expect(Status.CONFLICT, Commands.outcome(call, State.NOT_RUN));
+      expect(Status.CONFLICT, Commands.outcome("c1", call, State.NOT_RUN));
     }
 
     /** Guards against running a call again whose runner restarted or vanished. */
@@ -260,17 +261,36 @@
       }
       expect(Status.CONFLICT, Commands.claim("c1", call));
       expect(Status.REJECTED, Commands.claim("c5", Commands.call("k5", "d", "i2", 1)));
-      expect(Status.ACCEPTED, Commands.outcome(call, State.COMPLETED));
+      expect(Status.ACCEPTED, Commands.outcome("c1", call, State.COMPLETED));
     }
 
     /** Guards against a call that certainly did not run blocking its key. */
     @Test
     public void callThatDidNotRunMayBeClaimedAgain() {
       expect(Status.ACCEPTED, Commands.claim("c1", call));
-      expect(Status.ACCEPTED, Commands.outcome(call, State.NOT_RUN));
+      expect(Status.ACCEPTED, Commands.outcome("c1", call, State.NOT_RUN));
       expect(Status.ACCEPTED, Commands.claim("c2", Commands.call("k", "d", "i2", 1)));
     }
 
+    /** Guards against a request that lost the claim freeing the call that its rival runs. */
+    @Test
+    public void losingRequestOfTheSameInstanceCannotSettle() {
+      expect(Status.ACCEPTED, Commands.claim("c1", call));
+      expect(Status.CONFLICT, Commands.outcome("c2", call, State.NOT_RUN));
+      assertEquals(state.view().claim("a", "s", "k").orElseThrow().getState(), State.CLAIMED);
+    }
+
+    /** Guards against a delayed or resent claim that blocks its key with nobody to run it. */
+    @Test
+    public void voidedClaimCannotArriveLater() {
+      expect(Status.ACCEPTED, Commands.outcome("c1", call, State.NOT_RUN));
+      expect(Status.CONFLICT, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.claim("c2", call));
+      expect(Status.CONFLICT, Commands.claim("c1", call));
+      expect(Status.ACCEPTED, Commands.outcome("c2", call, State.NOT_RUN));
+      expect(Status.CONFLICT, Commands.claim("c2", call));
+    }
+
     /** Guards against claims that stay for ever, and against one clock fault expiring them. */
     @Test
     public void claimsExpireByTheAuthoritysTime() {
--- a/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
@@ -155,7 +155,10 @@
         Command.newBuilder()
             .setRequestId("outcome:" + claim.commandId())
             .setProposedAtMillis(clock.nowMillis())
-            .setRecordOutcome(RecordOutcome.newBuilder().setOutcome(outcome.setState(state)))
+            .setRecordOutcome(
+                RecordOutcome.newBuilder()
+                    .setClaimRequestId(claim.commandId())
+                    .setOutcome(outcome.setState(state)))
             .build();
     // A caller that hears of the outcome may repeat the call at once, so the commit comes first.
     if (propose(command) == null) {
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -270,10 +270,10 @@
       "tate\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCO" +
       "MPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RU" +
       "N\020\004\"=\n\020ClaimIdempotency\022)\n\005claim\030\001 \001(\0132\032" +
-      ".trestle.IdempotencyRecord\"<\n\rRecordOutc" +
+      ".trestle.IdempotencyRecord\"V\n\rRecordOutc" +
       "ome\022+\n\007outcome\030\001 \001(\0132\032.trestle.Idempoten" +
-      "cyRecordB\032\n\026org.teaseltrestle.wireP\001b\006pr" +
-      "oto3"
+      "cyRecord\022\030\n\020claim_request_id\030\002 \001(\tB\032\n\026or" +
+      "g.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -440,7 +440,7 @@
     internal_static_trestle_RecordOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RecordOutcome_descriptor,
-        new java.lang.String[] { "Outcome", });
+        new java.lang.String[] { "Outcome", "ClaimRequestId", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RecordOutcome.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RecordOutcome.java
@@ -6,6 +6,11 @@
 package org.teaseltrestle.wire;
 
 /**
+ * <pre>
+ * The outcome of the claim that claim_request_id made. NOT_RUN also voids a claim that is still on its
+ * way, so that it cannot block its key when it arrives.
+ * </pre>
+ *
  * Protobuf type {@code trestle.RecordOutcome}
  */
 @com.google.protobuf.Generated
@@ -28,6 +33,7 @@
     super(builder);
   }
   private RecordOutcome() {
+    claimRequestId_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -70,6 +76,55 @@
     return outcome_ == null ? org.teaseltrestle.wire.IdempotencyRecord.getDefaultInstance() : outcome_;
   }
 
+  public static final int CLAIM_REQUEST_ID_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object claimRequestId_ = "";
+  /**
+   * <pre>
+   * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+   * the one that lost must not settle the claim of the other.
+   * </pre>
+   *
+   * <code>string claim_request_id = 2;</code>
+   * @return The claimRequestId.
+   */
+  @java.lang.Override
+  public java.lang.String getClaimRequestId() {
+    java.lang.Object ref = claimRequestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      claimRequestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+   * the one that lost must not settle the claim of the other.
+   * </pre>
+   *
+   * <code>string claim_request_id = 2;</code>
+   * @return The bytes for claimRequestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getClaimRequestIdBytes() {
+    java.lang.Object ref = claimRequestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      claimRequestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -87,6 +142,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(1, getOutcome());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimRequestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, claimRequestId_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -100,6 +158,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(1, getOutcome());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claimRequestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, claimRequestId_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -120,6 +181,8 @@
       if (!getOutcome()
           .equals(other.getOutcome())) return false;
     }
+    if (!getClaimRequestId()
+        .equals(other.getClaimRequestId())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -135,6 +198,8 @@
       hash = (37 * hash) + OUTCOME_FIELD_NUMBER;
       hash = (53 * hash) + getOutcome().hashCode();
     }
+    hash = (37 * hash) + CLAIM_REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getClaimRequestId().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -233,6 +298,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * The outcome of the claim that claim_request_id made. NOT_RUN also voids a claim that is still on its
+   * way, so that it cannot block its key when it arrives.
+   * </pre>
+   *
    * Protobuf type {@code trestle.RecordOutcome}
    */
   public static final class Builder extends
@@ -277,6 +347,7 @@
         outcomeBuilder_.dispose();
         outcomeBuilder_ = null;
       }
+      claimRequestId_ = "";
       return this;
     }
 
@@ -317,6 +388,9 @@
             : outcomeBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.claimRequestId_ = claimRequestId_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -335,6 +409,11 @@
       if (other.hasOutcome()) {
         mergeOutcome(other.getOutcome());
       }
+      if (!other.getClaimRequestId().isEmpty()) {
+        claimRequestId_ = other.claimRequestId_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -368,6 +447,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
+            case 18: {
+              claimRequestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -506,6 +590,103 @@
       return outcomeBuilder_;
     }
 
+    private java.lang.Object claimRequestId_ = "";
+    /**
+     * <pre>
+     * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+     * the one that lost must not settle the claim of the other.
+     * </pre>
+     *
+     * <code>string claim_request_id = 2;</code>
+     * @return The claimRequestId.
+     */
+    public java.lang.String getClaimRequestId() {
+      java.lang.Object ref = claimRequestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        claimRequestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+     * the one that lost must not settle the claim of the other.
+     * </pre>
+     *
+     * <code>string claim_request_id = 2;</code>
+     * @return The bytes for claimRequestId.
+     */
+    public com.google.protobuf.ByteString
+        getClaimRequestIdBytes() {
+      java.lang.Object ref = claimRequestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        claimRequestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+     * the one that lost must not settle the claim of the other.
+     * </pre>
+     *
+     * <code>string claim_request_id = 2;</code>
+     * @param value The claimRequestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimRequestId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      claimRequestId_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+     * the one that lost must not settle the claim of the other.
+     * </pre>
+     *
+     * <code>string claim_request_id = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearClaimRequestId() {
+      claimRequestId_ = getDefaultInstance().getClaimRequestId();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+     * the one that lost must not settle the claim of the other.
+     * </pre>
+     *
+     * <code>string claim_request_id = 2;</code>
+     * @param value The bytes for claimRequestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setClaimRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      claimRequestId_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RecordOutcome)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RecordOutcomeOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RecordOutcomeOrBuilder.java
@@ -24,4 +24,26 @@
    * <code>.trestle.IdempotencyRecord outcome = 1;</code>
    */
   org.teaseltrestle.wire.IdempotencyRecordOrBuilder getOutcomeOrBuilder();
+
+  /**
+   * <pre>
+   * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+   * the one that lost must not settle the claim of the other.
+   * </pre>
+   *
+   * <code>string claim_request_id = 2;</code>
+   * @return The claimRequestId.
+   */
+  java.lang.String getClaimRequestId();
+  /**
+   * <pre>
+   * Request id of the ClaimIdempotency command. Two requests of one instance may claim the same key;
+   * the one that lost must not settle the claim of the other.
+   * </pre>
+   *
+   * <code>string claim_request_id = 2;</code>
+   * @return The bytes for claimRequestId.
+   */
+  com.google.protobuf.ByteString
+      getClaimRequestIdBytes();
 }
