--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -28,6 +28,10 @@
   private final PolicyConfiguration configuration;
   private final Map<BackendServerId, ServerState> servers = new HashMap<>();
   private final Map<QueueKey, List<ServerState>> byKey = new HashMap<>();
+
+  /** Outlives the server's entry in the list, which may lose a server and show it again. */
+  private final Map<BackendServerId, Long> leavingUntil = new HashMap<>();
+
   private final PrefixIndex prefixes = new PrefixIndex();
 
   Fleet(PolicyConfiguration configuration) {
@@ -54,6 +58,8 @@
   }
 
   void markLeaving(BackendServerId id, long nowNanos) {
+    leavingUntil.values().removeIf(until -> until <= nowNanos);
+    leavingUntil.put(id, nowNanos + LEAVING_MARK_NANOS);
     ServerState state = servers.get(id);
     if (state != null) {
       state.leavingUntilNanos = nowNanos + LEAVING_MARK_NANOS;
@@ -152,7 +158,9 @@
   }
 
   private ServerState newState(BackendServer server) {
-    return new ServerState(server, configuration);
+    ServerState state = new ServerState(server, configuration);
+    state.leavingUntilNanos = leavingUntil.getOrDefault(server.id(), Long.MIN_VALUE);
+    return state;
   }
 
   /** Returns the listed servers that run a request's model or service. */
