--- a/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/IdempotencyClaims.java
@@ -229,7 +229,10 @@
     return Command.newBuilder()
         .setRequestId("outcome:" + claim.commandId())
         .setProposedAtMillis(clock.nowMillis())
-        .setRecordOutcome(RecordOutcome.newBuilder().setOutcome(outcome.setState(state)))
+        .setRecordOutcome(
+            RecordOutcome.newBuilder()
+                .setClaimRequestId(claim.commandId())
+                .setOutcome(outcome.setState(state)))
         .build();
   }
 
