Share relay threads between accounts and eject servers on sure signs only

Cause: waiting requests of one account could hold every relay thread, and one slow or stale load call ejected a healthy server. Change: an account holds at most twice as many threads as are free; a refused connection ejects at once, other failed load calls after three in turn; the end of a whole call's time counts as timed out, not as lost.

--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -131,8 +131,7 @@
             (shares, expiresAtNanos, defaultShare) ->
                 admission
                     .get()
-                    .offer(
-                        new AdmissionEvent.SharesGranted(shares, expiresAtNanos, defaultShare)));
+                    .offer(new AdmissionEvent.SharesGranted(shares, expiresAtNanos, defaultShare)));
     return ControlPlanes.open(controlSettings, context, random);
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
@@ -1,7 +1,7 @@
 package org.teaseltrestle.node.backend;
 
 import java.io.IOException;
-import java.net.SocketTimeoutException;
+import java.io.InterruptedIOException;
 import okhttp3.Call;
 import okhttp3.EventListener;
 import okhttp3.Response;
@@ -38,6 +38,7 @@
 
   /** Turns an I/O error into the failure of the attempt. */
   AttemptFailure failure(IOException cause) {
+    // Both the wait for one read and that for a whole call end with this kind of exception.
     FailureKind kind = kindOf(cause);
     return new AttemptFailure(kind, "attempt failed: " + cause.getClass().getSimpleName());
   }
@@ -49,7 +50,7 @@
     if (handle.isCancelled()) {
       return FailureKind.CANCELLED;
     }
-    if (cause instanceof SocketTimeoutException) {
+    if (cause instanceof InterruptedIOException) {
       return FailureKind.TIMED_OUT;
     }
     return answerBegan ? FailureKind.LOST_DURING_ANSWER : FailureKind.LOST_BEFORE_ANSWER;
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -176,15 +176,17 @@
       return;
     }
     server.loadRunning = false;
-    EngineLoad engine = read.engine();
-    ServiceLoad service = read.service();
-    if (engine == null && service == null) {
+    if (server.isLost(read.failure())) {
       markLost(read.server(), nowNanos);
+    }
+    if (read.failure() != null) {
       return;
     }
     if (marks.answered(read.server(), read.begunAtNanos())) {
       LOG.info(FleetEvent.SERVER_RETURNED, "server", read.server());
     }
+    EngineLoad engine = read.engine();
+    ServiceLoad service = read.service();
     boolean leaving = engine != null ? engine.leaving() : service != null && service.leaving();
     if (leaving) {
       markLeaving(read.server(), nowNanos);
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetItem.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetItem.java
@@ -8,6 +8,7 @@
 import org.teaseltrestle.node.port.EngineLoad;
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.node.port.ServiceLoad;
+import org.teaseltrestle.policy.FailureKind;
 
 /** What the fleet duty's thread handles: results of background calls and words of the relay. */
 sealed interface FleetItem {
@@ -15,13 +16,14 @@
   /** The platform's list, null if it could not be read. */
   record ListRead(@Nullable List<ListedServer> servers) implements FleetItem {}
 
-  /** A load report of an engine or of a service; both null if it could not be read. */
+  /** A load report of an engine or of a service, or how reading it failed. */
   record LoadRead(
       BackendServerId server,
       long begunAtNanos,
       long endedAtNanos,
       @Nullable EngineLoad engine,
-      @Nullable ServiceLoad service)
+      @Nullable ServiceLoad service,
+      @Nullable FailureKind failure)
       implements FleetItem {}
 
   /** Cache events or a listing of an engine; both null if they could not be read. */
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetPoller.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetPoller.java
@@ -10,6 +10,7 @@
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.CacheEvents;
 import org.teaseltrestle.node.port.CacheListing;
 import org.teaseltrestle.node.port.EngineClient;
@@ -18,6 +19,7 @@
 import org.teaseltrestle.node.port.PlatformInstances;
 import org.teaseltrestle.node.port.ServiceClient;
 import org.teaseltrestle.node.port.ServiceLoad;
+import org.teaseltrestle.policy.FailureKind;
 
 /** Makes the fleet duty's calls in the background, a bounded number at once. */
 final class FleetPoller implements AutoCloseable {
@@ -81,18 +83,18 @@
           long begunAtNanos = clock.nowNanos();
           @Nullable EngineLoad engine = null;
           @Nullable ServiceLoad service = null;
+          @Nullable FailureKind failure = null;
           try {
             if (entry.kind() == ListedServer.Kind.ENGINE) {
               engine = engines.load(address);
             } else {
               service = services.load(address);
             }
-          } catch (TrestleException e) {
-            // The result without a report says so.
-            engine = null;
+          } catch (AttemptFailure e) {
+            failure = e.kind();
           }
           results.accept(
-              new FleetItem.LoadRead(id, begunAtNanos, clock.nowNanos(), engine, service));
+              new FleetItem.LoadRead(id, begunAtNanos, clock.nowNanos(), engine, service, failure));
         });
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/CompletionHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CompletionHandler.java
@@ -31,13 +31,23 @@
     long arrivedAtNanos = context.clock().nowNanos();
     ControlView view = context.control().view();
     Caller caller = context.gate().identify(exchange.credentials(), view);
+    try (AccountThreads.Use use = context.accounts().enter(caller.account())) {
+      CompletionRequest completion = read(exchange, endpoint);
+      run(exchange, caller, completion, work(exchange, view, caller, completion, arrivedAtNanos));
+    }
+  }
+
+  private CompletionRequest read(Exchange exchange, CompletionRequest.Endpoint endpoint) {
     byte[] body = bodies.read(exchange.http());
     if (exchange.credentials().isRepeatedIn(body)) {
       throw new RefusalException(
           RefusalCode.MALFORMED_REQUEST, "the key may stand in headers or query only");
     }
-    CompletionRequest completion = CompletionRequest.parse(endpoint, body);
-    WorkRequest work = work(exchange, view, caller, completion, arrivedAtNanos);
+    return CompletionRequest.parse(endpoint, body);
+  }
+
+  private void run(
+      Exchange exchange, Caller caller, CompletionRequest completion, WorkRequest work) {
     RequestMailbox mailbox =
         new RequestMailbox(exchange.request(), caller.keyId(), RequestMailbox.OnCallerLeft.CANCEL);
     try (RequestLife life = new RequestLife(context, caller, work, mailbox);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayContext.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayContext.java
@@ -13,6 +13,7 @@
     RelaySettings settings,
     ControlGateway control,
     CallerGate gate,
+    AccountThreads accounts,
     AdmissionDuty admission,
     ServerDirectory directory,
     EngineClient engines,
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -276,6 +276,7 @@
           settings,
           gateway,
           new CallerGate(gateway, clock),
+          new AccountThreads(settings.relayThreads()),
           require(admission, "admission duty"),
           require(directory, "server directory"),
           require(engines, "engine client"),
--- a/node/src/main/java/org/teaseltrestle/node/relay/ServiceHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ServiceHandler.java
@@ -57,8 +57,9 @@
       throw new RefusalException(
           RefusalCode.NOT_IN_PLAN, "the account's plan does not include this service");
     }
-    ServiceRequest call = read(exchange, method, target, service);
-    serve(exchange, caller, service, call);
+    try (AccountThreads.Use use = context.accounts().enter(caller.account())) {
+      serve(exchange, caller, service, read(exchange, method, target, service));
+    }
   }
 
   private ServiceRequest read(
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -12,7 +13,10 @@
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.teaseltrestle.model.ClientAccount;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -78,7 +82,7 @@
       try (StandIn engine = new StandIn(blocked);
           RelayHarness relay = new RelayHarness().with("models", engine)) {
         for (int i = 0; i < 64; i++) {
-          relay.sendAsync(relay.chatRequest(RelayHarness.CHAT));
+          running.add(relay.sendAsync(relay.chatRequest(RelayHarness.CHAT)));
         }
         RelayHarness.await(() -> engine.received.size() == 64);
         final CompletableFuture<HttpResponse<String>> queued =
@@ -89,6 +93,7 @@
         assertTrue(answer.body().contains("key_withdrawn"), answer.body());
         assertTrue(answer.body().contains("\"not_run\":true"), answer.body());
         answerNow.complete(true);
+        running.forEach(call -> assertEquals(call.join().statusCode(), 200));
         assertEquals(relay.chat(RelayHarness.CHAT).statusCode(), 401);
       }
     }
@@ -158,6 +163,27 @@
       }
     }
 
+    /** Guards against one account whose waiting requests take the threads of all others. */
+    @Test
+    public void oneAccountCannotHoldAllThreads() {
+      AccountThreads threads = new AccountThreads(30);
+      ClientAccount greedy = new ClientAccount("greedy");
+      List<AccountThreads.Use> uses = new ArrayList<>();
+      assertThrows(
+          RefusalException.class,
+          () -> {
+            while (true) {
+              uses.add(threads.enter(greedy));
+            }
+          });
+      assertEquals(uses.size(), 20);
+      for (int i = 0; i < 5; i++) {
+        threads.enter(new ClientAccount("other-" + i)).close();
+      }
+      uses.remove(0).close();
+      uses.add(threads.enter(greedy));
+    }
+
     /** Guards against requests served before the committed state is known. */
     @Test
     public void nothingRunsBeforeReadiness() {
