--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -82,7 +82,7 @@
 
   @Provides
   @Singleton
-  ServiceRegistry services() {
+  ServiceRegistry serviceRegistry() {
     return new ServiceRegistry();
   }
 
@@ -165,13 +165,13 @@
 
   @Provides
   @Singleton
-  EngineClient engines(BackendHttp http) {
+  EngineClient engineClient(BackendHttp http) {
     return new HttpEngineClient(http);
   }
 
   @Provides
   @Singleton
-  ServiceClient services(BackendHttp http) {
+  ServiceClient serviceClient(BackendHttp http) {
     return new HttpServiceClient(http);
   }
 
