Wire the replica, fleet, relay, usage and operator services into the node

Cause: the merged services had no common process. Change: fixes after the merge; peer addresses are public for the usage duty.

--- a/node/src/main/java/org/teaseltrestle/node/LeaderConfirmations.java
+++ b/node/src/main/java/org/teaseltrestle/node/LeaderConfirmations.java
@@ -33,7 +33,6 @@
   private UnconfirmedInstance dated(WithdrawalReport.UnconfirmedLease lease) {
     long leftNanos = lease.leaseEndsAtNanos() - clock.nowNanos();
     return new UnconfirmedInstance(
-        lease.instance().value(),
-        wallClock.nowMillis() + TimeUnit.NANOSECONDS.toMillis(leftNanos));
+        lease.instance().value(), wallClock.nowMillis() + TimeUnit.NANOSECONDS.toMillis(leftNanos));
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -82,7 +82,7 @@
 
   @Provides
   @Singleton
-  ServiceRegistry services() {
+  ServiceRegistry serviceRegistry() {
     return new ServiceRegistry();
   }
 
@@ -131,8 +131,7 @@
             (shares, expiresAtNanos, defaultShare) ->
                 admission
                     .get()
-                    .offer(
-                        new AdmissionEvent.SharesGranted(shares, expiresAtNanos, defaultShare)));
+                    .offer(new AdmissionEvent.SharesGranted(shares, expiresAtNanos, defaultShare)));
     return ControlPlanes.open(controlSettings, context, random);
   }
 
@@ -166,13 +165,13 @@
 
   @Provides
   @Singleton
-  EngineClient engines(BackendHttp http) {
+  EngineClient engineClient(BackendHttp http) {
     return new HttpEngineClient(http);
   }
 
   @Provides
   @Singleton
-  ServiceClient services(BackendHttp http) {
+  ServiceClient serviceClient(BackendHttp http) {
     return new HttpServiceClient(http);
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
@@ -68,7 +68,9 @@
     closer.register(fleet);
     closer.register(
         OperatorServer.start(
-            settings.operatorAddress(), OperatorToken.load(settings.operatorTokenFile()), operators));
+            settings.operatorAddress(),
+            OperatorToken.load(settings.operatorTokenFile()),
+            operators));
     relay.start();
     closer.register(relay);
     LOG.info(
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
@@ -12,6 +12,7 @@
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.EngineOrders;
 import org.teaseltrestle.node.port.EntryInstances;
 import org.teaseltrestle.node.port.OrderAnswer;
--- a/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -16,7 +16,8 @@
   private final Map<String, InetSocketAddress> voters = new HashMap<>();
   private volatile Map<String, InetSocketAddress> registered = Map.of();
 
-  PeerAddresses(ControlPlaneSettings settings) {
+  /** Takes over the routes and voters of the settings. */
+  public PeerAddresses(ControlPlaneSettings settings) {
     settings.peerRoutes().forEach((instance, address) -> routes.put(instance.value(), address));
     for (VoterSettings voter : settings.voters()) {
       voters.put(voter.instance().value(), voter.peerAddress());
@@ -41,7 +42,8 @@
     }
   }
 
-  void update(ControlView view) {
+  /** Takes over the registered addresses of a view. */
+  public void update(ControlView view) {
     Map<String, InetSocketAddress> updated = new HashMap<>();
     for (InstanceRecord each : view.instances()) {
       parse(each.getPeerAddress()).ifPresent(address -> updated.put(each.getInstance(), address));
@@ -49,7 +51,8 @@
     registered = Map.copyOf(updated);
   }
 
-  Optional<InetSocketAddress> find(InstanceId instance) {
+  /** Returns the address of an instance, if it is known. */
+  public Optional<InetSocketAddress> find(InstanceId instance) {
     return find(instance.value());
   }
 
