--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.testkit.command.FakePlatformCommand;
 import org.teaseltrestle.testkit.command.FakeServiceCommand;
 import org.teaseltrestle.testkit.command.FaultProxyCommand;
+import org.teaseltrestle.testkit.command.LocalClusterCommand;
 import org.teaseltrestle.testkit.command.MakeTraceCommand;
 import org.teaseltrestle.testkit.command.ReplayCommand;
 
@@ -25,6 +26,7 @@
       FakeServiceCommand.class,
       FakePlatformCommand.class,
       FaultProxyCommand.class,
+      LocalClusterCommand.class,
       ReplayCommand.class,
       MakeTraceCommand.class,
       CertificatesCommand.class,
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
@@ -66,8 +66,7 @@
   public static LocalCluster start(ClusterPlan plan) {
     LocalCluster cluster = prepare(plan);
     try {
-      plan.nodes.forEach(node -> cluster.startNode(node.instance()));
-      plan.nodes.forEach(node -> cluster.awaitReady(node.instance()));
+      cluster.startAll();
       return cluster;
     } catch (TrestleException e) {
       cluster.close();
@@ -75,6 +74,12 @@
     }
   }
 
+  /** Starts all nodes and waits until they are ready. */
+  public void startAll() {
+    plan.nodes.forEach(node -> startNode(node.instance()));
+    plan.nodes.forEach(node -> awaitReady(node.instance()));
+  }
+
   /** Returns the nodes as planned. */
   public List<ClusterNode> nodes() {
     return plan.nodes;
@@ -149,6 +154,12 @@
     return process;
   }
 
+  /** Returns whether a node was started and its process has not ended. */
+  public boolean runs(String instance) {
+    ManagedProcess process = processes.get(instance);
+    return process != null && process.isAlive();
+  }
+
   /** Kills a node by SIGKILL, also a frozen one. */
   public void kill(String instance) {
     process(instance).kill();
--- a/testkit/src/main/java/org/teaseltrestle/testkit/http/HttpClients.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/http/HttpClients.java
@@ -50,6 +50,13 @@
     return Json.parse(get(url));
   }
 
+  /** Gets JSON with a bearer token. */
+  public static JsonNode getJson(String url, String token) {
+    String authorization = "Bearer " + token;
+    return Json.parse(
+        send(new Request.Builder().url(url).header("Authorization", authorization).build()));
+  }
+
   /** Posts JSON and returns the answer's text. */
   public static String post(String url, @Nullable JsonNode body) {
     String text = body == null ? "" : body.toString();
--- a/testkit/src/main/java/org/teaseltrestle/testkit/replay/ReplaySettings.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/replay/ReplaySettings.java
@@ -44,6 +44,12 @@
     return new ReplaySettings(run, entries, keys, Spread.REQUEST, 1, 980, 41, 30_000);
   }
 
+  /** Returns these settings with another factor on the arrival times. */
+  public ReplaySettings withTimeScale(double scale) {
+    return new ReplaySettings(
+        run, entries, keys, spread, scale, firstTokenMillis, betweenTokensMillis, timeoutMillis);
+  }
+
   /** Returns whether a result is a whole answer inside the deadlines. */
   public boolean isGood(RequestResult result) {
     return result.outcome() == Outcome.COMPLETED
