--- a/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
+++ b/model/src/main/java/org/teaseltrestle/model/ErrorCode.java
@@ -20,6 +20,8 @@
   UNREACHABLE,
   /** The other side refused the request; sending it again gives the same answer. */
   REFUSED,
+  /** A bounded queue is full; the operation was certainly not begun. */
+  OVERLOADED,
   /** An operation was attempted after its component had been closed. */
   CLOSED,
   /** An invariant of the program itself was violated. */
