Open the unused part of a limit to all instances

Cause: accounts far below their limits were refused: a limit was divided by past demand, so an instance without demand had almost no share; and each settlement with no time passed clipped the bucket to the default share's burst.

--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -128,10 +128,12 @@
             clock,
             wallClock,
             demand::tokensPerSecond,
-            (shares, expiresAtNanos, defaultShare) ->
+            (shares, totalDemand, expiresAtNanos, defaultShare) ->
                 admission
                     .get()
-                    .offer(new AdmissionEvent.SharesGranted(shares, expiresAtNanos, defaultShare)));
+                    .offer(
+                        new AdmissionEvent.SharesGranted(
+                            shares, totalDemand, expiresAtNanos, defaultShare)));
     return ControlPlanes.open(controlSettings, context, random);
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/AccountShares.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AccountShares.java
@@ -43,8 +43,10 @@
             shares.put(account, Math.min(1, own / all));
           }
         });
+    Map<ClientAccount, Double> totalDemand = new HashMap<>();
+    total.forEach((account, sum) -> totalDemand.put(new ClientAccount(account), sum));
     double defaultShare = 1.0 / Math.max(1, bundle.getRegisteredInstances());
-    listener.granted(shares, clock.nowNanos() + SHARE_NANOS, defaultShare);
+    listener.granted(shares, totalDemand, clock.nowNanos() + SHARE_NANOS, defaultShare);
   }
 
   static Map<String, Double> toMap(List<AccountDemand> demand) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ShareListener.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ShareListener.java
@@ -11,8 +11,13 @@
    * Takes over shares; called from a duty thread and must not block.
    *
    * @param shares share of each account's limits, 0 to 1
+   * @param totalDemand demand of each account over all instances, in tokens a second
    * @param expiresAtNanos monotonic time after which the default share applies
    * @param defaultShare share of accounts without an entry, 1/N of N registered instances
    */
-  void granted(Map<ClientAccount, Double> shares, long expiresAtNanos, double defaultShare);
+  void granted(
+      Map<ClientAccount, Double> shares,
+      Map<ClientAccount, Double> totalDemand,
+      long expiresAtNanos,
+      double defaultShare);
 }
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -81,6 +81,7 @@
           };
       try (StandIn engine = new StandIn(blocked);
           RelayHarness relay = new RelayHarness().with("models", engine)) {
+        List<CompletableFuture<HttpResponse<String>>> running = new ArrayList<>();
         for (int i = 0; i < 64; i++) {
           running.add(relay.sendAsync(relay.chatRequest(RelayHarness.CHAT)));
         }
--- a/policy/src/main/java/org/teaseltrestle/policy/AccountLimiter.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AccountLimiter.java
@@ -20,6 +20,7 @@
 
   private final Map<ClientAccount, AccountState> states = new HashMap<>();
   private Map<ClientAccount, Double> shares = Map.of();
+  private Map<ClientAccount, Double> totalDemand = Map.of();
   private long sharesExpireAtNanos = Long.MIN_VALUE;
   private double defaultShare = 1;
 
@@ -79,6 +80,7 @@
       AdmissionEvent.SharesGranted event, Map<ClientAccount, PlanLimits> limits, long nowNanos) {
     settleAll(limits, nowNanos);
     shares = event.shares();
+    totalDemand = event.totalDemand();
     sharesExpireAtNanos = event.expiresAtNanos();
     defaultShare = event.defaultShare();
   }
@@ -107,7 +109,7 @@
   }
 
   private double settle(AccountState state, PlanLimits limits, long nowNanos) {
-    double granted = shares.getOrDefault(limits.account(), defaultShare);
+    double granted = grantedShare(limits);
     boolean expired = nowNanos >= sharesExpireAtNanos;
     if (state.settled) {
       long until = Math.max(state.settledAtNanos, Math.min(nowNanos, sharesExpireAtNanos));
@@ -121,6 +123,20 @@
     return expired ? defaultShare : granted;
   }
 
+  /**
+   * Returns the share while the grant is valid. An account that uses its whole limit is divided by
+   * demand, which adds up to 1. The unused part of a limit is open to every instance up to {@code
+   * 1/sqrt(N)}: dividing it by past demand refused single requests that came to an instance without
+   * demand. All N instances together can then admit at most {@code sqrt(N)} times the unused part
+   * until the next grants, which follow the demand within seconds.
+   */
+  private double grantedShare(PlanLimits limits) {
+    double total = totalDemand.getOrDefault(limits.account(), 0.0);
+    double used = Math.min(1, total / Math.max(1, limits.tokensPerSecond()));
+    double byDemand = shares.getOrDefault(limits.account(), 0.0);
+    return used * byDemand + (1 - used) * Math.sqrt(defaultShare);
+  }
+
   /** Returns the open requests allowed; at least one, or a small share would stop an account. */
   private static int maximumOpen(PlanLimits limits, double share) {
     return (int) Math.max(1, Math.floor(limits.maximumRunning() * share));
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -51,10 +51,16 @@
   /**
    * This instance's share of each account's limits, 0 to 1.
    *
+   * @param shares own part of each account's demand
+   * @param totalDemand demand of each account over all instances, in tokens a second
    * @param expiresAtNanos monotonic time after which the default share applies again
    * @param defaultShare share used when cut off, 1/N of N registered instances
    */
-  record SharesGranted(Map<ClientAccount, Double> shares, long expiresAtNanos, double defaultShare)
+  record SharesGranted(
+      Map<ClientAccount, Double> shares,
+      Map<ClientAccount, Double> totalDemand,
+      long expiresAtNanos,
+      double defaultShare)
       implements AdmissionEvent {}
 
   /** A key was withdrawn: requests of that key that still wait are refused as not run. */
--- a/policy/src/test/java/org/teaseltrestle/policy/LimitsTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/LimitsTest.java
@@ -20,7 +20,8 @@
   private static AccountLimiter limiter(double share, double defaultShare, long expiresAt) {
     AccountLimiter limiter = new AccountLimiter();
     limiter.grant(
-        new AdmissionEvent.SharesGranted(Map.of(NORTH, share), expiresAt, defaultShare),
+        new AdmissionEvent.SharesGranted(
+            Map.of(NORTH, share), Map.of(NORTH, 1e9), expiresAt, defaultShare),
         Map.of(),
         0);
     return limiter;
@@ -80,4 +81,20 @@
     limiter.endNotRun(NORTH, 1);
     assertNull(limiter.admit(PLAN, 1, 0));
   }
+
+  /**
+   * Guards against refusals of an account far below its limit whose requests come to an instance
+   * that has seen no demand of it before.
+   */
+  @Test
+  public void unusedPartOfLimitIsOpenToInstanceWithoutDemand() {
+    AccountLimiter limiter = new AccountLimiter();
+    limiter.grant(
+        new AdmissionEvent.SharesGranted(Map.of(), Map.of(NORTH, 100.0), Long.MAX_VALUE, 1.0 / 9),
+        Map.of(),
+        0);
+    assertNull(limiter.admit(PLAN, 300, 0));
+    limiter.end(NORTH, 0);
+    assertNull(limiter.admit(PLAN, 300, 0));
+  }
 }
