--- /dev/null
+++ b/control/src/test/java/org/teaseltrestle/control/leader/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the logic of acting outward. */
+@NullMarked
+package org.teaseltrestle.control.leader;
+
+import org.jspecify.annotations.NullMarked;
