Name the sender of platform orders and test local clusters

The protocol of the platform does not name the sending instance, so the checker could not tell an old leader's order from one that a new leader resends. Nodes of a local cluster now use a base path that names them, and the checker judges sends by instance and term.

--- a/testkit/src/main/java/org/teaseltrestle/testkit/checker/OrderChecks.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/checker/OrderChecks.java
@@ -71,32 +71,41 @@
         new Violation(Invariant.NO_CONFLICTING_ENGINE_ORDERS, order.fake() + ": " + text));
   }
 
-  /** An authority's sends end before those of the next begin, and come from one instance. */
+  /**
+   * An authority's sends end before those of the next begin, and come from one instance. An order
+   * keeps the number of the authority that placed it, so without the sender's own authority only a
+   * send by another instance than the newest authority's counts.
+   */
   private void checkSenders(List<RecordEntry> sends, Invariant invariant) {
     Map<Long, String> senderByTerm = new HashMap<>();
     long highest = Long.MIN_VALUE;
     for (RecordEntry send : sends) {
-      if (send.text("authority").isEmpty()) {
-        continue;
-      }
-      long term = Long.parseLong(send.text("authority")) >>> TERM_SHIFT;
+      boolean ownAuthority = send.kind().equals("usage") || !send.text("authority").isEmpty();
+      long term = term(send);
       String sender = send.text("instance");
-      if (term < highest) {
+      String newest = senderByTerm.getOrDefault(highest, sender);
+      if (term < highest && (ownAuthority || !sender.equals(newest))) {
         violations.add(
             new Violation(
                 invariant,
                 "send " + send.sequence() + " of term " + term + " came after term " + highest));
       }
-      highest = Math.max(highest, term);
       String other = senderByTerm.putIfAbsent(term, sender);
-      if (other != null && !other.equals(sender)) {
+      if (ownAuthority && other != null && !other.equals(sender)) {
         violations.add(
             new Violation(
                 invariant, "term " + term + " sent from " + other + " and from " + sender));
       }
+      highest = Math.max(highest, term);
     }
   }
 
+  private static long term(RecordEntry send) {
+    String authority = send.text("authority");
+    long number = authority.isEmpty() ? send.number("fencingNumber") : Long.parseLong(authority);
+    return number >> TERM_SHIFT;
+  }
+
   private void checkPlatformOrders(List<RecordEntry> orders) {
     Map<String, ObjectNode> contentById = new HashMap<>();
     for (RecordEntry order : orders) {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/SettingsWriter.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/SettingsWriter.java
@@ -52,7 +52,8 @@
     }
     voters(settings.putArray("voters"));
     routes(settings, node, route);
-    settings.put("platformAddress", "http://" + platformAddress);
+    // The base path tells the fake platform's record which node sends.
+    settings.put("platformAddress", "http://" + platformAddress + "/from/" + node.instance());
     settings.put("operatorTokenFile", tokenFile.toString());
     settings.put("shutdownDelayMilliseconds", SHUTDOWN_DELAY_MILLIS);
     tls(settings, node);
--- a/testkit/src/main/java/org/teaseltrestle/testkit/fakes/FakePlatform.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/FakePlatform.java
@@ -23,6 +23,9 @@
   private static final EventLog LOG = EventLog.of(FakePlatform.class);
   private static final String ID = "platform";
 
+  /** A base URL {@code /from/INSTANCE} tells the record who sends; the protocol itself does not. */
+  private static final String SENDER_PREFIX = "/from/";
+
   private final FakeRecord record = new FakeRecord(ID);
   private final PlatformCore core;
   private final AtomicInteger loseAnswers = new AtomicInteger();
@@ -65,7 +68,7 @@
 
   private void handle(Call call) throws IOException {
     long now = System.currentTimeMillis();
-    String path = call.path();
+    String path = route(call.path());
     if (path.startsWith("/fake/")) {
       admin(call, now);
     } else if (path.startsWith("/weights/")) {
@@ -120,7 +123,21 @@
     ObjectNode details = body.deepCopy();
     details.put("sender", call.sender());
     details.put("authority", call.header("X-Trestle-Authority", ""));
-    return details.put("instance", call.header("X-Trestle-Instance", ""));
+    return details.put("instance", instance(call));
+  }
+
+  private static String instance(Call call) {
+    String path = call.path();
+    if (path.startsWith(SENDER_PREFIX)) {
+      int end = path.indexOf('/', SENDER_PREFIX.length());
+      return path.substring(SENDER_PREFIX.length(), Math.max(end, SENDER_PREFIX.length()));
+    }
+    return call.header("X-Trestle-Instance", "");
+  }
+
+  private static String route(String path) {
+    int end = path.startsWith(SENDER_PREFIX) ? path.indexOf('/', SENDER_PREFIX.length()) : 0;
+    return end < 0 ? path : path.substring(end);
   }
 
   private void admin(Call call, long now) throws IOException {
--- a/testkit/src/test/java/org/teaseltrestle/testkit/checker/InvariantCheckerTest.java
+++ b/testkit/src/test/java/org/teaseltrestle/testkit/checker/InvariantCheckerTest.java
@@ -72,6 +72,13 @@
     return Json.object().put("instance", instance).put("authority", Long.toString(term << 24));
   }
 
+  private static ObjectNode placed(String instance, String id, long term) {
+    return Json.object()
+        .put("instance", instance)
+        .put("orderId", id)
+        .put("fencingNumber", term << 24);
+  }
+
   private static ObjectNode usage(String instance, long term, int requests) {
     ObjectNode usage = sent(instance, term).put("windowId", "w1");
     usage.putArray("figures").addObject().put("requests", requests);
@@ -107,6 +114,7 @@
     ran("r2", "acc", "k1");
     add(platform, "platform", 1000, "order", sent("n1", 1).put("orderId", "p1").put("count", 1));
     add(platform, "platform", 2000, "order", sent("n2", 2).put("orderId", "p1").put("count", 1));
+    add(platform, "platform", 2000, "order", placed("n2", "p0", 1));
     add(platform, "platform", 2000, "usage", usage("n1", 1, 4));
     add(platform, "platform", 2001, "usage", usage("n2", 2, 4));
     result("r1", Outcome.COMPLETED, null, "d1");
@@ -161,6 +169,11 @@
             (run, out) ->
                 add(run.platform, "platform", 2100, "order", sent("n1", 1).put("orderId", "p2"))
       },
+      {
+        "old leader sends its own order",
+        5,
+        (Fault) (run, out) -> add(run.platform, "platform", 2100, "order", placed("n1", "p4", 1))
+      },
       {
         "two senders of a term",
         5,
