--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/RevisionWatcher.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/RevisionWatcher.java
@@ -21,6 +21,7 @@
 
   private static final EventLog LOG = EventLog.of(RevisionWatcher.class);
   private static final long PERIOD_MILLIS = 500;
+  private static final long END_SECONDS = 15;
 
   private final LocalCluster cluster;
   private final String token;
@@ -59,7 +60,14 @@
 
   @Override
   public void close() {
-    timer.shutdownNow();
+    timer.shutdown();
+    try {
+      if (!timer.awaitTermination(END_SECONDS, TimeUnit.SECONDS)) {
+        timer.shutdownNow();
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private void askAll() {
