Let a dropped learner join again and test the control plane of a node

A non-voter now forgets a leader that it has not heard for an election timeout. Closing a replica no longer reports the interrupted write as a fault.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
@@ -18,10 +18,14 @@
   }
 
   void tick() {
-    if (context.role != RaftRole.LEADER
-        && context.isVoter()
-        && context.nowNanos - context.electionDeadlineNanos >= 0) {
+    if (context.nowNanos - context.electionDeadlineNanos < 0) {
+      return;
+    }
+    if (context.isVoter()) {
       campaign(VoteKind.PRE_VOTE);
+    } else if (context.leader != null) {
+      // A learner that was dropped must notice it, to join again.
+      context.follow(context.term, null);
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -42,7 +42,7 @@
   private final DutyInbox inbox;
   private long servedIndex;
   private long nextPlacementNanos;
-  private volatile ControlStatus status = new ControlStatus("following", 0, "", 0, 0);
+  private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
 
   /** Creates the service; {@link #start()} starts it. */
   public FollowService(ControlPlaneSettings settings, ControlPlaneContext context) {
@@ -130,7 +130,8 @@
     }
     readiness.tick(state.appliedIndex());
     status =
-        new ControlStatus("following", 0, parents.parent(), state.appliedIndex(), inbox.dropped());
+        new ControlStatus(
+            "following", 0, parents.parent(), List.of(), state.appliedIndex(), inbox.dropped());
   }
 
   private void placeIfDue(long nowNanos) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.replica;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -59,7 +60,7 @@
   private long servedIndex;
   private long leaderKnownAtNanos;
   private volatile boolean stopped;
-  private volatile ControlStatus status = new ControlStatus("follower", 0, "", 0, 0);
+  private volatile ControlStatus status = new ControlStatus("follower", 0, "", List.of(), 0, 0);
 
   /**
    * Creates the service; {@link #start()} starts it. It owns the storage from then on.
@@ -229,7 +230,10 @@
     try {
       step.run();
     } catch (RuntimeException e) {
-      stopAfter(e);
+      // Closing interrupts a write that is under way.
+      if (!stopped) {
+        stopAfter(e);
+      }
     }
   }
 
@@ -277,12 +281,15 @@
       leaderKnownAtNanos = context.clock().nowNanos();
     }
     String name = known == null ? "" : known.instance().value();
+    List<ReplicaId> voters = core.configuration().voters();
     String role = core.role().name().toLowerCase(Locale.ROOT);
     if (!status.role().equals(role)
         || status.term() != core.term()
         || !status.leader().equals(name)
+        || !status.voters().equals(voters)
         || status.appliedIndex() != state.appliedIndex()) {
-      status = new ControlStatus(role, core.term(), name, state.appliedIndex(), inbox.dropped());
+      status =
+          new ControlStatus(role, core.term(), name, voters, state.appliedIndex(), inbox.dropped());
     }
   }
 
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
@@ -0,0 +1,182 @@
+package org.teaseltrestle.node.replica;
+
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Optional;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.ReplicaId;
+import org.testng.annotations.Test;
+
+/** Tests of the control plane of a node. */
+public final class ControlPlaneTest {
+
+  /** Guards against accepted commands that are lost, or not seen, at some voter. */
+  public static final class VotersTest {
+
+    @Test
+    public void commandsReachAllVotersAcrossLeaderLossAndRestart() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        String first = cluster.awaitLeader();
+        for (String voter : List.copyOf(cluster.nodes.keySet())) {
+          cluster.commit(voter, "server-" + voter);
+        }
+        cluster.stop(first);
+        String second = cluster.awaitLeader();
+        long index = cluster.commit(second, "after-leader-loss");
+        cluster.startVoter(first, Long.MAX_VALUE);
+        cluster.awaitApplied(first, index);
+        LoopbackCluster.await("readiness", () -> cluster.node(first).plane().isReady());
+        for (String voter : cluster.nodes.keySet()) {
+          assertTrue(cluster.knows(first, "server-" + voter));
+        }
+      }
+    }
+
+    @Test
+    public void lostDiskJoinsAsNewIdentityAndSecondLossIsSurvived() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        long index = cluster.commit("voter-0", "before");
+        final List<ReplicaId> before = cluster.node("voter-0").plane().status().voters();
+        cluster.stop("voter-1");
+        cluster.loseDisk("voter-1");
+        cluster.startVoter("voter-1", Long.MAX_VALUE);
+        cluster.awaitApplied("voter-1", index);
+        LoopbackCluster.await(
+            "removal of the lost identity",
+            () -> {
+              List<ReplicaId> voters = cluster.node("voter-1").plane().status().voters();
+              return voters.size() == 3 && !voters.equals(before);
+            });
+        cluster.stop("voter-0");
+        String leader = cluster.awaitLeader();
+        cluster.awaitApplied(leader, cluster.commit(leader, "after"));
+        assertTrue(cluster.knows(leader, "before") && cluster.knows(leader, "after"));
+      }
+    }
+
+    @Test
+    public void voterWithFullDiskGoesOnAsFollower() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoter("voter-0", 2_000);
+        cluster.startVoter("voter-1", Long.MAX_VALUE);
+        cluster.startVoter("voter-2", Long.MAX_VALUE);
+        cluster.awaitLeader();
+        LoopbackCluster.await(
+            "follower in place of the replica",
+            () -> {
+              cluster.commit("voter-1", "server");
+              return cluster.node("voter-0").plane().status().role().equals("following");
+            });
+        cluster.awaitApplied("voter-0", cluster.commit("voter-1", "after"));
+        assertTrue(cluster.node("voter-0").plane().isReady());
+      }
+    }
+
+    @Test
+    public void minorityIsNotReady() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        cluster.stop("voter-0");
+        cluster.stop("voter-1");
+        cluster.stop("voter-2");
+        cluster.startVoter("voter-0", Long.MAX_VALUE);
+        LoopbackCluster.await(
+            "campaign",
+            () -> cluster.node("voter-0").plane().status().role().equals("pre_candidate"));
+        assertFalse(cluster.node("voter-0").plane().isReady());
+        cluster.startVoter("voter-1", Long.MAX_VALUE);
+        LoopbackCluster.await("readiness", () -> cluster.node("voter-0").plane().isReady());
+      }
+    }
+
+    @Test
+    public void onlyTheLeaderGetsAuthorityAndLosesItWithTheQuorum() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        String leader = cluster.awaitLeader();
+        ControlPlane plane = cluster.node(leader).plane();
+        LoopbackCluster.await("authority", () -> holdsAuthority(plane));
+        for (String voter : List.copyOf(cluster.nodes.keySet())) {
+          if (!voter.equals(leader)) {
+            assertFalse(holdsAuthority(cluster.node(voter).plane()));
+            cluster.stop(voter);
+          }
+        }
+        LoopbackCluster.await("loss of authority", () -> !holdsAuthority(plane));
+      }
+    }
+
+    private static boolean holdsAuthority(ControlPlane plane) {
+      Optional<Authority> authority = plane.authority();
+      return authority.isPresent() && authority.get().isValid(System.nanoTime());
+    }
+  }
+
+  /** Guards against nodes that miss changes, and against leases that nobody accounts for. */
+  public static final class FollowersTest {
+
+    @Test
+    public void followerSeesChangesHoldsLeaseAndShare() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        ControlPlane follower = cluster.startFollower("entry-1").plane();
+        LoopbackCluster.await("readiness", follower::isReady);
+        LoopbackCluster.await(
+            "key lease", () -> follower.keyLeaseEndsAtNanos() - System.nanoTime() > 0);
+        cluster.awaitApplied("entry-1", cluster.commit("entry-1", "server"));
+        LoopbackCluster.await(
+            "share of a quarter",
+            () ->
+                cluster.node("entry-1").shares().getOrDefault(new ClientAccount("yard"), 1.0)
+                    == 0.25);
+      }
+    }
+
+    @Test
+    public void withdrawalNamesTheNodeThatIsCutOffUntilItsLeaseEnds() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        String leader = cluster.awaitLeader();
+        ControlPlane lost = cluster.startFollower("entry-1").plane();
+        final ControlPlane other = cluster.startFollower("entry-2").plane();
+        LoopbackCluster.await(
+            "registration", () -> cluster.node(leader).plane().view().instances().size() == 5);
+        LoopbackCluster.await("lease", () -> lost.keyLeaseEndsAtNanos() - System.nanoTime() > 0);
+        cluster.stop("entry-1");
+        long index = cluster.commit("entry-2", "withdrawal");
+        WithdrawalReport report = other.withdrawalReport(index).join();
+        assertTrue(
+            report.unconfirmed().stream()
+                .anyMatch(each -> each.instance().value().equals("entry-1")));
+        LoopbackCluster.await("final report", () -> other.withdrawalReport(index).join().isFinal());
+        assertTrue(lost.keyLeaseEndsAtNanos() - System.nanoTime() < 0);
+      }
+    }
+
+    @Test
+    public void nodeLeavesItsParentWhenThatIsLost() {
+      try (LoopbackCluster cluster = new LoopbackCluster(1)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        for (int i = 1; i <= TreePlacement.FAN_OUT + 1; i++) {
+          cluster.startFollower("entry-" + i);
+        }
+        // Sorted by id, entry-9 is the ninth node of the domain, so the first one is its parent.
+        ControlPlane leaf = cluster.node("entry-9").plane();
+        LoopbackCluster.await("tree", () -> leaf.status().leader().equals("entry-1"));
+        cluster.awaitApplied("entry-9", cluster.commit("entry-9", "through-tree"));
+        cluster.stop("entry-1");
+        cluster.awaitApplied("entry-9", cluster.commit("entry-9", "after-parent-loss"));
+        LoopbackCluster.await(
+            "key lease", () -> leaf.keyLeaseEndsAtNanos() - System.nanoTime() > 0);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -0,0 +1,215 @@
+package org.teaseltrestle.node.replica;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.node.settings.VoterSettings;
+import org.teaseltrestle.transport.NettyPeerTransport;
+import org.teaseltrestle.transport.TransportConfiguration;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.InstanceRecord;
+import org.teaseltrestle.wire.RegisterInstance;
+
+/** Control planes of several nodes in one process, connected over loopback. */
+final class LoopbackCluster implements AutoCloseable {
+
+  static final FailureDomain DOMAIN = new FailureDomain("domain-a");
+  static final long KEY_LEASE_MILLISECONDS = 2_000;
+
+  private static final AtomicLong NEXT_REQUEST = new AtomicLong();
+
+  final Map<String, Node> nodes = new HashMap<>();
+  private final Path folder;
+  private final List<VoterSettings> voters = new ArrayList<>();
+  private final SplittableRandom random = new SplittableRandom();
+
+  /** One node's control plane with its transport. */
+  record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
+      implements AutoCloseable {
+
+    @Override
+    public void close() {
+      plane.close();
+      transport.close();
+    }
+  }
+
+  LoopbackCluster(int voterCount) {
+    try {
+      folder = Files.createTempDirectory("control-plane");
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    for (int i = 0; i < voterCount; i++) {
+      InstanceId instance = new InstanceId("voter-" + i);
+      voters.add(new VoterSettings(instance, new FailureDomain("domain-v" + i), freeAddress()));
+    }
+  }
+
+  void startVoters() {
+    voters.forEach(voter -> startVoter(voter.instance().value(), Long.MAX_VALUE));
+  }
+
+  Node startVoter(String instance, long maximumDataBytes) {
+    VoterSettings voter =
+        voters.stream().filter(v -> v.instance().value().equals(instance)).findFirst().get();
+    return start(instance, voter.failureDomain(), voter.peerAddress(), maximumDataBytes);
+  }
+
+  Node startFollower(String instance) {
+    return start(instance, DOMAIN, freeAddress(), -1);
+  }
+
+  void stop(String instance) {
+    Node node = nodes.remove(instance);
+    if (node != null) {
+      node.close();
+    }
+  }
+
+  void loseDisk(String instance) {
+    try (Stream<Path> files = Files.list(folder.resolve(instance))) {
+      for (Path file : files.toList()) {
+        Files.delete(file);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns a running voter that leads under a valid lease. */
+  String awaitLeader() {
+    String[] found = new String[1];
+    await(
+        "leader",
+        () -> {
+          for (Map.Entry<String, Node> node : nodes.entrySet()) {
+            if (node.getValue().plane().status().role().equals("leader")
+                && node.getValue().plane().isReady()) {
+              found[0] = node.getKey();
+              return true;
+            }
+          }
+          return false;
+        });
+    return found[0];
+  }
+
+  /** Commits a command through a node and returns its index. */
+  long commit(String through, String subject) {
+    Command command =
+        Command.newBuilder()
+            .setRequestId("test-" + NEXT_REQUEST.incrementAndGet())
+            .setRegisterInstance(
+                RegisterInstance.newBuilder()
+                    .setInstance(InstanceRecord.newBuilder().setInstance(subject)))
+            .build();
+    CommandAnswer answer = node(through).plane().propose(command).join();
+    return answer.getAppliedIndex();
+  }
+
+  boolean knows(String instance, String subject) {
+    return node(instance).plane().view().instances().stream()
+        .anyMatch(each -> each.getInstance().equals(subject));
+  }
+
+  void awaitApplied(String instance, long index) {
+    await(
+        instance + " applies " + index,
+        () -> node(instance).plane().view().appliedIndex() >= index);
+  }
+
+  Node node(String instance) {
+    return get(nodes.get(instance));
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+    while (!condition.getAsBoolean()) {
+      assertTrue(System.nanoTime() - deadline < 0, "no " + what + " within 30 s");
+      LockSupport.parkNanos(5_000_000);
+    }
+  }
+
+  @Override
+  public void close() {
+    nodes.values().forEach(Node::close);
+    nodes.clear();
+  }
+
+  private Node start(
+      String instance, FailureDomain domain, InetSocketAddress address, long maximumDataBytes) {
+    long boot = random.nextLong();
+    NettyPeerTransport transport =
+        new NettyPeerTransport(
+            TransportConfiguration.builder()
+                .instance(new InstanceId(instance))
+                .boot(boot)
+                .listenAddress(address)
+                .build(),
+            MonotonicClock.SYSTEM);
+    ControlPlaneSettings settings =
+        new ControlPlaneSettings(
+            new InstanceId(instance),
+            boot,
+            domain,
+            "region",
+            address,
+            maximumDataBytes < 0 ? null : folder.resolve(instance),
+            maximumDataBytes,
+            voters,
+            Map.of(),
+            40,
+            400,
+            KEY_LEASE_MILLISECONDS);
+    Map<ClientAccount, Double> shares = new ConcurrentHashMap<>();
+    ControlPlaneContext context =
+        new ControlPlaneContext(
+            transport,
+            new MessageEndpoints(transport),
+            MonotonicClock.SYSTEM,
+            WallClock.SYSTEM,
+            () -> Map.of(new ClientAccount("yard"), 10.0),
+            (granted, expiry, standard) -> shares.putAll(granted));
+    Node node = new Node(transport, ControlPlanes.open(settings, context, random), shares);
+    nodes.put(instance, node);
+    return node;
+  }
+
+  private static InetSocketAddress freeAddress() {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static <T> T get(@Nullable T value) {
+    return Objects.requireNonNull(value);
+  }
+}
