--- a/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
@@ -196,8 +196,13 @@
   }
 
   private void afterAnswer(ReplicaId from, PeerProgress peer, boolean resend) {
+    final long oldCommitIndex = context.commitIndex;
     commitMatched();
     confirmReads();
+    if (context.leadership == this && context.commitIndex > oldCommitIndex) {
+      // Without this the other members would apply the entries only at the next heartbeat.
+      replicate();
+    }
     boolean more = resend || peer.nextIndex <= context.log.lastIndex();
     if (context.leadership == this && more && !peer.awaitingAnswer) {
       sendNext(from);
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
@@ -84,7 +85,7 @@
     long now = clock.nowNanos();
     if (closed || now - call.deadlineNanos() >= 0) {
       ErrorCode code = closed ? ErrorCode.CLOSED : ErrorCode.UNREACHABLE;
-      call.result().completeExceptionally(new TrestleException(code, "no leader answered in time"));
+      fail(call, new TrestleException(code, "no leader answered in time"));
       return;
     }
     String target = target();
@@ -120,9 +121,7 @@
     switch (answer.getStatus()) {
       case ANSWERED -> call.result().completeAsync(() -> answer);
       case OVERLOADED ->
-          call.result()
-              .completeExceptionally(
-                  new TrestleException(ErrorCode.OVERLOADED, "the leader refused the request"));
+          fail(call, new TrestleException(ErrorCode.OVERLOADED, "the leader refused the request"));
       case NOT_LEADER -> {
         if (answer.getLeader().isEmpty() || answer.getLeader().equals(leader)) {
           retry(call);
@@ -135,6 +134,11 @@
     }
   }
 
+  // Callers' continuations must not run on a duty or network thread.
+  private static void fail(Call call, TrestleException failure) {
+    ForkJoinPool.commonPool().execute(() -> call.result().completeExceptionally(failure));
+  }
+
   private void retry(Call call) {
     leader = null;
     nextVoter.incrementAndGet();
--- a/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
@@ -77,6 +77,23 @@
       }
     }
 
+    @Test
+    public void restartReadsSnapshotAndLaterLog() {
+      try (LoopbackCluster cluster = new LoopbackCluster(1)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        long index = 0;
+        while (index < 5_200) {
+          index = cluster.commitMany("voter-0", 400);
+        }
+        cluster.stop("voter-0");
+        cluster.startVoter("voter-0", Long.MAX_VALUE);
+        cluster.awaitLeader();
+        cluster.awaitApplied("voter-0", index);
+        assertTrue(cluster.knows("voter-0", "many-399"));
+      }
+    }
+
     @Test
     public void minorityIsNotReady() {
       try (LoopbackCluster cluster = new LoopbackCluster(3)) {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -122,6 +123,19 @@
 
   /** Commits a command through a node and returns its index. */
   long commit(String through, String subject) {
+    return propose(through, subject).join().getAppliedIndex();
+  }
+
+  /** Commits commands at once and returns the highest index. */
+  long commitMany(String through, int count) {
+    List<CompletableFuture<CommandAnswer>> answers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      answers.add(propose(through, "many-" + i));
+    }
+    return answers.stream().mapToLong(each -> each.join().getAppliedIndex()).max().orElse(0);
+  }
+
+  private CompletableFuture<CommandAnswer> propose(String through, String subject) {
     Command command =
         Command.newBuilder()
             .setRequestId("test-" + NEXT_REQUEST.incrementAndGet())
@@ -129,8 +143,7 @@
                 RegisterInstance.newBuilder()
                     .setInstance(InstanceRecord.newBuilder().setInstance(subject)))
             .build();
-    CommandAnswer answer = node(through).plane().propose(command).join();
-    return answer.getAppliedIndex();
+    return node(through).plane().propose(command);
   }
 
   boolean knows(String instance, String subject) {
