--- a/policy/src/test/java/org/teaseltrestle/policy/fleet/ReplicaSubsetResolverTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/fleet/ReplicaSubsetResolverTest.java
@@ -114,6 +114,28 @@
     assertTrue(changedByServer <= 0.02 * entries, "changed " + changedByServer);
   }
 
+  /** Guards against servers nobody watches at the target size, where subsets are scarce. */
+  @Test
+  public void targetSizeIsCovered() {
+    List<EntryInstance> instances = instances(420);
+    List<BackendServer> servers = servers(6_800);
+    Set<BackendServer> watched = new HashSet<>();
+    long start = System.nanoTime();
+    int sampled = 0;
+    for (EntryInstance self : instances) {
+      if (self.failureDomain().value().equals("d0")) {
+        watched.addAll(subset(self, instances, servers));
+        sampled++;
+      }
+    }
+    long millis = (System.nanoTime() - start) / 1_000_000;
+    Reporter.log("one subset at the target size takes " + millis / sampled + " ms", true);
+    for (BackendServer server : servers) {
+      boolean own = server.failureDomain().value().equals("d0");
+      assertTrue(!own || watched.contains(server), "nobody watches " + server.id());
+    }
+  }
+
   private static int missing(Set<BackendServer> before, Set<BackendServer> after) {
     Set<BackendServer> gone = new HashSet<>(before);
     gone.removeAll(after);
