Shed only accounts above their share and end waits at the deadline

Cause: priority shedding looked at the whole queue, so one account of a high priority could shut out all of lower ones; a waiting request outlived its deadline; idle time of an emptied queue counted as slowness. Change: shedding looks at the account's own wait; first attempts wait until their deadline at most; the drain rate ignores idle time. Conclusion: priority no longer overrides fair shares.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -118,8 +118,8 @@
       actions.add(refusal(work.request(), RefusalCode.ACCOUNT_WITHOUT_PLAN, null));
       return;
     }
-    RequestState request =
-        new RequestState(work, plan, nextSequence++, nowNanos + configuration.maximumQueueNanos());
+    long queueDeadline = deadlines.queueDeadline(work, configuration.maximumQueueNanos(), nowNanos);
+    RequestState request = new RequestState(work, plan, nextSequence++, queueDeadline);
     AccountLimiter.Denial denial = denial(request, nowNanos);
     if (denial == null && isFull(request) && !shedFor(request, actions)) {
       denial = new AccountLimiter.Denial(RefusalCode.QUEUE_FULL, RETRY_AFTER);
--- a/policy/src/main/java/org/teaseltrestle/policy/DeadlineCheck.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/DeadlineCheck.java
@@ -53,12 +53,19 @@
     if (wait + fastestFirstToken(request, servers) > USABLE * left) {
       return RefusalCode.DEADLINE_UNREACHABLE;
     }
+    // Only an account that has more waiting than its share is shed; otherwise one account of a high
+    // priority could shut out all others.
     int step = Math.max(0, Math.min(LOWEST_STEP, request.limits.priority()));
-    double allowed = USABLE - step * PRIORITY_STEP;
-    boolean shed = step > 0 && drain.timeFor((double) queue.work(), nowNanos) > allowed * left;
+    boolean shed = step > 0 && wait > (USABLE - step * PRIORITY_STEP) * left;
     return shed ? RefusalCode.OVERLOAD_SHED : null;
   }
 
+  /** Returns when a first attempt is pointless; the baseline waits for the longest time. */
+  long queueDeadline(WorkRequest work, long longestNanos, long nowNanos) {
+    long longest = nowNanos + longestNanos;
+    return enabled ? Math.min(longest, work.firstTokenDeadlineNanos()) : longest;
+  }
+
   /** Returns whether a first attempt at this server would miss the deadline. */
   boolean missedAt(RequestState request, Candidate candidate, long nowNanos) {
     if (!enabled || request.phase != RequestState.Phase.QUEUED) {
--- a/policy/src/main/java/org/teaseltrestle/policy/DrainRate.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/DrainRate.java
@@ -29,6 +29,11 @@
     wasBacklogged = backlogged;
   }
 
+  /** Notes that the queue is empty: the time until the next dispatch says nothing. */
+  void idle() {
+    wasBacklogged = false;
+  }
+
   /** Returns the time in nanoseconds that this work needs, 0 if no rate is known. */
   long timeFor(double tokens, long nowNanos) {
     if (samples < LEAST_SAMPLES || work <= 0) {
--- a/policy/src/main/java/org/teaseltrestle/policy/WaitingRequests.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WaitingRequests.java
@@ -42,6 +42,9 @@
     Lane lane = lane(request.queueKey);
     if (!lane.retries.remove(request)) {
       lane.queue.remove(request);
+      if (lane.queue.size() == 0) {
+        lane.drain.idle();
+      }
     }
     byDeadline.remove(request);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/FairnessTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/FairnessTest.java
@@ -111,7 +111,7 @@
               PolicyConfiguration.builder().queueing(queueing).build(),
               engines,
               Samples.wide("greedy", 1, 0),
-              Samples.wide("modest", 1, 0));
+              Samples.wide("modest", 1, 2));
     }
 
     /** Runs for a number of seconds with this many arrivals a second of each account. */
@@ -234,18 +234,50 @@
     }
   }
 
-  /** Guards against a request that waits although it cannot be served in time. */
+  /** Guards against requests that wait in vain, and against refusals without cause. */
   public static final class DeadlineTest {
 
     @Test
     public void missedDeadlineIsRefusedAsNotRun() {
-      Bench bench =
-          new Bench(
-              PolicyConfiguration.builder().build(),
-              List.of(Samples.engine("e1", "a")),
-              Samples.wide("north", 1, 0));
+      Bench bench = bench();
       WorkRequest late = Samples.completion("r", "north", 10, 10, bench.now);
       assertEquals(Bench.refusal(bench.arrive(late)).code(), RefusalCode.DEADLINE_UNREACHABLE);
     }
+
+    @Test
+    public void waitEndsAtDeadline() {
+      Bench bench = bench();
+      for (int i = 0; i < 8; i++) {
+        Bench.dispatch(bench.arrive(completion(bench, i)));
+      }
+      assertEquals(bench.arrive(completion(bench, 8)), List.of());
+      bench.now += Samples.SECOND;
+      List<AdmissionAction> actions = bench.send(new AdmissionEvent.Tick());
+      assertEquals(Bench.refusal(actions).code(), RefusalCode.QUEUE_TIMEOUT);
+    }
+
+    @Test
+    public void idleTimeIsNotTakenForSlowness() {
+      DrainRate drain = new DrainRate();
+      for (int i = 1; i <= 20; i++) {
+        drain.dispatched(100, true, i * Samples.MILLISECOND);
+      }
+      drain.idle();
+      drain.dispatched(100, true, 60 * Samples.SECOND);
+      long time = drain.timeFor(100, 60 * Samples.SECOND);
+      assertTrue(Math.abs(time - Samples.MILLISECOND) < 1_000, "time " + time);
+      assertTrue(drain.timeFor(100, 61 * Samples.SECOND) > 10 * Samples.MILLISECOND);
+    }
+
+    private static Bench bench() {
+      return new Bench(
+          PolicyConfiguration.builder().build(),
+          List.of(Samples.engine("e1", "a")),
+          Samples.wide("north", 1, 0));
+    }
+
+    private static WorkRequest completion(Bench bench, int number) {
+      return Samples.completion("r" + number, "north", 10, 10, bench.now + Samples.SECOND);
+    }
   }
 }
