Keep a bucket when no time has passed under the default share

Cause: settling a bucket also counted an interval of no length at the default share, whose smaller burst clipped the bucket; an instance lost what its grant had given it, and accounts below their limits were refused. Change: an interval without length changes nothing; the new test of an idle account failed before.

--- a/policy/src/main/java/org/teaseltrestle/policy/AccountLimiter.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AccountLimiter.java
@@ -162,6 +162,10 @@
     int open;
 
     void earn(PlanLimits limits, double share, long nanos) {
+      if (nanos <= 0) {
+        // The burst of a share under which no time has passed must not clip the buckets.
+        return;
+      }
       double seconds = Math.max(0, nanos) / NANOS_PER_SECOND;
       double requestBurst = Math.max(1, limits.requestsPerSecond() * share);
       tokens =
