Let an unfinished refused body not hold up a stop

Cause: a request counted as running until its whole body had arrived, so a caller that announced a body and never sent it kept a stopping relay open for ever. Change: a request counts until its answer has left; the rest of a refused body is dropped for at most two seconds, then the connection closes.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -25,6 +25,8 @@
 
   private static final EventLog LOG = EventLog.of(CallerResponse.class);
 
+  private static final long DROPPED_BODY_SECONDS = 2;
+
   private final HttpServerExchange exchange;
   private final RequestId request;
   private final Duration writeTimeout;
@@ -115,6 +117,12 @@
     }
     flush();
     exchange.endExchange();
+    if (!exchange.isRequestComplete()) {
+      // The rest of a refused body is read and dropped, but not for ever.
+      exchange
+          .getIoThread()
+          .executeAfter(this::abortIfOpen, DROPPED_BODY_SECONDS, TimeUnit.SECONDS);
+    }
   }
 
   /** Closes the connection, so that the caller sees that the answer is not whole. */
@@ -122,6 +130,12 @@
     IoUtils.safeClose(exchange.getConnection());
   }
 
+  private void abortIfOpen() {
+    if (!exchange.isComplete()) {
+      abort();
+    }
+  }
+
   private StreamSinkChannel open() {
     StreamSinkChannel sink = channel;
     if (sink == null) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -65,12 +65,8 @@
     RequestId request = new RequestId("req-" + UUID.randomUUID());
     context.counters().request();
     drain.begin();
-    exchange.addExchangeCompleteListener(
-        (ended, next) -> {
-          drain.end();
-          next.proceed();
-        });
-    if (!threads.execute(exchange, () -> relay(exchange, request, path))) {
+    if (!threads.execute(exchange, () -> relayCounted(exchange, request, path))) {
+      drain.end();
       RefusalException refusal =
           new RefusalException(
               RefusalCode.QUEUE_FULL, "this instance has too many requests under way");
@@ -81,7 +77,18 @@
     }
   }
 
-  /** Runs on a relay thread. */
+  /**
+   * Runs on a relay thread. The request counts until its answer has left this process; a caller
+   * that never sends the rest of a refused body does not hold up a stop.
+   */
+  private void relayCounted(HttpServerExchange exchange, RequestId request, String path) {
+    try {
+      relay(exchange, request, path);
+    } finally {
+      drain.end();
+    }
+  }
+
   private void relay(HttpServerExchange exchange, RequestId request, String path) {
     CallerResponse response =
         new CallerResponse(
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.policy.PolicyConfiguration;
 import org.testng.annotations.DataProvider;
@@ -235,6 +236,18 @@
       }
     }
 
+    /** Guards against a stop held up by a caller that never sends the body it announced. */
+    @Test
+    public void unfinishedRefusedBodyDoesNotHoldUpTheStop() throws IOException {
+      try (RelayHarness relay = new RelayHarness();
+          Socket socket = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
+        String post = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n";
+        socket.getOutputStream().write(post.getBytes(StandardCharsets.UTF_8));
+        RelayHarness.await(() -> relay.counter("refusal.key_missing") == 1);
+        CompletableFuture.runAsync(relay.relay::shutdown).orTimeout(5, TimeUnit.SECONDS).join();
+      }
+    }
+
     /** Guards against a balancer that goes on sending requests on kept-alive connections. */
     @Test
     public void readinessEndsAtOnceAndConnectionsClose() throws Exception {
