--- a/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
@@ -17,7 +17,10 @@
 
   // Long enough to smooth single requests, short enough to follow a swing within seconds.
   private static final double DECAY_SECONDS = 3;
-  private static final double NEGLIGIBLE_TOKENS_PER_SECOND = 0.01;
+
+  // One request of 300 tokens falls below this after 14 s. At 0.01 it would be reported for 28 s,
+  // and an instance of the target size would report 460 accounts each second in place of 260.
+  private static final double NEGLIGIBLE_TOKENS_PER_SECOND = 1;
 
   private final AdmissionDecisions decisions;
   private final MonotonicClock clock;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.transport.PeerTransport;
 import org.teaseltrestle.wire.CommittedCommands;
 import org.teaseltrestle.wire.CommittedState;
@@ -38,6 +39,7 @@
   private final Map<String, Child> children = new HashMap<>();
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
+  private ServingLists lists = ServingLists.EMPTY;
 
   private static final class Child {
     InetSocketAddress address;
@@ -74,6 +76,7 @@
     child.address = address;
     child.heardAtNanos = clock.nowNanos();
     child.demand = AccountShares.toMap(bundle.getDemandList());
+    lists = state.view().lists();
     // The same index twice, although more was sent, means that a message was lost.
     boolean stuck = bundle.getAppliedIndex() == child.reportedIndex;
     if (!known || stuck || bundle.getAppliedIndex() > child.sentIndex) {
@@ -115,7 +118,7 @@
     }
   }
 
-  /** Passes each grant to the child that the renewal came from. */
+  /** Passes each grant to the child that the renewal came from, with the demand it needs. */
   void passGrants(GrantBundle bundle) {
     Map<String, GrantBundle.Builder> byChild = new HashMap<>();
     for (LeaseGrant grant : bundle.getGrantsList()) {
@@ -123,13 +126,16 @@
           .ifPresent(
               child ->
                   byChild
-                      .computeIfAbsent(child, id -> bundle.toBuilder().clearGrants())
+                      .computeIfAbsent(
+                          child, id -> bundle.toBuilder().clearGrants().clearTotalDemand())
                       .addGrants(grant));
     }
     byChild.forEach(
         (id, grants) -> {
           Child child = children.get(id);
           if (child != null) {
+            grants.addAllTotalDemand(
+                DemandFilter.forChild(bundle.getTotalDemandList(), child.demand.keySet(), lists));
             send(child, FollowMessage.GRANTS, grants.build().toByteArray());
           }
         });
--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
@@ -13,6 +13,7 @@
 import org.teaseltrestle.testkit.command.FaultProxyCommand;
 import org.teaseltrestle.testkit.command.LocalClusterCommand;
 import org.teaseltrestle.testkit.command.MakeTraceCommand;
+import org.teaseltrestle.testkit.command.MeasureCapacityCommand;
 import org.teaseltrestle.testkit.command.ReplayCommand;
 
 /** Entry point of the test kit. Exit codes: 0 done, 1 failed, 2 wrong usage. */
@@ -29,6 +30,7 @@
       LocalClusterCommand.class,
       ReplayCommand.class,
       MakeTraceCommand.class,
+      MeasureCapacityCommand.class,
       CertificatesCommand.class,
       Help.class
     })
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/StreamSlopes.java
@@ -0,0 +1,134 @@
+package org.teaseltrestle.testkit.capacity;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.testkit.capacity.Slope.Use;
+
+/**
+ * Slope of stand-in streams: one thread a stream reads a token's chunk from one loopback socket and
+ * writes it to another, as a relay thread does. The sockets' own cost is the least a relay can
+ * have.
+ */
+final class StreamSlopes {
+
+  /** A chunk as the fake engine writes it, with the frame of a chunked body. */
+  static final String CHUNK =
+      "c1\r\ndata: {\"id\":\"0123456789abcdef0123456789abcdef\",\"object\":"
+          + "\"chat.completion.chunk\",\"model\":\"model-1\",\"trestle_token_index\":123,"
+          + "\"choices\":[{\"index\":0,\"delta\":{\"content\":\" token123\"},"
+          + "\"finish_reason\":null}]}\n\n\r\n";
+
+  private static final int CHUNKS_OF_STREAM = 40;
+  private static final double CHUNKS_PER_SECOND = 9_100.0 * 200 / States.NODES;
+
+  private StreamSlopes() {}
+
+  static List<Slope> all() {
+    return List.of(
+        new Slope(
+            "processor: chunks through stand-in streams",
+            "ns/chunk",
+            size -> relayed(size / CHUNKS_OF_STREAM),
+            new int[] {1_280, 2_560, 5_120},
+            List.of(
+                new Use("entry node", "4,333 chunks a second", CHUNKS_PER_SECOND, 1, Bound.NONE))),
+        new Slope(
+            "bytes: chunks of streams",
+            "B/chunk",
+            size -> (double) size * CHUNK.getBytes(StandardCharsets.UTF_8).length,
+            new int[] {1_280, 2_560, 5_120},
+            List.of(
+                new Use(
+                    "entry node",
+                    "4,333 chunks a second, in, and as many out",
+                    CHUNKS_PER_SECOND,
+                    1,
+                    Bound.NONE))));
+  }
+
+  /** Returns the processor nanoseconds of the relaying threads. */
+  private static double relayed(int streams) throws IOException, InterruptedException {
+    LongAdder nanos = new LongAdder();
+    AtomicReference<@Nullable Throwable> failure = new AtomicReference<>();
+    List<Thread> threads = new ArrayList<>();
+    try (ServerSocket listener = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      for (int i = 0; i < streams; i++) {
+        Socket source = connect(listener);
+        final Socket engineSide = listener.accept();
+        Socket sink = connect(listener);
+        final Socket callerSide = listener.accept();
+        threads.add(thread(() -> send(engineSide), failure));
+        threads.add(thread(() -> nanos.add(relay(source, callerSide)), failure));
+        threads.add(thread(() -> drain(sink), failure));
+      }
+    }
+    threads.forEach(Thread::start);
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    Throwable failed = failure.get();
+    if (failed != null) {
+      throw new IllegalStateException("a stand-in stream failed", failed);
+    }
+    return nanos.sum();
+  }
+
+  private static Socket connect(ServerSocket listener) throws IOException {
+    Socket socket = new Socket(listener.getInetAddress(), listener.getLocalPort());
+    socket.setTcpNoDelay(true);
+    return socket;
+  }
+
+  private static Thread thread(Runnable work, AtomicReference<@Nullable Throwable> failure) {
+    Thread thread = new Thread(work, "stand-in-stream");
+    thread.setDaemon(true);
+    thread.setUncaughtExceptionHandler((owner, thrown) -> failure.set(thrown));
+    return thread;
+  }
+
+  private static void send(Socket target) {
+    byte[] chunk = CHUNK.getBytes(StandardCharsets.UTF_8);
+    try (target) {
+      OutputStream output = target.getOutputStream();
+      for (int i = 0; i < CHUNKS_OF_STREAM; i++) {
+        output.write(chunk);
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static long relay(Socket from, Socket to) {
+    int length = CHUNK.getBytes(StandardCharsets.UTF_8).length;
+    try (from;
+        to) {
+      InputStream input = from.getInputStream();
+      OutputStream output = to.getOutputStream();
+      for (int i = 0; i < CHUNKS_OF_STREAM; i++) {
+        output.write(input.readNBytes(length));
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return Meter.ownProcessorNanos();
+  }
+
+  private static void drain(Socket from) {
+    try (from) {
+      from.getInputStream().transferTo(OutputStream.nullOutputStream());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
@@ -0,0 +1,302 @@
+package org.teaseltrestle.testkit.capacity;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import org.teaseltrestle.testkit.capacity.Slope.Use;
+import org.teaseltrestle.wire.AccountDemand;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommittedCommands;
+import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.IssueKey;
+import org.teaseltrestle.wire.LeaseGrant;
+import org.teaseltrestle.wire.LeaseRenewal;
+import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.RenewalBundle;
+
+/** Slopes of the messages in the dissemination tree, in bytes with framing. */
+final class TreeSlopes {
+
+  private static final String FOLLOWER = "follower";
+  private static final String INNER = "inner node";
+  private static final String LEADER = "leader";
+  private static final int CHILDREN = 8;
+
+  /** Bundles that a node with children sends each second, and grants that it gets. */
+  private static final int MERGED_PER_SECOND = 5;
+
+  /** Other voters with bundles of their own. */
+  private static final int OTHER_VOTERS = 6;
+
+  // Accounts with a demand above 1 token/s: a request of 300 tokens is seen for 14 s, so 21.7
+  // requests a second draw 300 times from 1,100 accounts at one node and 2,700 times at nine.
+  private static final int ACCOUNTS_OF_NODE = 262;
+  private static final int ACCOUNTS_OF_SUBTREE = 1_006;
+  private static final int[] ACCOUNT_SIZES = {275, 550, 1_100};
+  private static final int[] NODE_SIZES = {9, 35, 70};
+
+  private TreeSlopes() {}
+
+  static List<Slope> all() {
+    return List.of(
+        keyChanges(),
+        listChanges(),
+        usageBatches(),
+        renewals(),
+        demandUp(),
+        demandDown(),
+        coding());
+  }
+
+  private static Slope keyChanges() {
+    return new Slope(
+        "bytes: changes of keys",
+        "B/change",
+        size -> {
+          double bytes = 0;
+          for (int i = 0; i < size; i++) {
+            IssueKey change = IssueKey.newBuilder().setKey(States.key(i)).build();
+            bytes += commands(Command.newBuilder().setRequestId("key-" + i).setIssueKey(change));
+          }
+          return bytes;
+        },
+        new int[] {100, 200, 400},
+        List.of(
+            new Use(FOLLOWER, "15,000 a day, in", ControlSlopes.CHANGES_PER_SECOND, 1, Bound.BYTES),
+            new Use(
+                INNER,
+                "15,000 a day, out to 8",
+                ControlSlopes.CHANGES_PER_SECOND,
+                CHILDREN,
+                Bound.BYTES)));
+  }
+
+  private static Slope listChanges() {
+    double rate = ControlSlopes.CHANGES_PER_SECOND;
+    return new Slope(
+        "bytes: change of the lists",
+        "B/account",
+        size -> commands(ControlSlopes.listsCommand(size).toBuilder()),
+        ACCOUNT_SIZES,
+        List.of(
+            new Use(
+                FOLLOWER, "all changes are of the lists, in", States.ACCOUNTS, rate, Bound.BYTES),
+            new Use(
+                INNER,
+                "all changes are of the lists, out to 8",
+                States.ACCOUNTS,
+                CHILDREN * rate,
+                Bound.BYTES)));
+  }
+
+  private static Slope usageBatches() {
+    return new Slope(
+        "bytes: usage batches",
+        "B/figure",
+        size -> commands(ControlSlopes.batch(1, 1, size).toBuilder()),
+        new int[] {5, 11, 22},
+        List.of(
+            new Use(
+                FOLLOWER,
+                "420 batches of 22 a second, in",
+                ControlSlopes.FIGURES_IN_BATCH,
+                States.NODES,
+                Bound.BYTES),
+            new Use(
+                INNER,
+                "420 batches of 22 a second, out to 8",
+                ControlSlopes.FIGURES_IN_BATCH,
+                States.NODES * CHILDREN,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "420 batches of 22 a second, out to 6 voters",
+                ControlSlopes.FIGURES_IN_BATCH,
+                States.NODES * OTHER_VOTERS,
+                Bound.BYTES)));
+  }
+
+  private static double commands(Command.Builder command) {
+    LoggedCommand logged =
+        LoggedCommand.newBuilder()
+            .setIndex(1L << 35)
+            .setCommand(command.build().toByteString())
+            .build();
+    return Meter.framed(
+        CommittedCommands.newBuilder()
+            .addCommands(logged)
+            .setAppliedIndex(1L << 35)
+            .setRootAgeMillis(100)
+            .build());
+  }
+
+  private static Slope renewals() {
+    return new Slope(
+        "bytes: renewals without demand",
+        "B/node",
+        size -> Meter.framed(bundle(size, 0)),
+        NODE_SIZES,
+        List.of(
+            new Use(FOLLOWER, "1 a second, out", 1, 1, Bound.BYTES),
+            new Use(
+                INNER,
+                "9 nodes in 5 bundles a second, out",
+                9.0 / MERGED_PER_SECOND,
+                MERGED_PER_SECOND,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "360 nodes in 30 bundles a second, in",
+                12,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.BYTES)));
+  }
+
+  private static Slope demandUp() {
+    return new Slope(
+        "bytes: demand in renewals",
+        "B/account",
+        size -> Meter.framed(bundle(1, size)),
+        ACCOUNT_SIZES,
+        List.of(
+            new Use(FOLLOWER, "262 accounts each second, out", ACCOUNTS_OF_NODE, 1, Bound.BYTES),
+            new Use(
+                INNER,
+                "8 children, 262 accounts each, in",
+                ACCOUNTS_OF_NODE,
+                CHILDREN,
+                Bound.BYTES),
+            new Use(
+                INNER,
+                "1,006 accounts, 5 a second, out",
+                ACCOUNTS_OF_SUBTREE,
+                MERGED_PER_SECOND,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "1,100 accounts, 30 a second, in",
+                States.ACCOUNTS,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.BYTES)));
+  }
+
+  private static Slope demandDown() {
+    return new Slope(
+        "bytes: demand in grants",
+        "B/account",
+        size -> Meter.framed(grants(1, size)),
+        ACCOUNT_SIZES,
+        List.of(
+            new Use(
+                FOLLOWER,
+                "unfiltered, 1,100 accounts each second, in",
+                States.ACCOUNTS,
+                1,
+                Bound.BYTES),
+            new Use(FOLLOWER, "262 accounts each second, in", ACCOUNTS_OF_NODE, 1, Bound.BYTES),
+            new Use(
+                INNER,
+                "1,006 accounts, 5 a second, in",
+                ACCOUNTS_OF_SUBTREE,
+                MERGED_PER_SECOND,
+                Bound.BYTES),
+            new Use(
+                INNER,
+                "8 children, 262 accounts each, out",
+                ACCOUNTS_OF_NODE,
+                CHILDREN,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "1,100 accounts, 30 a second, out",
+                States.ACCOUNTS,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.BYTES)));
+  }
+
+  private static Slope coding() {
+    int repeats = 20;
+    return new Slope(
+        "processor: grants encoded and decoded",
+        "ns/account",
+        size -> {
+          GrantBundle bundle = grants(1, size);
+          return Meter.processor(
+                  repeats,
+                  () -> {
+                    for (int i = 0; i < repeats; i++) {
+                      decode(bundle.toBuilder().setRegisteredInstances(i).build().toByteArray());
+                    }
+                  })
+              / repeats;
+        },
+        ACCOUNT_SIZES,
+        List.of(
+            new Use(FOLLOWER, "262 accounts each second", ACCOUNTS_OF_NODE, 1, Bound.PROCESSOR),
+            new Use(
+                INNER,
+                "1,006 accounts, 5 a second",
+                ACCOUNTS_OF_SUBTREE,
+                MERGED_PER_SECOND,
+                Bound.PROCESSOR),
+            new Use(
+                LEADER,
+                "1,100 accounts, 30 a second",
+                States.ACCOUNTS,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.PROCESSOR)));
+  }
+
+  private static void decode(byte[] encoded) {
+    try {
+      if (GrantBundle.parseFrom(encoded).getTotalDemandCount() == 0) {
+        throw new IllegalStateException("demand is missing");
+      }
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static RenewalBundle bundle(int nodes, int accounts) {
+    RenewalBundle.Builder bundle =
+        RenewalBundle.newBuilder()
+            .setInstance(States.instance(0))
+            .setBoot(-1)
+            .setAppliedIndex(1L << 35)
+            .setReplyAddress("10.0.0.1:8082")
+            .setFollows(true);
+    for (int i = 0; i < nodes; i++) {
+      bundle.addRenewals(
+          LeaseRenewal.newBuilder()
+              .setInstance(States.instance(i))
+              .setBoot(-1)
+              .setAppliedIndex(1L << 35)
+              .setSentAtNanos(1L << 50));
+    }
+    for (int i = 0; i < accounts; i++) {
+      bundle.addDemand(demand(i));
+    }
+    return bundle.build();
+  }
+
+  private static GrantBundle grants(int nodes, int accounts) {
+    GrantBundle.Builder bundle = GrantBundle.newBuilder().setRegisteredInstances(States.NODES);
+    for (int i = 0; i < nodes; i++) {
+      bundle.addGrants(
+          LeaseGrant.newBuilder()
+              .setInstance(States.instance(i))
+              .setBoot(-1)
+              .setSentAtNanos(1L << 50));
+    }
+    for (int i = 0; i < accounts; i++) {
+      bundle.addTotalDemand(demand(i));
+    }
+    return bundle.build();
+  }
+
+  private static AccountDemand demand(int account) {
+    return AccountDemand.newBuilder()
+        .setAccount(States.account(account))
+        .setTokensPerSecond(123.4)
+        .build();
+  }
+}
--- /dev/null
+++ b/testkit/src/test/java/org/teaseltrestle/testkit/capacity/CapacityTableTest.java
@@ -0,0 +1,68 @@
+package org.teaseltrestle.testkit.capacity;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of the fit and of the table. */
+public final class CapacityTableTest {
+
+  /** Guards against a wrong slope and against a fit that hides how far the points are off. */
+  public static final class FitTest {
+
+    @Test
+    public void lineIsFoundWithoutErrorAndScatterIsReported() {
+      LinearFit exact = LinearFit.of(new double[] {1, 2, 4}, new double[] {13, 16, 22});
+      assertEquals(exact.slope(), 3, 1e-9);
+      assertEquals(exact.intercept(), 10, 1e-9);
+      assertEquals(exact.relativeError(), 0, 1e-9);
+      assertEquals(exact.at(100), 310, 1e-9);
+      LinearFit off = LinearFit.of(new double[] {1, 2, 3}, new double[] {1, 4, 1});
+      assertEquals(off.slope(), 0, 1e-9);
+      // Residuals -1, 2, -1 around the mean 2.
+      assertEquals(off.relativeError(), Math.sqrt(2) / 2, 1e-9);
+    }
+
+    @Test
+    public void tooFewOrEqualSizesAreRefused() {
+      assertThrows(
+          IllegalArgumentException.class,
+          () -> LinearFit.of(new double[] {1, 2}, new double[] {1, 2}));
+      assertThrows(
+          IllegalArgumentException.class,
+          () -> LinearFit.of(new double[] {2, 2, 2}, new double[] {1, 2, 3}));
+    }
+  }
+
+  /** Guards against a missed bound or a long extrapolation that the page does not show. */
+  public static final class RowsTest {
+
+    @Test
+    public void missedBoundAndExtrapolationAreMarked() {
+      Slope slope =
+          new Slope(
+              "bytes: things",
+              "B/thing",
+              size -> size,
+              new int[] {10, 20, 40},
+              List.of(
+                  new Slope.Use("leader", "many", 401, 100, Bound.BYTES),
+                  new Slope.Use("follower", "few", 40, 100, Bound.BYTES)));
+      String[] rows = CapacityTable.rows(slope, new LinearFit(1, 0, 0)).split("\n");
+      assertTrue(rows[0].contains("many (extrapolated 10 times) | 40.1 KB/s"), rows[0]);
+      assertTrue(rows[0].endsWith("| **no** |"), rows[0]);
+      assertTrue(rows[1].contains("| few | 4.0 KB/s"), rows[1]);
+      assertTrue(rows[1].endsWith("| yes |"), rows[1]);
+    }
+
+    @Test
+    public void tableIsReplacedAndTheRestOfThePageStays() {
+      String page = "a\n" + CapacityTable.BEGIN + "\nold\n" + CapacityTable.END + "\nb\n";
+      String replaced = CapacityTable.replaced(page, "new\n");
+      assertEquals(replaced, page.replace("old", "new"));
+    }
+  }
+}
