--- a/control/src/main/java/org/teaseltrestle/control/leader/AuthorityLease.java
+++ b/control/src/main/java/org/teaseltrestle/control/leader/AuthorityLease.java
@@ -8,7 +8,7 @@
  * applied, the predecessor's lease and last call are over, and its own lease has not ended. The
  * question is asked directly before each send, so a process that was frozen finds its lease ended.
  */
-public final class AuthorityLease {
+public final class AuthorityLease implements OutwardAuthority {
 
   private static final long CLAIM_RESEND_NANOS = TimeUnit.SECONDS.toNanos(1);
 
@@ -84,7 +84,7 @@
     return dueClaim(nowNanos);
   }
 
-  /** Tells whether an outward act may start now. */
+  @Override
   public boolean mayAct(long nowNanos) {
     return leading
         && claimApplied
@@ -93,7 +93,7 @@
         && nowNanos - leaseEndsAtNanos < 0;
   }
 
-  /** Returns the term under which this replica acts. */
+  @Override
   public long term() {
     return term;
   }
--- a/control/src/main/java/org/teaseltrestle/control/leader/OrderBookPolicy.java
+++ b/control/src/main/java/org/teaseltrestle/control/leader/OrderBookPolicy.java
@@ -31,7 +31,7 @@
 
   private final String instance;
   private final long boot;
-  private final AuthorityLease lease;
+  private final OutwardAuthority lease;
   private final LeaseTimings timings;
   private final long startedAtNanos;
   private final Map<String, Attempt> attempts = new HashMap<>();
@@ -48,7 +48,7 @@
    * @param nowNanos start of the process
    */
   public OrderBookPolicy(
-      String instance, long boot, AuthorityLease lease, LeaseTimings timings, long nowNanos) {
+      String instance, long boot, OutwardAuthority lease, LeaseTimings timings, long nowNanos) {
     this.instance = instance;
     this.boot = boot;
     this.lease = lease;
--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -16,11 +16,14 @@
 import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.node.backend.BackendHttp;
 import org.teaseltrestle.node.backend.HttpEngineClient;
+import org.teaseltrestle.node.backend.HttpOrders;
 import org.teaseltrestle.node.backend.HttpPlatformInstances;
 import org.teaseltrestle.node.backend.HttpServiceClient;
 import org.teaseltrestle.node.fleet.FleetDuty;
 import org.teaseltrestle.node.fleet.FleetSettings;
 import org.teaseltrestle.node.operators.OperatorService;
+import org.teaseltrestle.node.orders.FleetControl;
+import org.teaseltrestle.node.orders.OrdersDuty;
 import org.teaseltrestle.node.port.EngineClient;
 import org.teaseltrestle.node.port.PlatformInstances;
 import org.teaseltrestle.node.port.ServiceClient;
@@ -40,6 +43,8 @@
 import org.teaseltrestle.policy.AdmissionCore;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.PolicyConfiguration;
+import org.teaseltrestle.policy.fleet.RoleController;
+import org.teaseltrestle.policy.fleet.SpendingController;
 import org.teaseltrestle.transport.NettyPeerTransport;
 import org.teaseltrestle.transport.PeerTransport;
 import org.teaseltrestle.transport.TransportConfiguration;
@@ -127,7 +132,7 @@
             new MessageEndpoints(transport),
             clock,
             wallClock,
-            demand::tokensPerSecond,
+            demand,
             (shares, totalDemand, expiresAtNanos, defaultShare) ->
                 admission
                     .get()
@@ -273,6 +278,30 @@
         settings.instance(), control, confirmations, wallClock, this::keyRandom);
   }
 
+  @Provides
+  @Singleton
+  OrdersDuty orders(
+      ControlPlane control, BackendHttp http, MonotonicClock clock, WallClock wallClock) {
+    HttpOrders adapters = new HttpOrders(http, settings.platformAddress());
+    PolicySettings policy = settings.policy();
+    FleetControl fleetControl =
+        new FleetControl(
+            new RoleController(policy.roles(), RoleController.Settings.DEFAULT),
+            new SpendingController(policy.spending(), SpendingController.Settings.DEFAULT),
+            policy.engineRates(),
+            control::poolDemand,
+            clock.nowNanos());
+    return new OrdersDuty(
+        settings.instance(),
+        boot,
+        settings.usageWindowSeconds(),
+        control,
+        adapters.ports(),
+        fleetControl,
+        clock,
+        wallClock);
+  }
+
   private byte[] keyRandom() {
     byte[] bytes = new byte[KeyVerifier.RANDOM_BYTES];
     random.nextBytes(bytes);
--- a/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
@@ -10,6 +10,7 @@
 import org.teaseltrestle.node.operators.OperatorServer;
 import org.teaseltrestle.node.operators.OperatorService;
 import org.teaseltrestle.node.operators.OperatorToken;
+import org.teaseltrestle.node.orders.OrdersDuty;
 import org.teaseltrestle.node.relay.AdmissionDuty;
 import org.teaseltrestle.node.relay.RelayService;
 import org.teaseltrestle.node.replica.ControlPlane;
@@ -30,6 +31,7 @@
   private final FleetDuty fleet;
   private final UsageService usage;
   private final RelayService relay;
+  private final OrdersDuty orders;
   private final OperatorService operators;
   private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -43,6 +45,7 @@
       FleetDuty fleet,
       UsageService usage,
       RelayService relay,
+      OrdersDuty orders,
       OperatorService operators) {
     this.settings = settings;
     this.closer = closer;
@@ -52,6 +55,7 @@
     this.fleet = fleet;
     this.usage = usage;
     this.relay = relay;
+    this.orders = orders;
     this.operators = operators;
   }
 
@@ -66,6 +70,8 @@
     closer.register(admission);
     fleet.start();
     closer.register(fleet);
+    orders.start();
+    closer.register(orders);
     closer.register(
         OperatorServer.start(
             settings.operatorAddress(),
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
@@ -5,20 +5,25 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import okhttp3.MediaType;
 import okhttp3.Request;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.node.orders.OutwardPorts;
 import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.EngineOrders;
 import org.teaseltrestle.node.port.EntryInstances;
 import org.teaseltrestle.node.port.OrderAnswer;
 import org.teaseltrestle.node.port.OrderAnswer.Kind;
+import org.teaseltrestle.node.port.PlatformFleet;
 import org.teaseltrestle.node.port.PlatformOrders;
 import org.teaseltrestle.node.port.PlatformUsage;
+import org.teaseltrestle.wire.BackendServerRecord;
 import org.teaseltrestle.wire.EngineOrder;
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.UsageFigure;
@@ -45,6 +50,12 @@
     this.platformAddress = platformAddress;
   }
 
+  /** Returns all ports of the orders duty. */
+  public OutwardPorts ports() {
+    return new OutwardPorts(
+        engineOrders(), platformOrders(), platformUsage(), platformFleet(), entryInstances());
+  }
+
   /** Returns the port for orders to engines. */
   public EngineOrders engineOrders() {
     return (address, order) -> post(address, "/orders", engineOrder(order));
@@ -74,6 +85,34 @@
     };
   }
 
+  /** Returns the port for the list of backend servers. */
+  public PlatformFleet platformFleet() {
+    return () -> {
+      List<BackendServerRecord> servers = new ArrayList<>();
+      status
+          .get(platformAddress, "/instances")
+          .path("instances")
+          .forEach(entry -> servers.add(record(entry)));
+      return servers;
+    };
+  }
+
+  private static BackendServerRecord record(JsonNode entry) {
+    BackendServerRecord.Builder server =
+        BackendServerRecord.newBuilder()
+            .setId(entry.path("id").asText())
+            .setPool(entry.path("pool").asText())
+            .setFailureDomain(entry.path("failureDomain").asText())
+            .setAddress(entry.path("address").asText())
+            .setKind(entry.path("kind").asText())
+            .setCapacity(entry.path("capacity").asText())
+            .setChecksFencing(entry.path("checksFencing").asBoolean())
+            .setState(entry.path("state").asText())
+            .setRole(entry.path("role").asText());
+    entry.path("models").forEach(model -> server.addModels(model.asText()));
+    return server.build();
+  }
+
   private static ObjectNode engineOrder(EngineOrder order) {
     ObjectNode body =
         JSON.createObjectNode()
@@ -138,11 +177,19 @@
     }
   }
 
+  private static Set<String> namedServers(String text) throws IOException {
+    Set<String> servers = new HashSet<>();
+    if (!text.isBlank()) {
+      JSON.readTree(text).path("instances").forEach(server -> servers.add(server.asText()));
+    }
+    return servers;
+  }
+
   private static OrderAnswer answer(Response response) throws IOException {
     ResponseBody body = response.body();
     String text = body == null ? "" : body.string();
     if (response.code() == STATUS_OK) {
-      return new OrderAnswer(Kind.ACCEPTED, "accepted");
+      return new OrderAnswer(Kind.ACCEPTED, "accepted", namedServers(text));
     }
     if (response.code() == STATUS_CONFLICT && text.contains("stale_fencing_number")) {
       return new OrderAnswer(Kind.STALE, "stale fencing number");
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/orders/FleetControl.java
@@ -0,0 +1,241 @@
+package org.teaseltrestle.node.orders;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.leader.OrderBookPolicy;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.lists.ModelEntry;
+import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.BackendServer.Capacity;
+import org.teaseltrestle.policy.EngineRole;
+import org.teaseltrestle.policy.fleet.RoleController;
+import org.teaseltrestle.policy.fleet.SpendingController;
+import org.teaseltrestle.policy.fleet.SpendingController.Outstanding;
+import org.teaseltrestle.policy.fleet.SpendingController.PaidServer;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.PlacePlatformOrder;
+import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.PoolDemand;
+
+/**
+ * Runs the role and spending decisions on the leader and turns them into orders of the order book.
+ * A change that a command has just been proposed for is not proposed again before its answer can be
+ * seen in the state.
+ */
+public final class FleetControl {
+
+  private static final EventLog LOG = EventLog.of(FleetControl.class);
+  private static final long DECISION_NANOS = 1_000_000_000L;
+
+  private final RoleController roles;
+  private final SpendingController spending;
+  private final EngineRates rates;
+  private final Supplier<List<PoolDemand>> demand;
+  private long nextDecisionNanos;
+  private long decidedAtIndex = -1;
+
+  /**
+   * Creates the control.
+   *
+   * @param demand demand by pool over all nodes
+   * @param nowNanos now
+   */
+  public FleetControl(
+      RoleController roles,
+      SpendingController spending,
+      EngineRates rates,
+      Supplier<List<PoolDemand>> demand,
+      long nowNanos) {
+    this.roles = roles;
+    this.spending = spending;
+    this.rates = rates;
+    this.demand = demand;
+    this.nextDecisionNanos = nowNanos;
+  }
+
+  /** Returns the commands that place the orders decided now. */
+  List<Command.Builder> decide(ControlView view, OrderBookPolicy orderBook, long nowNanos) {
+    // A decision is taken only on a state that shows the orders of the last one.
+    if (nowNanos - nextDecisionNanos < 0 || view.appliedIndex() <= decidedAtIndex) {
+      return List.of();
+    }
+    nextDecisionNanos = nowNanos + DECISION_NANOS;
+    Map<PoolId, ModelEntry> pools = new HashMap<>();
+    for (ModelEntry model : view.lists().models().values()) {
+      pools.putIfAbsent(model.pool(), model);
+    }
+    roles.retain(pools.keySet());
+    spending.retain(pools.keySet());
+    Map<String, PoolDemand> demands =
+        demand.get().stream().collect(Collectors.toMap(PoolDemand::getPool, each -> each));
+    List<Command.Builder> commands = new ArrayList<>();
+    pools.forEach(
+        (pool, model) -> {
+          PoolDemand asked =
+              demands.getOrDefault(
+                  pool.value(), PoolDemand.newBuilder().setPool(pool.value()).build());
+          commands.addAll(roleChanges(asked, view, orderBook, nowNanos));
+          commands.addAll(purchases(asked, model, view, nowNanos));
+        });
+    if (!commands.isEmpty()) {
+      decidedAtIndex = view.appliedIndex();
+    }
+    return commands;
+  }
+
+  private List<Command.Builder> roleChanges(
+      PoolDemand asked, ControlView view, OrderBookPolicy orderBook, long nowNanos) {
+    Map<String, BackendServerRecord> engines = new HashMap<>();
+    Set<String> changing = new HashSet<>();
+    view.openEngineOrders().forEach(order -> changing.add(order.getBackendServer()));
+    Set<String> planned = new HashSet<>();
+    view.plannedChanges().forEach(change -> planned.add(change.getBackendServer()));
+    List<RoleController.Engine> states = new ArrayList<>();
+    for (BackendServerRecord server : poolOf(view, asked.getPool())) {
+      engines.put(server.getId(), server);
+      states.add(
+          new RoleController.Engine(
+              new BackendServerId(server.getId()),
+              changing.contains(server.getId()) ? EngineRole.CHANGING : role(server),
+              0,
+              server.getState().equals("live") && !planned.contains(server.getId())));
+    }
+    RoleController.Demand rolesDemand =
+        new RoleController.Demand(
+            new PoolId(asked.getPool()),
+            asked.getPrefillTokensPerSecond(),
+            asked.getDecodeTokensPerSecond(),
+            0,
+            rates.prefillTokensPerSecond(),
+            rates.decodeTokensPerSecond());
+    List<Command.Builder> commands = new ArrayList<>();
+    for (RoleController.RoleChange change : roles.decide(rolesDemand, states, nowNanos)) {
+      LOG.info(OrdersEvent.ROLE_CHANGE_DECIDED, "engine", change.engine(), "role", change.role());
+      BackendServerRecord engine = engines.get(change.engine().value());
+      if (engine != null) {
+        commands.add(placeRole(engine, change.role(), view, orderBook));
+      }
+    }
+    return commands;
+  }
+
+  private static Command.Builder placeRole(
+      BackendServerRecord engine, EngineRole role, ControlView view, OrderBookPolicy orderBook) {
+    EngineOrder.Builder order =
+        EngineOrder.newBuilder()
+            .setOrderId("role/" + engine.getId() + "/" + view.appliedIndex())
+            .setBackendServer(engine.getId())
+            .setKind("set_role")
+            .setRole(role.name().toLowerCase(Locale.ROOT));
+    orderBook
+        .senderFor(engine, view)
+        .ifPresent(
+            owner -> order.setOwnerInstance(owner.getInstance()).setOwnerBoot(owner.getBoot()));
+    return OrderCommands.place(order.build(), view.authority().getTerm());
+  }
+
+  private List<Command.Builder> purchases(
+      PoolDemand asked, ModelEntry model, ControlView view, long nowNanos) {
+    double busy =
+        asked.getPrefillTokensPerSecond() / rates.prefillTokensPerSecond()
+            + asked.getDecodeTokensPerSecond() / rates.decodeTokensPerSecond();
+    double tokens = asked.getPrefillTokensPerSecond() + asked.getDecodeTokensPerSecond();
+    List<PaidServer> servers = new ArrayList<>();
+    Set<FailureDomain> domains = new HashSet<>();
+    view.instances().forEach(each -> domains.add(new FailureDomain(each.getFailureDomain())));
+    poolOf(view, asked.getPool()).forEach(server -> servers.add(new PaidServer(of(server), 0)));
+    SpendingController.Demand spendingDemand =
+        new SpendingController.Demand(
+            new PoolId(asked.getPool()),
+            busy,
+            tokens > 0 ? Math.min(1, asked.getCheapTokensPerSecond() / tokens) : 0,
+            model.minimumServers(),
+            model.maximumServers(),
+            rates.arrival().toSeconds(),
+            domains);
+    List<Command.Builder> commands = new ArrayList<>();
+    int number = 0;
+    for (SpendingController.Decision decision :
+        spending.decide(spendingDemand, servers, outstanding(view, asked.getPool()), nowNanos)) {
+      LOG.info(OrdersEvent.SPENDING_DECIDED, "pool", asked.getPool(), "decision", decision);
+      String id = "spending/" + asked.getPool() + "/" + view.appliedIndex() + "/" + number++;
+      commands.add(
+          Command.newBuilder()
+              .setPlacePlatformOrder(
+                  PlacePlatformOrder.newBuilder()
+                      .setOrder(platformOrder(id, decision))
+                      .setAuthorityTerm(view.authority().getTerm())));
+    }
+    return commands;
+  }
+
+  private static PlatformOrder platformOrder(String id, SpendingController.Decision decision) {
+    PlatformOrder.Builder order = PlatformOrder.newBuilder().setOrderId(id);
+    if (decision instanceof SpendingController.Decision.Purchase purchase) {
+      order
+          .setPool(purchase.pool().value())
+          .setFailureDomain(purchase.failureDomain().value())
+          .setCapacity(purchase.capacity().name().toLowerCase(Locale.ROOT))
+          .setCount(purchase.count());
+    } else if (decision instanceof SpendingController.Decision.Release release) {
+      order.setRelease(release.server().value());
+    }
+    return order.build();
+  }
+
+  private static List<Outstanding> outstanding(ControlView view, String pool) {
+    return view.openPlatformOrders().stream()
+        .filter(order -> order.getPool().equals(pool) && order.getCount() > 0)
+        .map(
+            order ->
+                new Outstanding(
+                    new FailureDomain(order.getFailureDomain()),
+                    capacity(order.getCapacity()),
+                    order.getCount()))
+        .toList();
+  }
+
+  private static Collection<BackendServerRecord> poolOf(ControlView view, String pool) {
+    return view.backendServers().stream()
+        .filter(server -> server.getPool().equals(pool) && server.getKind().equals("engine"))
+        .toList();
+  }
+
+  private static BackendServer of(BackendServerRecord server) {
+    return new BackendServer(
+        new BackendServerId(server.getId()),
+        new PoolId(server.getPool()),
+        new FailureDomain(server.getFailureDomain()),
+        server.getAddress(),
+        server.getModelsList().stream().map(ItemName::new).collect(Collectors.toSet()),
+        capacity(server.getCapacity()),
+        server.getState().equals("live") ? BackendServer.State.LIVE : BackendServer.State.LEAVING);
+  }
+
+  private static Capacity capacity(String text) {
+    return text.equals("cheap") ? Capacity.CHEAP : Capacity.REGULAR;
+  }
+
+  private static EngineRole role(BackendServerRecord server) {
+    return switch (server.getRole()) {
+      case "prefill" -> EngineRole.PREFILL;
+      case "decode" -> EngineRole.DECODE;
+      default -> EngineRole.MIXED;
+    };
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/port/OrderAnswer.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/OrderAnswer.java
@@ -1,12 +1,25 @@
 package org.teaseltrestle.node.port;
 
+import java.util.Set;
+
 /**
  * Answer of an engine or of the platform to an order.
  *
  * @param kind what became of the order
  * @param detail text for the order book and logs
+ * @param boughtServers backend servers that the platform named for a purchase
  */
-public record OrderAnswer(Kind kind, String detail) {
+public record OrderAnswer(Kind kind, String detail, Set<String> boughtServers) {
+
+  /** Copies the set. */
+  public OrderAnswer {
+    boughtServers = Set.copyOf(boughtServers);
+  }
+
+  /** Creates an answer that names no backend server. */
+  public OrderAnswer(Kind kind, String detail) {
+    this(kind, detail, Set.of());
+  }
 
   /** What became of an order. */
   public enum Kind {
--- a/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
@@ -1,19 +1,27 @@
 package org.teaseltrestle.node.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.node.replica.DemandSource;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionEvent;
+import org.teaseltrestle.policy.PlanLimits;
+import org.teaseltrestle.policy.PlanLimits.CheapCapacity;
+import org.teaseltrestle.policy.WorkRequest;
+import org.teaseltrestle.policy.WorkRequest.WorkKind;
+import org.teaseltrestle.wire.PoolDemand;
 
 /**
- * Admission decisions that also measure what each client account asks for, refused requests
- * included, as tokens a second over the last few seconds.
+ * Admission decisions that also measure what is asked of this node by client account and by pool,
+ * refused requests included, over the last few seconds.
  */
-public final class DemandMeter implements AdmissionDecisions {
+public final class DemandMeter implements AdmissionDecisions, DemandSource {
 
   // Long enough to smooth single requests, short enough to follow a swing within seconds.
   private static final double DECAY_SECONDS = 3;
@@ -21,7 +29,9 @@
 
   private final AdmissionDecisions decisions;
   private final MonotonicClock clock;
-  private final Map<ClientAccount, Rate> rates = new HashMap<>();
+  private final Map<ClientAccount, Rate> accounts = new HashMap<>();
+  private final Map<PoolId, PoolRates> pools = new HashMap<>();
+  private Map<ClientAccount, PlanLimits> limits = Map.of();
 
   /** Creates a meter in front of the decisions. */
   public DemandMeter(AdmissionDecisions decisions, MonotonicClock clock) {
@@ -32,36 +42,86 @@
   @Override
   public List<AdmissionAction> handle(AdmissionEvent event, long nowNanos) {
     if (event instanceof AdmissionEvent.RequestArrived arrived) {
-      int tokens = arrived.work().promptTokens() + arrived.work().expectedOutputTokens();
-      add(arrived.work().account(), Math.max(1, tokens), nowNanos);
+      measure(arrived.work(), nowNanos);
+    } else if (event instanceof AdmissionEvent.ListsChanged changed) {
+      limits = changed.limits();
     }
     return decisions.handle(event, nowNanos);
   }
 
-  /** Returns the present demand in tokens a second; safe for use by any thread. */
+  @Override
   public Map<ClientAccount, Double> tokensPerSecond() {
     long now = clock.nowNanos();
-    synchronized (rates) {
-      rates.values().removeIf(rate -> rate.at(now) < NEGLIGIBLE_TOKENS_PER_SECOND);
+    synchronized (accounts) {
+      accounts.values().removeIf(rate -> rate.at(now) < NEGLIGIBLE_TOKENS_PER_SECOND);
       Map<ClientAccount, Double> result = new HashMap<>();
-      rates.forEach((account, rate) -> result.put(account, rate.at(now)));
+      accounts.forEach((account, rate) -> result.put(account, rate.at(now)));
       return result;
     }
   }
 
-  private void add(ClientAccount account, int tokens, long nowNanos) {
-    synchronized (rates) {
-      rates.merge(
-          account,
-          new Rate(tokens / DECAY_SECONDS, nowNanos),
-          (old, added) -> new Rate(old.at(nowNanos) + added.perSecond, nowNanos));
+  @Override
+  public List<PoolDemand> pools() {
+    long now = clock.nowNanos();
+    List<PoolDemand> result = new ArrayList<>();
+    synchronized (accounts) {
+      pools.values().removeIf(rates -> rates.isNegligible(now));
+      pools.forEach((pool, rates) -> result.add(rates.toWire(pool, now)));
     }
+    return result;
   }
 
-  private record Rate(double perSecond, long atNanos) {
+  private void measure(WorkRequest work, long nowNanos) {
+    int tokens = Math.max(1, work.promptTokens() + work.expectedOutputTokens());
+    synchronized (accounts) {
+      accounts.computeIfAbsent(work.account(), key -> new Rate()).add(tokens, nowNanos);
+      if (work.kind() == WorkKind.MODEL_COMPLETION) {
+        PoolRates rates = pools.computeIfAbsent(work.pool(), key -> new PoolRates());
+        rates.prefill.add(work.promptTokens(), nowNanos);
+        rates.decode.add(work.expectedOutputTokens(), nowNanos);
+        rates.cheap.add(mayRunCheap(work) ? tokens : 0, nowNanos);
+      }
+    }
+  }
+
+  private boolean mayRunCheap(WorkRequest work) {
+    PlanLimits plan = limits.get(work.account());
+    return plan != null && plan.cheapCapacity() == CheapCapacity.ALLOWED;
+  }
+
+  /** Exponentially decaying rate. */
+  private static final class Rate {
+    private double perSecond;
+    private long atNanos;
+
+    void add(int tokens, long nowNanos) {
+      perSecond = at(nowNanos) + tokens / DECAY_SECONDS;
+      atNanos = nowNanos;
+    }
+
     double at(long nowNanos) {
       double seconds = (double) (nowNanos - atNanos) / TimeUnit.SECONDS.toNanos(1);
       return perSecond * Math.exp(-seconds / DECAY_SECONDS);
     }
   }
+
+  /** Rates of one pool. */
+  private static final class PoolRates {
+    private final Rate prefill = new Rate();
+    private final Rate decode = new Rate();
+    private final Rate cheap = new Rate();
+
+    boolean isNegligible(long nowNanos) {
+      return prefill.at(nowNanos) + decode.at(nowNanos) < NEGLIGIBLE_TOKENS_PER_SECOND;
+    }
+
+    PoolDemand toWire(PoolId pool, long nowNanos) {
+      return PoolDemand.newBuilder()
+          .setPool(pool.value())
+          .setPrefillTokensPerSecond(prefill.at(nowNanos))
+          .setDecodeTokensPerSecond(decode.at(nowNanos))
+          .setCheapTokensPerSecond(cheap.at(nowNanos))
+          .build();
+    }
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/AccountShares.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AccountShares.java
@@ -8,6 +8,7 @@
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.wire.AccountDemand;
 import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.PoolDemand;
 
 /** Reports this node's demand and turns the demand of all nodes into this node's shares. */
 final class AccountShares {
@@ -33,6 +34,11 @@
     return demand;
   }
 
+  /** Returns this node's demand by pool. */
+  List<PoolDemand> reportPools() {
+    return source.pools();
+  }
+
   void granted(GrantBundle bundle) {
     Map<String, Double> total = toMap(bundle.getTotalDemandList());
     Map<ClientAccount, Double> shares = new HashMap<>();
--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -19,6 +19,7 @@
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
 import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /**
@@ -45,6 +46,7 @@
     long reportedIndex = -1;
     long heardAtNanos;
     Map<String, Double> demand = Map.of();
+    List<PoolDemand> pools = List.of();
 
     Child(InetSocketAddress address) {
       this.address = address;
@@ -74,6 +76,7 @@
     child.address = address;
     child.heardAtNanos = clock.nowNanos();
     child.demand = AccountShares.toMap(bundle.getDemandList());
+    child.pools = bundle.getPoolDemandList();
     // The same index twice, although more was sent, means that a message was lost.
     boolean stuck = bundle.getAppliedIndex() == child.reportedIndex;
     if (!known || stuck || bundle.getAppliedIndex() > child.sentIndex) {
@@ -115,6 +118,11 @@
     }
   }
 
+  /** Adds the children's demand of pools to a list. */
+  void addPoolDemand(List<PoolDemand> demands) {
+    children.values().forEach(child -> demands.addAll(child.pools));
+  }
+
   /** Passes each grant to the child that the renewal came from. */
   void passGrants(GrantBundle bundle) {
     Map<String, GrantBundle.Builder> byChild = new HashMap<>();
--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -7,6 +8,7 @@
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.PoolDemand;
 
 /**
  * Control plane of an instance with a disk: its replica, and a follower in its place once the
@@ -69,6 +71,11 @@
     return current().withdrawalReport(index);
   }
 
+  @Override
+  public List<PoolDemand> poolDemand() {
+    return current().poolDemand();
+  }
+
   @Override
   public void retireGone(Set<String> instances) {
     current().retireGone(instances);
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderDuties.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderDuties.java
@@ -1,8 +1,10 @@
 package org.teaseltrestle.node.replica;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +18,7 @@
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.LeaderAnswer;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.RenewalBundle;
 import org.teaseltrestle.wire.RetireInstance;
@@ -37,11 +40,13 @@
   private final MonotonicClock clock;
   private final WallClock wallClock;
   private final Map<String, Demand> demandBySender = new HashMap<>();
+  private volatile List<PoolDemand> poolDemand = List.of();
   private final Set<String> retiring = new HashSet<>();
   private @Nullable RenewalBook book;
   private long nextRequest;
 
-  private record Demand(Map<String, Double> tokensPerSecond, long receivedAtNanos) {}
+  private record Demand(
+      Map<String, Double> tokensPerSecond, List<PoolDemand> pools, long receivedAtNanos) {}
 
   LeaderDuties(
       ControlPlaneSettings settings,
@@ -58,6 +63,11 @@
     this.wallClock = wallClock;
   }
 
+  /** Returns the demand by pool over all nodes, as far as known to this leader. Any thread. */
+  List<PoolDemand> poolDemand() {
+    return poolDemand;
+  }
+
   void elected() {
     book = new RenewalBook(clock.nowNanos(), settings.keyLeaseNanos(), this::register);
     demandBySender.clear();
@@ -77,12 +87,16 @@
       return grants.build();
     }
     demandBySender.put(
-        bundle.getInstance(), new Demand(AccountShares.toMap(bundle.getDemandList()), now));
+        bundle.getInstance(),
+        new Demand(AccountShares.toMap(bundle.getDemandList()), bundle.getPoolDemandList(), now));
     demandBySender.values().removeIf(each -> now - each.receivedAtNanos() > DEMAND_RETENTION_NANOS);
     Map<String, Double> total = new HashMap<>();
     for (Demand each : demandBySender.values()) {
       each.tokensPerSecond().forEach((account, sum) -> total.merge(account, sum, Double::sum));
     }
+    List<PoolDemand> pools = new ArrayList<>();
+    demandBySender.values().forEach(each -> pools.addAll(each.pools()));
+    poolDemand = PoolDemands.sum(pools);
     return grants
         .addAllGrants(current.renew(bundle.getRenewalsList(), state.view(), now))
         .addAllTotalDemand(AccountShares.toList(total))
--- a/node/src/main/java/org/teaseltrestle/node/replica/RenewalRound.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/RenewalRound.java
@@ -1,9 +1,12 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.wire.GrantBundle;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /**
@@ -27,6 +30,7 @@
   private final AccountShares shares;
   private final ChildFeeds children;
   private Map<String, Double> ownDemand = Map.of();
+  private List<PoolDemand> ownPools = List.of();
   private long nextOwnNanos;
   private long nextChildrenNanos;
 
@@ -70,11 +74,17 @@
     if (nowNanos - nextOwnNanos >= 0) {
       nextOwnNanos = nowNanos + OWN_INTERVAL_NANOS;
       ownDemand = shares.report();
+      ownPools = shares.reportPools();
       bundle.addRenewals(lease.renewal(state.view()));
     }
     Map<String, Double> demand = new HashMap<>(ownDemand);
     children.addDemand(demand);
-    return bundle.addAllDemand(AccountShares.toList(demand)).build();
+    List<PoolDemand> pools = new ArrayList<>(ownPools);
+    children.addPoolDemand(pools);
+    return bundle
+        .addAllDemand(AccountShares.toList(demand))
+        .addAllPoolDemand(PoolDemands.sum(pools))
+        .build();
   }
 
   void granted(GrantBundle grants) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -25,6 +25,7 @@
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.LeaderAnswer;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /**
@@ -162,6 +163,11 @@
     return stopped;
   }
 
+  @Override
+  public List<PoolDemand> poolDemand() {
+    return leaderDuties.poolDemand();
+  }
+
   @Override
   public void retireGone(Set<String> instances) {
     inbox.offer(() -> leaderDuties.retire(Set.copyOf(instances)));
--- a/node/src/main/java/org/teaseltrestle/node/settings/NodeSettingsParser.java
+++ b/node/src/main/java/org/teaseltrestle/node/settings/NodeSettingsParser.java
@@ -5,6 +5,7 @@
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,6 +22,7 @@
 import org.teaseltrestle.model.json.Located;
 import org.teaseltrestle.model.json.ObjectReader;
 import org.teaseltrestle.model.json.ProblemCollector;
+import org.teaseltrestle.node.orders.EngineRates;
 import org.teaseltrestle.policy.PolicyConfiguration.Queueing;
 import org.teaseltrestle.policy.PolicyConfiguration.ReplicaChoice;
 import org.teaseltrestle.policy.PolicyConfiguration.Roles;
@@ -48,6 +50,11 @@
   private static final long DEFAULT_SHUTDOWN_DELAY_MILLISECONDS = 3_000;
   private static final long MAXIMUM_SHUTDOWN_DELAY_MILLISECONDS = 600_000;
 
+  private static final long MAXIMUM_ENGINE_TOKENS_PER_SECOND = 100_000_000;
+  private static final long MAXIMUM_ARRIVAL_SECONDS = 86_400;
+  private static final EngineRates DEFAULT_ENGINE_RATES =
+      new EngineRates(8_000, 1_500, Duration.ofSeconds(60));
+
   private final ProblemCollector problems = new ProblemCollector();
 
   private NodeSettingsParser() {}
@@ -226,7 +233,11 @@
     Optional<ObjectReader> section = root.optionalObject("policy");
     if (section.isEmpty()) {
       return new PolicySettings(
-          ReplicaChoice.ADAPTIVE, Queueing.FAIR, Roles.ADAPTIVE, Spending.ADAPTIVE);
+          ReplicaChoice.ADAPTIVE,
+          Queueing.FAIR,
+          Roles.ADAPTIVE,
+          Spending.ADAPTIVE,
+          DEFAULT_ENGINE_RATES);
     }
     ObjectReader policy = section.get();
     PolicySettings settings =
@@ -234,11 +245,32 @@
             policy.optionalChoice("replicaChoice", ReplicaChoice.class, ReplicaChoice.ADAPTIVE),
             policy.optionalChoice("queueing", Queueing.class, Queueing.FAIR),
             policy.optionalChoice("roles", Roles.class, Roles.ADAPTIVE),
-            policy.optionalChoice("spending", Spending.class, Spending.ADAPTIVE));
+            policy.optionalChoice("spending", Spending.class, Spending.ADAPTIVE),
+            engineRates(policy));
     policy.finish();
     return settings;
   }
 
+  private static EngineRates engineRates(ObjectReader policy) {
+    return new EngineRates(
+        policy.optionalInteger(
+            "enginePrefillTokensPerSecond",
+            1,
+            MAXIMUM_ENGINE_TOKENS_PER_SECOND,
+            (long) DEFAULT_ENGINE_RATES.prefillTokensPerSecond()),
+        policy.optionalInteger(
+            "engineDecodeTokensPerSecond",
+            1,
+            MAXIMUM_ENGINE_TOKENS_PER_SECOND,
+            (long) DEFAULT_ENGINE_RATES.decodeTokensPerSecond()),
+        Duration.ofSeconds(
+            policy.optionalInteger(
+                "engineArrivalSeconds",
+                0,
+                MAXIMUM_ARRIVAL_SECONDS,
+                DEFAULT_ENGINE_RATES.arrival().toSeconds())));
+  }
+
   private static <T> T identifier(
       ObjectReader reader, String name, T whenInvalid, Function<String, T> conversion) {
     return reader.converted(name, conversion).map(Located::value).orElse(whenInvalid);
--- a/node/src/main/java/org/teaseltrestle/node/settings/PolicySettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/settings/PolicySettings.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.settings;
 
+import org.teaseltrestle.node.orders.EngineRates;
 import org.teaseltrestle.policy.PolicyConfiguration;
 
 /**
@@ -9,9 +10,11 @@
  * @param queueing order of waiting requests
  * @param roles whether engine roles follow the mix of work
  * @param spending whether the number of backend servers follows the demand
+ * @param engineRates what one engine can do and how long an ordered one takes to arrive
  */
 public record PolicySettings(
     PolicyConfiguration.ReplicaChoice replicaChoice,
     PolicyConfiguration.Queueing queueing,
     PolicyConfiguration.Roles roles,
-    PolicyConfiguration.Spending spending) {}
+    PolicyConfiguration.Spending spending,
+    EngineRates engineRates) {}
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -51,6 +51,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_AccountDemand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_PoolDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_PoolDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_RenewalBundle_descriptor;
   static final 
@@ -105,23 +110,28 @@
       "\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rsent_at_nanos" +
       "\030\004 \001(\020\022-\n\014registration\030\005 \001(\0132\027.trestle.I" +
       "nstanceRecord\";\n\rAccountDemand\022\017\n\007accoun" +
-      "t\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(\001\"\277\001\n\rR" +
-      "enewalBundle\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002" +
-      " \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rreply_add" +
-      "ress\030\004 \001(\t\022\'\n\010renewals\030\005 \003(\0132\025.trestle.L" +
-      "easeRenewal\022&\n\006demand\030\006 \003(\0132\026.trestle.Ac" +
-      "countDemand\022\017\n\007follows\030\007 \001(\010\"C\n\nLeaseGra" +
-      "nt\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rse" +
-      "nt_at_nanos\030\003 \001(\020\"~\n\013GrantBundle\022#\n\006gran" +
-      "ts\030\001 \003(\0132\023.trestle.LeaseGrant\022,\n\014total_d" +
-      "emand\030\002 \003(\0132\026.trestle.AccountDemand\022\034\n\024r" +
-      "egistered_instances\030\003 \001(\r\"/\n\rLoggedComma" +
-      "nd\022\r\n\005index\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\"m\n\021Co" +
-      "mmittedCommands\022(\n\010commands\030\001 \003(\0132\026.tres" +
-      "tle.LoggedCommand\022\025\n\rapplied_index\030\002 \001(\004" +
-      "\022\027\n\017root_age_millis\030\003 \001(\004\"9\n\016CommittedSt" +
-      "ate\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010snapshot\030\002" +
-      " \001(\014B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
+      "t\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(\001\"\200\001\n\nP" +
+      "oolDemand\022\014\n\004pool\030\001 \001(\t\022!\n\031prefill_token" +
+      "s_per_second\030\002 \001(\001\022 \n\030decode_tokens_per_" +
+      "second\030\003 \001(\001\022\037\n\027cheap_tokens_per_second\030" +
+      "\004 \001(\001\"\351\001\n\rRenewalBundle\022\020\n\010instance\030\001 \001(" +
+      "\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025" +
+      "\n\rreply_address\030\004 \001(\t\022\'\n\010renewals\030\005 \003(\0132" +
+      "\025.trestle.LeaseRenewal\022&\n\006demand\030\006 \003(\0132\026" +
+      ".trestle.AccountDemand\022\017\n\007follows\030\007 \001(\010\022" +
+      "(\n\013pool_demand\030\010 \003(\0132\023.trestle.PoolDeman" +
+      "d\"C\n\nLeaseGrant\022\020\n\010instance\030\001 \001(\t\022\014\n\004boo" +
+      "t\030\002 \001(\006\022\025\n\rsent_at_nanos\030\003 \001(\020\"~\n\013GrantB" +
+      "undle\022#\n\006grants\030\001 \003(\0132\023.trestle.LeaseGra" +
+      "nt\022,\n\014total_demand\030\002 \003(\0132\026.trestle.Accou" +
+      "ntDemand\022\034\n\024registered_instances\030\003 \001(\r\"/" +
+      "\n\rLoggedCommand\022\r\n\005index\030\001 \001(\004\022\017\n\007comman" +
+      "d\030\002 \001(\014\"m\n\021CommittedCommands\022(\n\010commands" +
+      "\030\001 \003(\0132\026.trestle.LoggedCommand\022\025\n\rapplie" +
+      "d_index\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\"9" +
+      "\n\016CommittedState\022\025\n\rapplied_index\030\001 \001(\004\022" +
+      "\020\n\010snapshot\030\002 \001(\014B\032\n\026org.teaseltrestle.w" +
+      "ireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -158,38 +168,44 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_AccountDemand_descriptor,
         new java.lang.String[] { "Account", "TokensPerSecond", });
-    internal_static_trestle_RenewalBundle_descriptor =
+    internal_static_trestle_PoolDemand_descriptor =
       getDescriptor().getMessageTypes().get(5);
+    internal_static_trestle_PoolDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_PoolDemand_descriptor,
+        new java.lang.String[] { "Pool", "PrefillTokensPerSecond", "DecodeTokensPerSecond", "CheapTokensPerSecond", });
+    internal_static_trestle_RenewalBundle_descriptor =
+      getDescriptor().getMessageTypes().get(6);
     internal_static_trestle_RenewalBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RenewalBundle_descriptor,
-        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", });
+        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", });
     internal_static_trestle_LeaseGrant_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_trestle_LeaseGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaseGrant_descriptor,
         new java.lang.String[] { "Instance", "Boot", "SentAtNanos", });
     internal_static_trestle_GrantBundle_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_trestle_GrantBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_GrantBundle_descriptor,
         new java.lang.String[] { "Grants", "TotalDemand", "RegisteredInstances", });
     internal_static_trestle_LoggedCommand_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_trestle_LoggedCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LoggedCommand_descriptor,
         new java.lang.String[] { "Index", "Command", });
     internal_static_trestle_CommittedCommands_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
         new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", });
     internal_static_trestle_CommittedState_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedState_descriptor,
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
@@ -37,6 +37,7 @@
     replyAddress_ = "";
     renewals_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
+    poolDemand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -269,6 +270,67 @@
     return follows_;
   }
 
+  public static final int POOL_DEMAND_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaseltrestle.wire.PoolDemand> poolDemand_;
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaseltrestle.wire.PoolDemand> getPoolDemandList() {
+    return poolDemand_;
+  }
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaseltrestle.wire.PoolDemandOrBuilder> 
+      getPoolDemandOrBuilderList() {
+    return poolDemand_;
+  }
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  @java.lang.Override
+  public int getPoolDemandCount() {
+    return poolDemand_.size();
+  }
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PoolDemand getPoolDemand(int index) {
+    return poolDemand_.get(index);
+  }
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PoolDemandOrBuilder getPoolDemandOrBuilder(
+      int index) {
+    return poolDemand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -304,6 +366,9 @@
     if (follows_ != false) {
       output.writeBool(7, follows_);
     }
+    for (int i = 0; i < poolDemand_.size(); i++) {
+      output.writeMessage(8, poolDemand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -339,6 +404,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(7, follows_);
     }
+    for (int i = 0; i < poolDemand_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, poolDemand_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -368,6 +437,8 @@
         .equals(other.getDemandList())) return false;
     if (getFollows()
         != other.getFollows()) return false;
+    if (!getPoolDemandList()
+        .equals(other.getPoolDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -400,6 +471,10 @@
     hash = (37 * hash) + FOLLOWS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getFollows());
+    if (getPoolDemandCount() > 0) {
+      hash = (37 * hash) + POOL_DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getPoolDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -555,6 +630,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000020);
       follows_ = false;
+      if (poolDemandBuilder_ == null) {
+        poolDemand_ = java.util.Collections.emptyList();
+      } else {
+        poolDemand_ = null;
+        poolDemandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -606,6 +688,15 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (poolDemandBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          poolDemand_ = java.util.Collections.unmodifiableList(poolDemand_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.poolDemand_ = poolDemand_;
+      } else {
+        result.poolDemand_ = poolDemandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.teaseltrestle.wire.RenewalBundle result) {
@@ -710,6 +801,32 @@
       if (other.getFollows() != false) {
         setFollows(other.getFollows());
       }
+      if (poolDemandBuilder_ == null) {
+        if (!other.poolDemand_.isEmpty()) {
+          if (poolDemand_.isEmpty()) {
+            poolDemand_ = other.poolDemand_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensurePoolDemandIsMutable();
+            poolDemand_.addAll(other.poolDemand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.poolDemand_.isEmpty()) {
+          if (poolDemandBuilder_.isEmpty()) {
+            poolDemandBuilder_.dispose();
+            poolDemandBuilder_ = null;
+            poolDemand_ = other.poolDemand_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            poolDemandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPoolDemandFieldBuilder() : null;
+          } else {
+            poolDemandBuilder_.addAllMessages(other.poolDemand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -787,6 +904,19 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 56
+            case 66: {
+              org.teaseltrestle.wire.PoolDemand m =
+                  input.readMessage(
+                      org.teaseltrestle.wire.PoolDemand.parser(),
+                      extensionRegistry);
+              if (poolDemandBuilder_ == null) {
+                ensurePoolDemandIsMutable();
+                poolDemand_.add(m);
+              } else {
+                poolDemandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1608,6 +1738,318 @@
       return this;
     }
 
+    private java.util.List<org.teaseltrestle.wire.PoolDemand> poolDemand_ =
+      java.util.Collections.emptyList();
+    private void ensurePoolDemandIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        poolDemand_ = new java.util.ArrayList<org.teaseltrestle.wire.PoolDemand>(poolDemand_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.PoolDemand, org.teaseltrestle.wire.PoolDemand.Builder, org.teaseltrestle.wire.PoolDemandOrBuilder> poolDemandBuilder_;
+
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.PoolDemand> getPoolDemandList() {
+      if (poolDemandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(poolDemand_);
+      } else {
+        return poolDemandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public int getPoolDemandCount() {
+      if (poolDemandBuilder_ == null) {
+        return poolDemand_.size();
+      } else {
+        return poolDemandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public org.teaseltrestle.wire.PoolDemand getPoolDemand(int index) {
+      if (poolDemandBuilder_ == null) {
+        return poolDemand_.get(index);
+      } else {
+        return poolDemandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder setPoolDemand(
+        int index, org.teaseltrestle.wire.PoolDemand value) {
+      if (poolDemandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePoolDemandIsMutable();
+        poolDemand_.set(index, value);
+        onChanged();
+      } else {
+        poolDemandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder setPoolDemand(
+        int index, org.teaseltrestle.wire.PoolDemand.Builder builderForValue) {
+      if (poolDemandBuilder_ == null) {
+        ensurePoolDemandIsMutable();
+        poolDemand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        poolDemandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder addPoolDemand(org.teaseltrestle.wire.PoolDemand value) {
+      if (poolDemandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePoolDemandIsMutable();
+        poolDemand_.add(value);
+        onChanged();
+      } else {
+        poolDemandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder addPoolDemand(
+        int index, org.teaseltrestle.wire.PoolDemand value) {
+      if (poolDemandBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePoolDemandIsMutable();
+        poolDemand_.add(index, value);
+        onChanged();
+      } else {
+        poolDemandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder addPoolDemand(
+        org.teaseltrestle.wire.PoolDemand.Builder builderForValue) {
+      if (poolDemandBuilder_ == null) {
+        ensurePoolDemandIsMutable();
+        poolDemand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        poolDemandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder addPoolDemand(
+        int index, org.teaseltrestle.wire.PoolDemand.Builder builderForValue) {
+      if (poolDemandBuilder_ == null) {
+        ensurePoolDemandIsMutable();
+        poolDemand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        poolDemandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder addAllPoolDemand(
+        java.lang.Iterable<? extends org.teaseltrestle.wire.PoolDemand> values) {
+      if (poolDemandBuilder_ == null) {
+        ensurePoolDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, poolDemand_);
+        onChanged();
+      } else {
+        poolDemandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder clearPoolDemand() {
+      if (poolDemandBuilder_ == null) {
+        poolDemand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        poolDemandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public Builder removePoolDemand(int index) {
+      if (poolDemandBuilder_ == null) {
+        ensurePoolDemandIsMutable();
+        poolDemand_.remove(index);
+        onChanged();
+      } else {
+        poolDemandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public org.teaseltrestle.wire.PoolDemand.Builder getPoolDemandBuilder(
+        int index) {
+      return internalGetPoolDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public org.teaseltrestle.wire.PoolDemandOrBuilder getPoolDemandOrBuilder(
+        int index) {
+      if (poolDemandBuilder_ == null) {
+        return poolDemand_.get(index);  } else {
+        return poolDemandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public java.util.List<? extends org.teaseltrestle.wire.PoolDemandOrBuilder> 
+         getPoolDemandOrBuilderList() {
+      if (poolDemandBuilder_ != null) {
+        return poolDemandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(poolDemand_);
+      }
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public org.teaseltrestle.wire.PoolDemand.Builder addPoolDemandBuilder() {
+      return internalGetPoolDemandFieldBuilder().addBuilder(
+          org.teaseltrestle.wire.PoolDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public org.teaseltrestle.wire.PoolDemand.Builder addPoolDemandBuilder(
+        int index) {
+      return internalGetPoolDemandFieldBuilder().addBuilder(
+          index, org.teaseltrestle.wire.PoolDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Sums over the sender and all nodes below it.
+     * </pre>
+     *
+     * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.PoolDemand.Builder> 
+         getPoolDemandBuilderList() {
+      return internalGetPoolDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.PoolDemand, org.teaseltrestle.wire.PoolDemand.Builder, org.teaseltrestle.wire.PoolDemandOrBuilder> 
+        internalGetPoolDemandFieldBuilder() {
+      if (poolDemandBuilder_ == null) {
+        poolDemandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaseltrestle.wire.PoolDemand, org.teaseltrestle.wire.PoolDemand.Builder, org.teaseltrestle.wire.PoolDemandOrBuilder>(
+                poolDemand_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        poolDemand_ = null;
+      }
+      return poolDemandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RenewalBundle)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
@@ -123,4 +123,48 @@
    * @return The follows.
    */
   boolean getFollows();
+
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  java.util.List<org.teaseltrestle.wire.PoolDemand> 
+      getPoolDemandList();
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  org.teaseltrestle.wire.PoolDemand getPoolDemand(int index);
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  int getPoolDemandCount();
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  java.util.List<? extends org.teaseltrestle.wire.PoolDemandOrBuilder> 
+      getPoolDemandOrBuilderList();
+  /**
+   * <pre>
+   * Sums over the sender and all nodes below it.
+   * </pre>
+   *
+   * <code>repeated .trestle.PoolDemand pool_demand = 8;</code>
+   */
+  org.teaseltrestle.wire.PoolDemandOrBuilder getPoolDemandOrBuilder(
+      int index);
 }
