Count observations and compare reported usage with answers

A run in which no order or usage report was sent passed the checker without saying so. The local run now prints how many observations each line was judged on, and UsageComparison sets the reported usage beside the answers.

--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/checker/UsageComparison.java
@@ -0,0 +1,87 @@
+package org.teaseltrestle.testkit.checker;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.teaseltrestle.testkit.fakes.RecordEntry;
+import org.teaseltrestle.testkit.replay.Outcome;
+import org.teaseltrestle.testkit.replay.RequestResult;
+import org.teaseltrestle.testkit.replay.RunRecords;
+import org.teaseltrestle.testkit.trace.TraceEntry;
+
+/** Compares the usage that was reported to the platform with the answers that callers got. */
+public final class UsageComparison {
+
+  /**
+   * Usage of one account and item.
+   *
+   * @param requests answered requests
+   * @param promptTokens prompt tokens
+   * @param outputTokens output tokens
+   */
+  public record Usage(long requests, long promptTokens, long outputTokens) {
+
+    Usage plus(long moreRequests, long morePrompt, long moreOutput) {
+      return new Usage(
+          requests + moreRequests, promptTokens + morePrompt, outputTokens + moreOutput);
+    }
+  }
+
+  private static final Usage NONE = new Usage(0, 0, 0);
+
+  private UsageComparison() {}
+
+  /** Returns the reported usage by {@code account/item}, each window counted once. */
+  public static Map<String, Usage> reported(RunRecords records) {
+    Map<String, Usage> usage = new TreeMap<>();
+    Set<String> windows = new HashSet<>();
+    for (RecordEntry entry : records.platform()) {
+      if (entry.kind().equals("usage") && windows.add(entry.text("windowId"))) {
+        for (JsonNode figure : entry.details().path("figures")) {
+          String name = figure.path("account").asText() + "/" + figure.path("item").asText();
+          usage.merge(
+              name,
+              NONE.plus(
+                  figure.path("requests").asLong(),
+                  figure.path("promptTokens").asLong(),
+                  figure.path("outputTokens").asLong()),
+              (sum, more) -> sum.plus(more.requests(), more.promptTokens(), more.outputTokens()));
+        }
+      }
+    }
+    return usage;
+  }
+
+  /** Returns the usage of the model answers that callers got whole. */
+  public static Map<String, Usage> answered(List<TraceEntry> trace, List<RequestResult> results) {
+    Map<String, Usage> usage = new TreeMap<>();
+    for (RequestResult result : results) {
+      TraceEntry entry = trace.get(result.index());
+      if (result.outcome() == Outcome.COMPLETED && entry.isModelRequest()) {
+        Usage one = NONE.plus(1, entry.promptTokens(), entry.outputTokens());
+        usage.merge(
+            entry.account() + "/" + entry.model(),
+            one,
+            (sum, more) -> sum.plus(more.requests(), more.promptTokens(), more.outputTokens()));
+      }
+    }
+    return usage;
+  }
+
+  /** Returns each account and item whose reported model usage differs from the answers. */
+  public static List<String> differences(Map<String, Usage> answered, Map<String, Usage> reported) {
+    List<String> differences = new ArrayList<>();
+    answered.forEach(
+        (name, usage) -> {
+          Usage other = reported.getOrDefault(name, NONE);
+          if (!usage.equals(other)) {
+            differences.add(name + " answered " + usage + ", reported " + other);
+          }
+        });
+    return differences;
+  }
+}
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/SampleRun.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/SampleRun.java
@@ -12,6 +12,7 @@
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.testkit.checker.InvariantChecker;
+import org.teaseltrestle.testkit.checker.Observations;
 import org.teaseltrestle.testkit.checker.RunEvidence;
 import org.teaseltrestle.testkit.checker.Violation;
 import org.teaseltrestle.testkit.http.Json;
@@ -118,8 +119,10 @@
       run.write(folder);
       System.out.print(ReportText.of(run.report()));
       failures.addAll(run.report().failures());
-      List<Violation> violations = InvariantChecker.check(evidence(run, watcher).build());
+      RunEvidence evidence = evidence(run, watcher).build();
+      List<Violation> violations = InvariantChecker.check(evidence);
       System.out.println("violated invariants " + violations.size());
+      System.out.println("observations for each line: " + Observations.text(evidence));
       for (Violation violation : violations) {
         System.out.println("  " + violation);
         failures.add("invariant " + violation);
--- a/testkit/src/test/java/org/teaseltrestle/testkit/checker/InvariantCheckerTest.java
+++ b/testkit/src/test/java/org/teaseltrestle/testkit/checker/InvariantCheckerTest.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -14,6 +15,7 @@
 import org.teaseltrestle.testkit.replay.Outcome;
 import org.teaseltrestle.testkit.replay.RequestResult;
 import org.teaseltrestle.testkit.replay.RunRecords;
+import org.teaseltrestle.testkit.trace.TraceEntry;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -286,4 +288,31 @@
       assertTrue(covered.contains(invariant.number()), invariant.name());
     }
   }
+
+  /** Guards against a run that passes because nothing was seen. */
+  @Test
+  public void observationsOfCorrectRunAreCounted() {
+    Map<Invariant, Integer> counts = Observations.count(evidence((run, out) -> {}));
+    assertEquals(counts.get(Invariant.ONE_FIGURE_PER_USAGE_WINDOW), Integer.valueOf(2));
+    assertEquals(counts.get(Invariant.CONFIGURATION_NEVER_REVERTS), Integer.valueOf(0));
+    assertEquals(counts.size(), Invariant.values().length);
+  }
+
+  /** Guards against usage that is lost or counted with each resend of a window. */
+  @Test
+  public void usageIsComparedWithAnswers() {
+    InvariantCheckerTest run = new InvariantCheckerTest();
+    run.result("r1", Outcome.COMPLETED, null, "d1");
+    List<TraceEntry> trace = List.of(TraceEntry.chat(0, "acc", "m", 7, 3, null, 0));
+    var answered = UsageComparison.answered(trace, run.results);
+    assertEquals(UsageComparison.differences(answered, Map.of()).size(), 1);
+    ObjectNode report = Json.object().put("windowId", "w1");
+    ObjectNode figure = report.putArray("figures").addObject().put("account", "acc");
+    figure.put("item", "m").put("requests", 1).put("promptTokens", 7).put("outputTokens", 3);
+    add(run.platform, "platform", 1, "usage", report);
+    add(run.platform, "platform", 2, "usage", report);
+    RunRecords records = new RunRecords(List.of(), List.of(), run.platform);
+    assertEquals(
+        UsageComparison.differences(answered, UsageComparison.reported(records)), List.of());
+  }
 }
