Choose ports of local clusters below the range of connections

A run failed because a node could not open its caller port: ports were taken from the system's range for the local ports of connections, and a connection of another node had taken one between choice and use. Ports now lie below that range and are given out once in a process.

--- a/testkit/src/main/java/org/teaseltrestle/testkit/fakes/Addresses.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/Addresses.java
@@ -6,12 +6,20 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
 
 /** Loopback addresses as {@code host:port}. */
 public final class Addresses {
 
+  private static final int LOWEST_PORT = 12_000;
+  private static final int END_PORT = 32_000;
+  private static final int TRIALS = 10_000;
+  private static final Set<Integer> GIVEN = ConcurrentHashMap.newKeySet();
+
   private Addresses() {}
 
   /** Parses {@code host:port}, with or without {@code http://} in front. */
@@ -25,22 +33,30 @@
         bare.substring(0, colon), Integer.parseInt(bare.substring(colon + 1)));
   }
 
-  /** Returns distinct free loopback addresses. */
+  /**
+   * Returns distinct free loopback addresses, each given out once in this process. They lie below
+   * the range from which the system takes the local ports of connections: a port of that range may
+   * be taken by some connection before its server opens it.
+   */
   public static List<String> free(int count) {
-    List<ServerSocket> held = new ArrayList<>();
     List<String> addresses = new ArrayList<>();
-    try {
-      for (int i = 0; i < count; i++) {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        held.add(socket);
-        addresses.add("127.0.0.1:" + socket.getLocalPort());
-      }
-      for (ServerSocket socket : held) {
-        socket.close();
+    for (int trial = 0; trial < TRIALS && addresses.size() < count; trial++) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, END_PORT);
+      if (!GIVEN.contains(port) && isFree(port) && GIVEN.add(port)) {
+        addresses.add("127.0.0.1:" + port);
       }
-      return addresses;
+    }
+    if (addresses.size() < count) {
+      throw new TrestleException(ErrorCode.UNREACHABLE, "too few free ports on loopback");
+    }
+    return addresses;
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
     } catch (IOException e) {
-      throw new TrestleException(ErrorCode.UNREACHABLE, "no free port on loopback", e);
+      return false;
     }
   }
 }
