--- a/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
@@ -21,7 +21,7 @@
     if (context.nowNanos - context.electionDeadlineNanos < 0) {
       return;
     }
-    if (context.isVoter()) {
+    if (mayLead()) {
       campaign(VoteKind.PRE_VOTE);
     } else if (context.leader != null) {
       // A learner that was dropped must notice it, to join again.
@@ -29,10 +29,11 @@
     }
   }
 
+  /**
+   * Answers a candidate. An empty replica votes too: the candidate addresses its very incarnation,
+   * so its group counts this replica as a voter, and a replica that lost its log has another one.
+   */
   void onRequest(ReplicaId from, VoteRequest request) {
-    if (context.log.isEmpty()) {
-      return;
-    }
     boolean granted =
         request.kind() == VoteKind.PRE_VOTE
             ? request.term() > context.term && !context.refusesVotes() && isUpToDate(request)
@@ -57,6 +58,15 @@
     }
   }
 
+  /**
+   * Tells whether this replica may be needed as a leader. A replica whose removal is not known to
+   * be committed may hold the only complete log.
+   */
+  private boolean mayLead() {
+    return context.isVoter()
+        || context.log.configurationAt(context.commitIndex).voters().contains(context.self);
+  }
+
   private boolean vote(ReplicaId from, VoteRequest request) {
     if (request.term() < context.term || context.refusesVotes()) {
       return false;
--- a/consensus/src/main/java/org/teaseltrestle/consensus/MembershipDriver.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/MembershipDriver.java
@@ -52,8 +52,9 @@
                   .map(c -> c.withVoter(replica));
           case REMOVE ->
               Optional.of(current)
-                  .filter(c -> c.isMember(replica) && !c.voters().equals(List.of(replica)))
-                  .map(c -> c.withoutMember(replica));
+                  .filter(c -> c.isMember(replica))
+                  .map(c -> c.withoutMember(replica))
+                  .filter(this::hasLiveQuorum);
         };
     if (changed.isEmpty() || !mayChange()) {
       Refusal refusal = changed.isEmpty() ? Refusal.INVALID : Refusal.OVERLOADED;
@@ -104,6 +105,11 @@
     leadership.replicate();
   }
 
+  /** Tells whether a group could go on at once: a quorum of it is in contact and caught up. */
+  private boolean hasLiveQuorum(Configuration changed) {
+    return changed.isQuorum(changed.voters().stream().filter(this::hasCaughtUp).toList());
+  }
+
   private boolean hasCaughtUp(ReplicaId replica) {
     // A learner without its own configuration entry may still be empty, and an empty replica does
     // not vote: as a voter it could leave the group without a quorum.
