--- a/control/src/test/java/org/teaseltrestle/control/usage/UsageCopiesTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/usage/UsageCopiesTest.java
@@ -81,6 +81,17 @@
       assertEquals(batch.getFigures(0).getOutputTokens(), 4);
     }
 
+    @Test
+    public void emptyCopyTellsThatEverythingIsCommitted() {
+      UsageJournal origin = new UsageJournal("entry-1", 7);
+      origin.append(entry(1, 10));
+      UsageCopies partner = new UsageCopies();
+      partner.add(copyOf(origin), 0);
+      origin.committedThrough(1);
+      partner.add(copyOf(origin), SECOND);
+      assertTrue(partner.overdue(20 * SECOND).isEmpty());
+    }
+
     @Test
     public void formerPartnerForgetsWhatTheOriginCommitted() {
       UsageJournal origin = new UsageJournal("entry-1", 7);
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpOrders.java
@@ -33,6 +33,10 @@
 public final class HttpOrders {
 
   private static final ObjectMapper JSON = new ObjectMapper();
+
+  /** Names the authority of the sender, so that the receiver can tell two senders apart. */
+  private static final String AUTHORITY_HEADER = "X-Trestle-Authority";
+
   private static final MediaType JSON_TYPE = MediaType.get("application/json");
   private static final int STATUS_OK = 200;
   private static final int STATUS_CONFLICT = 409;
@@ -58,18 +62,19 @@
 
   /** Returns the port for orders to engines. */
   public EngineOrders engineOrders() {
-    return (address, order) -> post(address, "/orders", engineOrder(order));
+    return (address, order) ->
+        post(address, "/orders", engineOrder(order), order.getFencingNumber());
   }
 
   /** Returns the port for orders to the platform. */
   public PlatformOrders platformOrders() {
-    return order -> post(platformAddress, "/orders", platformOrder(order));
+    return (order, authority) -> post(platformAddress, "/orders", platformOrder(order), authority);
   }
 
   /** Returns the port for usage reports. */
   public PlatformUsage platformUsage() {
     return (window, fencingNumber) ->
-        post(platformAddress, "/usage", usageReport(window, fencingNumber));
+        post(platformAddress, "/usage", usageReport(window, fencingNumber), fencingNumber);
   }
 
   /** Returns the port for the list of this system's own instances. */
@@ -161,12 +166,13 @@
     return body;
   }
 
-  private OrderAnswer post(String address, String path, ObjectNode body) {
+  private OrderAnswer post(String address, String path, ObjectNode body, long fencingNumber) {
     try {
       Request request =
           new Request.Builder()
               .url(BackendAddress.url(address, path))
               .post(new OneShotBody(JSON.writeValueAsBytes(body), JSON_TYPE))
+              .header(AUTHORITY_HEADER, Long.toString(fencingNumber))
               .tag(AttemptProgress.class, new AttemptProgress(new AttemptHandle()))
               .build();
       try (Response response = http.polling().newCall(request).execute()) {
--- a/node/src/main/java/org/teaseltrestle/node/port/PlatformOrders.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/PlatformOrders.java
@@ -6,6 +6,10 @@
 @FunctionalInterface
 public interface PlatformOrders {
 
-  /** Sends an order once and returns what became of it; never throws for a failed call. */
-  OrderAnswer send(PlatformOrder order);
+  /**
+   * Sends an order once and returns what became of it; never throws for a failed call.
+   *
+   * @param authorityFencingNumber fencing number of the authority under which it is sent
+   */
+  OrderAnswer send(PlatformOrder order, long authorityFencingNumber);
 }
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
@@ -151,7 +151,11 @@
         },
         List.of(10_000, 20_000, 40_000),
         List.of(
-            Use.events(ENTRY, "576 replicas, 4 a second", WATCHED * LOAD_READS_PER_SECOND, Bound.PROCESSOR)));
+            Use.events(
+                ENTRY,
+                "576 replicas, 4 a second",
+                WATCHED * LOAD_READS_PER_SECOND,
+                Bound.PROCESSOR)));
   }
 
   private static Slope fleetWork() {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
@@ -63,7 +63,10 @@
         List.of(100, 200, 400),
         List.of(
             Use.events(FOLLOWER, "15,000 a day, in", ControlSlopes.CHANGES_PER_SECOND, Bound.BYTES),
-            Use.events(INNER, "15,000 a day, out to 8", CHILDREN * ControlSlopes.CHANGES_PER_SECOND,
+            Use.events(
+                INNER,
+                "15,000 a day, out to 8",
+                CHILDREN * ControlSlopes.CHANGES_PER_SECOND,
                 Bound.BYTES)));
   }
 
@@ -104,8 +107,12 @@
                 ControlSlopes.FIGURES_IN_BATCH,
                 States.NODES * CHILDREN,
                 Bound.BYTES),
-            new Use(VOTER, "420 batches of 22 a second, out to 8 children", ControlSlopes.FIGURES_IN_BATCH,
-                States.NODES * CHILDREN, Bound.BYTES)));
+            new Use(
+                VOTER,
+                "420 batches of 22 a second, out to 8 children",
+                ControlSlopes.FIGURES_IN_BATCH,
+                States.NODES * CHILDREN,
+                Bound.BYTES)));
   }
 
   private static double commands(Command.Builder command) {
@@ -136,7 +143,8 @@
                 9.0 / MERGED_PER_SECOND,
                 MERGED_PER_SECOND,
                 Bound.BYTES),
-            new Use(VOTER, "70 nodes in 5 bundles a second, out", 14, MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER, "70 nodes in 5 bundles a second, out", 14, MERGED_PER_SECOND, Bound.BYTES),
             new Use(
                 LEADER,
                 "360 nodes in 30 bundles a second, in",
@@ -165,8 +173,12 @@
                 ACCOUNTS_OF_SUBTREE,
                 MERGED_PER_SECOND,
                 Bound.BYTES),
-            new Use(VOTER, "8 children, 1,006 accounts, 5 a second, in", ACCOUNTS_OF_SUBTREE,
-                CHILDREN * MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER,
+                "8 children, 1,006 accounts, 5 a second, in",
+                ACCOUNTS_OF_SUBTREE,
+                CHILDREN * MERGED_PER_SECOND,
+                Bound.BYTES),
             new Use(
                 LEADER,
                 "1,100 accounts, 30 a second, in",
@@ -201,8 +213,12 @@
                 ACCOUNTS_OF_NODE,
                 CHILDREN,
                 Bound.BYTES),
-            new Use(VOTER, "8 children, 1,006 accounts, 5 a second, out", ACCOUNTS_OF_SUBTREE,
-                CHILDREN * MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER,
+                "8 children, 1,006 accounts, 5 a second, out",
+                ACCOUNTS_OF_SUBTREE,
+                CHILDREN * MERGED_PER_SECOND,
+                Bound.BYTES),
             new Use(
                 LEADER,
                 "1,100 accounts, 30 a second, out",
