Make the test of an abandoned hold wait until the relay has noticed the close

Cause: on a variant that cancels such a hold the test passed, because the answer could come before the close was noticed. Change: the caller closes its socket, and a later repeatable call shows when closes are noticed.

--- a/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
@@ -5,6 +5,9 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.concurrent.CompletableFuture;
@@ -238,14 +241,29 @@
           };
       try (StandIn service = new StandIn(slow);
           RelayHarness relay = new RelayHarness().with("services", service)) {
-        CompletableFuture<HttpResponse<String>> call = relay.sendAsync(hold(relay, "k1"));
+        Socket held = send(relay, "POST", "Idempotency-Key: k1\r\nContent-Length: 9\r\n");
         RelayHarness.await(() -> service.received.size() == 1);
-        call.cancel(true);
+        held.close();
+        // A repeatable call that leaves later shows when the relay has noticed such a close.
+        Socket repeatable = send(relay, "GET", "");
+        RelayHarness.await(() -> service.received.size() == 2);
+        repeatable.close();
+        RelayHarness.await(() -> relay.counter("refusal.caller_left") == 1);
         answerNow.complete(true);
         RelayHarness.await(() -> relay.control.proposed.size() == 2);
         assertEquals(relay.send(hold(relay, "k1")).statusCode(), 201);
-        assertEquals(service.received.size(), 1);
+        assertEquals(service.received.size(), 2);
       }
     }
+
+    private static Socket send(RelayHarness relay, String method, String headers)
+        throws IOException {
+      Socket socket = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port());
+      String head =
+          method + " /services/iard/holds HTTP/1.1\r\nHost: x\r\nX-Api-Key: " + StubControl.KEY;
+      String body = headers.isEmpty() ? "" : "{\"lot\":4}";
+      socket.getOutputStream().write((head + "\r\n" + headers + "\r\n" + body).getBytes(UTF_8));
+      return socket;
+    }
   }
 }
