--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
@@ -32,8 +32,8 @@
   // requests a second draw 300 times from 1,100 accounts at one node and 2,700 times at nine.
   private static final int ACCOUNTS_OF_NODE = 262;
   private static final int ACCOUNTS_OF_SUBTREE = 1_006;
-  private static final List<Integer> ACCOUNT_SIZES = {275, 550, 1_100};
-  private static final List<Integer> NODE_SIZES = {9, 35, 70};
+  private static final List<Integer> ACCOUNT_SIZES = List.of(275, 550, 1_100);
+  private static final List<Integer> NODE_SIZES = List.of(9, 35, 70);
 
   private TreeSlopes() {}
 
