Decide spending only on a fleet that has been read

Cause: in a local run a new leader bought six backend servers within its first second: it decided on the committed fleet, which was still empty, before the platform's list had been read. Change: an authority decides roles and spending only after it has seen the committed fleet agree with the platform's list.

--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.orders;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -22,6 +23,7 @@
 import org.teaseltrestle.node.replica.ControlPlane;
 import org.teaseltrestle.wire.BackendServerRecord;
 import org.teaseltrestle.wire.EngineOrder;
+import org.teaseltrestle.wire.ObserveFleet;
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.UsageWindow;
 
@@ -52,6 +54,9 @@
   private final DutyThread<Runnable> duty;
   private final ExecutorService calls;
   private boolean observing;
+  // Whether this authority has seen the committed fleet agree with the platform's list. Spending
+  // decided before that bought servers that the platform already had.
+  private boolean fleetCurrent;
   private long nextObservationNanos;
 
   /**
@@ -116,7 +121,11 @@
         .forEach(this::act);
     if (authority.mayAct(nowNanos) && view.authority().getTerm() == authority.term()) {
       observe(nowNanos);
-      fleetControl.decide(view, orderBook, nowNanos).forEach(proposer::propose);
+      if (fleetCurrent) {
+        fleetControl.decide(view, orderBook, nowNanos).forEach(proposer::propose);
+      }
+    } else {
+      fleetCurrent = false;
     }
   }
 
@@ -241,8 +250,10 @@
     if (!authority.mayAct(clock.nowNanos())) {
       return;
     }
-    FleetObserver.difference(servers, control.view(), authority.term())
-        .ifPresent(difference -> proposer.propose(OrderCommands.of(difference)));
+    Optional<ObserveFleet> difference =
+        FleetObserver.difference(servers, control.view(), authority.term());
+    difference.ifPresent(change -> proposer.propose(OrderCommands.of(change)));
+    fleetCurrent = difference.isEmpty();
     control.retireGone(gone);
   }
 
