--- a/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
@@ -25,10 +25,11 @@
 
   // Long enough to smooth single requests, short enough to follow a swing within seconds.
   private static final double DECAY_SECONDS = 3;
+  private static final double NEGLIGIBLE_TOKENS_PER_SECOND = 0.01;
 
-  // One request of 300 tokens falls below this after 14 s. At 0.01 it would be reported for 28 s,
-  // and an instance of the target size would report 460 accounts each second in place of 260.
-  private static final double NEGLIGIBLE_TOKENS_PER_SECOND = 1;
+  // A request of 300 tokens falls below this after 14 s, with 1% of it not yet reported. At 0.01 an
+  // instance of the target size would report 460 accounts each second in place of 260.
+  private static final double NEGLIGIBLE_OF_ACCOUNT = 1;
 
   private final AdmissionDecisions decisions;
   private final MonotonicClock clock;
@@ -56,7 +57,7 @@
   public Map<ClientAccount, Double> tokensPerSecond() {
     long now = clock.nowNanos();
     synchronized (accounts) {
-      accounts.values().removeIf(rate -> rate.at(now) < NEGLIGIBLE_TOKENS_PER_SECOND);
+      accounts.values().removeIf(rate -> rate.at(now) < NEGLIGIBLE_OF_ACCOUNT);
       Map<ClientAccount, Double> result = new HashMap<>();
       accounts.forEach((account, rate) -> result.put(account, rate.at(now)));
       return result;
