--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
@@ -38,7 +38,7 @@
   private static final int PREFIXES_OF_ENGINE = 4_000;
   private static final double REQUESTS_PER_SECOND = 9_100.0 / States.NODES;
   private static final int RUNS = 3;
-  private static final List<Integer> REPLICA_SIZES = {144, 288, 576};
+  private static final List<Integer> REPLICA_SIZES = List.of(144, 288, 576);
   private static final String REQUEST_HEAD =
       "GET /load HTTP/1.1\r\nHost: 10.0.0.1:8000\r\nConnection: Keep-Alive\r\n"
           + "Accept-Encoding: gzip\r\nUser-Agent: okhttp/4.12.0\r\n\r\n";
@@ -151,7 +151,11 @@
         },
         List.of(10_000, 20_000, 40_000),
         List.of(
-            Use.events(ENTRY, "576 replicas, 4 a second", WATCHED * LOAD_READS_PER_SECOND, Bound.PROCESSOR)));
+            Use.events(
+                ENTRY,
+                "576 replicas, 4 a second",
+                WATCHED * LOAD_READS_PER_SECOND,
+                Bound.PROCESSOR)));
   }
 
   private static Slope fleetWork() {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/LogSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/LogSlopes.java
@@ -43,12 +43,24 @@
         size -> Meter.framed(append(size)),
         List.of(10, 20, 40),
         List.of(
-            new Use(VOTER, "42 batches in each of 10 appends a second, in", BATCHES_IN_APPEND,
-                HEARTBEATS_PER_SECOND, Bound.BYTES),
-            new Use(LEADER, "the same, out to 6 voters", BATCHES_IN_APPEND,
-                HEARTBEATS_PER_SECOND * OTHER_VOTERS, Bound.BYTES),
-            new Use(LEADER, "no entry, 10 appends a second, out to 6 voters", 0,
-                HEARTBEATS_PER_SECOND * OTHER_VOTERS, Bound.BYTES)));
+            new Use(
+                VOTER,
+                "42 batches in each of 10 appends a second, in",
+                BATCHES_IN_APPEND,
+                HEARTBEATS_PER_SECOND,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "the same, out to 6 voters",
+                BATCHES_IN_APPEND,
+                HEARTBEATS_PER_SECOND * OTHER_VOTERS,
+                Bound.BYTES),
+            new Use(
+                LEADER,
+                "no entry, 10 appends a second, out to 6 voters",
+                0,
+                HEARTBEATS_PER_SECOND * OTHER_VOTERS,
+                Bound.BYTES)));
   }
 
   private static RaftPacket append(int entries) {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/Slope.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/Slope.java
@@ -11,7 +11,8 @@
  * @param sizes sizes to be measured, ascending
  * @param uses what the slope means for the roles
  */
-record Slope(String name, String unit, Measurement measurement, List<Integer> sizes, List<Use> uses) {
+record Slope(
+    String name, String unit, Measurement measurement, List<Integer> sizes, List<Use> uses) {
 
   /** Measures the value at one size. */
   @FunctionalInterface
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
 import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /** Slopes of the messages in the dissemination tree, in bytes with framing. */
@@ -32,8 +33,8 @@
   // requests a second draw 300 times from 1,100 accounts at one node and 2,700 times at nine.
   private static final int ACCOUNTS_OF_NODE = 262;
   private static final int ACCOUNTS_OF_SUBTREE = 1_006;
-  private static final List<Integer> ACCOUNT_SIZES = {275, 550, 1_100};
-  private static final List<Integer> NODE_SIZES = {9, 35, 70};
+  private static final List<Integer> ACCOUNT_SIZES = List.of(275, 550, 1_100);
+  private static final List<Integer> NODE_SIZES = List.of(9, 35, 70);
 
   private TreeSlopes() {}
 
@@ -43,6 +44,7 @@
         listChanges(),
         usageBatches(),
         renewals(),
+        poolDemand(),
         demandUp(),
         demandDown(),
         coding());
@@ -63,7 +65,10 @@
         List.of(100, 200, 400),
         List.of(
             Use.events(FOLLOWER, "15,000 a day, in", ControlSlopes.CHANGES_PER_SECOND, Bound.BYTES),
-            Use.events(INNER, "15,000 a day, out to 8", CHILDREN * ControlSlopes.CHANGES_PER_SECOND,
+            Use.events(
+                INNER,
+                "15,000 a day, out to 8",
+                CHILDREN * ControlSlopes.CHANGES_PER_SECOND,
                 Bound.BYTES)));
   }
 
@@ -104,8 +109,12 @@
                 ControlSlopes.FIGURES_IN_BATCH,
                 States.NODES * CHILDREN,
                 Bound.BYTES),
-            new Use(VOTER, "420 batches of 22 a second, out to 8 children", ControlSlopes.FIGURES_IN_BATCH,
-                States.NODES * CHILDREN, Bound.BYTES)));
+            new Use(
+                VOTER,
+                "420 batches of 22 a second, out to 8 children",
+                ControlSlopes.FIGURES_IN_BATCH,
+                States.NODES * CHILDREN,
+                Bound.BYTES)));
   }
 
   private static double commands(Command.Builder command) {
@@ -136,7 +145,8 @@
                 9.0 / MERGED_PER_SECOND,
                 MERGED_PER_SECOND,
                 Bound.BYTES),
-            new Use(VOTER, "70 nodes in 5 bundles a second, out", 14, MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER, "70 nodes in 5 bundles a second, out", 14, MERGED_PER_SECOND, Bound.BYTES),
             new Use(
                 LEADER,
                 "360 nodes in 30 bundles a second, in",
@@ -145,6 +155,35 @@
                 Bound.BYTES)));
   }
 
+  private static Slope poolDemand() {
+    return new Slope(
+        "bytes: demand of pools in renewals",
+        "B/pool",
+        size -> {
+          RenewalBundle.Builder bundle = bundle(1, 0).toBuilder();
+          for (int i = 0; i < size; i++) {
+            bundle.addPoolDemand(
+                PoolDemand.newBuilder()
+                    .setPool("pool-" + i)
+                    .setPrefillTokensPerSecond(1.5)
+                    .setDecodeTokensPerSecond(2.5)
+                    .setCheapTokensPerSecond(0.5));
+          }
+          return Meter.framed(bundle.build());
+        },
+        List.of(5, 9, 18),
+        List.of(
+            new Use(FOLLOWER, "18 pools each second, out", States.MODELS, 1, Bound.BYTES),
+            new Use(
+                INNER, "18 pools, 5 a second, out", States.MODELS, MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                LEADER,
+                "18 pools, 30 a second, in",
+                States.MODELS,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.BYTES)));
+  }
+
   private static Slope demandUp() {
     return new Slope(
         "bytes: demand in renewals",
@@ -165,8 +204,12 @@
                 ACCOUNTS_OF_SUBTREE,
                 MERGED_PER_SECOND,
                 Bound.BYTES),
-            new Use(VOTER, "8 children, 1,006 accounts, 5 a second, in", ACCOUNTS_OF_SUBTREE,
-                CHILDREN * MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER,
+                "8 children, 1,006 accounts, 5 a second, in",
+                ACCOUNTS_OF_SUBTREE,
+                CHILDREN * MERGED_PER_SECOND,
+                Bound.BYTES),
             new Use(
                 LEADER,
                 "1,100 accounts, 30 a second, in",
@@ -201,8 +244,12 @@
                 ACCOUNTS_OF_NODE,
                 CHILDREN,
                 Bound.BYTES),
-            new Use(VOTER, "8 children, 1,006 accounts, 5 a second, out", ACCOUNTS_OF_SUBTREE,
-                CHILDREN * MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                VOTER,
+                "8 children, 1,006 accounts, 5 a second, out",
+                ACCOUNTS_OF_SUBTREE,
+                CHILDREN * MERGED_PER_SECOND,
+                Bound.BYTES),
             new Use(
                 LEADER,
                 "1,100 accounts, 30 a second, out",
