--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -162,7 +162,7 @@
         order.getOrderId(),
         () ->
             authority.mayAct(clock.nowNanos())
-                ? ports.platformOrders().send(order)
+                ? ports.platformOrders().send(order, control.view().authority().getFencingNumber())
                 : new OrderAnswer(OrderAnswer.Kind.UNKNOWN, "authority ended"));
   }
 
