--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/TreeSlopes.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
 import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /** Slopes of the messages in the dissemination tree, in bytes with framing. */
@@ -43,6 +44,7 @@
         listChanges(),
         usageBatches(),
         renewals(),
+        poolDemand(),
         demandUp(),
         demandDown(),
         coding());
@@ -153,6 +155,35 @@
                 Bound.BYTES)));
   }
 
+  private static Slope poolDemand() {
+    return new Slope(
+        "bytes: demand of pools in renewals",
+        "B/pool",
+        size -> {
+          RenewalBundle.Builder bundle = bundle(1, 0).toBuilder();
+          for (int i = 0; i < size; i++) {
+            bundle.addPoolDemand(
+                PoolDemand.newBuilder()
+                    .setPool("pool-" + i)
+                    .setPrefillTokensPerSecond(1.5)
+                    .setDecodeTokensPerSecond(2.5)
+                    .setCheapTokensPerSecond(0.5));
+          }
+          return Meter.framed(bundle.build());
+        },
+        List.of(5, 9, 18),
+        List.of(
+            new Use(FOLLOWER, "18 pools each second, out", States.MODELS, 1, Bound.BYTES),
+            new Use(
+                INNER, "18 pools, 5 a second, out", States.MODELS, MERGED_PER_SECOND, Bound.BYTES),
+            new Use(
+                LEADER,
+                "18 pools, 30 a second, in",
+                States.MODELS,
+                OTHER_VOTERS * MERGED_PER_SECOND,
+                Bound.BYTES)));
+  }
+
   private static Slope demandUp() {
     return new Slope(
         "bytes: demand in renewals",
