--- a/node/src/test/java/org/teaseltrestle/node/orders/StubPlane.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/StubPlane.java
@@ -70,7 +70,8 @@
   public Optional<Authority> authority() {
     questions.incrementAndGet();
     return inCharge
-        ? Optional.of(new Authority(TERM, 1, System.nanoTime() - SECOND, System.nanoTime() + SECOND))
+        ? Optional.of(
+            new Authority(TERM, 1, System.nanoTime() - SECOND, System.nanoTime() + SECOND))
         : Optional.empty();
   }
 
