--- /dev/null
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/package-info.java
@@ -0,0 +1,5 @@
+/** Tests with node processes, fakes and injected faults. */
+@NullMarked
+package org.teaseltrestle.integration.faults;
+
+import org.jspecify.annotations.NullMarked;
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -208,7 +208,7 @@
             MonotonicClock.SYSTEM,
             WallClock.SYSTEM,
             () -> Map.of(new ClientAccount("yard"), 10.0),
-            (granted, expiry, standard) -> shares.putAll(granted));
+            (granted, total, expiry, standard) -> shares.putAll(granted));
     Node node = new Node(transport, ControlPlanes.open(settings, context, random), shares);
     nodes.put(instance, node);
     return node;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/ClusterPlan.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/ClusterPlan.java
@@ -37,6 +37,7 @@
   final @Nullable ObjectNode platformSettings;
   final List<String> domains;
   final Duration startLimit;
+  final int heapMegabytes;
 
   private ClusterPlan(Builder builder) {
     this.root = builder.root;
@@ -48,6 +49,7 @@
     this.engineSettings = builder.engineSettings;
     this.platformSettings = builder.platformSettings;
     this.startLimit = builder.startLimit;
+    this.heapMegabytes = builder.heapMegabytes;
     this.nodes = List.copyOf(planNodes(builder));
   }
 
@@ -94,6 +96,7 @@
     private @Nullable ObjectNode engineSettings;
     private @Nullable ObjectNode platformSettings;
     private Duration startLimit = Duration.ofSeconds(60);
+    private int heapMegabytes = 256;
 
     private Builder(Path root, Path workFolder) {
       this.root = root.toAbsolutePath().normalize();
@@ -149,6 +152,12 @@
       return this;
     }
 
+    /** Sets the heap of each node process. */
+    public Builder heapMegabytes(int megabytes) {
+      heapMegabytes = megabytes;
+      return this;
+    }
+
     /** Builds the plan. */
     public ClusterPlan build() {
       return new ClusterPlan(this);
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
@@ -136,7 +136,7 @@
     List<String> command =
         List.of(
             javaBinary(),
-            "-Xmx256m",
+            "-Xmx" + plan.heapMegabytes + "m",
             "-XX:+UseSerialGC",
             "-XX:+ExitOnOutOfMemoryError",
             "-jar",
