--- a/integration/src/test/java/org/teaseltrestle/integration/faults/ClusterFixture.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/ClusterFixture.java
@@ -14,8 +14,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.commandline.CommandLineMain;
 import org.teaseltrestle.commandline.ExitCode;
 import org.teaseltrestle.commandline.Terminal;
@@ -46,8 +48,8 @@
   protected static final String FOLLOWER = "entry-4";
   private static final int HEAP_MEGABYTES = 128;
 
-  private LocalCluster cluster;
-  private RevisionWatcher watcher;
+  private @Nullable LocalCluster cluster;
+  private @Nullable RevisionWatcher watcher;
   private Path folder = Path.of("");
   private String token = "";
   private String key = "";
@@ -85,11 +87,11 @@
                 .heapMegabytes(HEAP_MEGABYTES)
                 .startLimit(LIMIT)
                 .build());
-    token = Files.readString(cluster.tokenFile()).strip();
-    watcher = RevisionWatcher.start(cluster);
+    token = Files.readString(cluster().tokenFile()).strip();
+    watcher = RevisionWatcher.start(cluster());
     assertEquals(applyNext().code(), ExitCode.DONE);
     key = issueKey();
-    awaitServing(cluster.nodes());
+    awaitServing(cluster().nodes());
   }
 
   /** Stops every process of the cluster. */
@@ -106,31 +108,34 @@
   /** Ends all faults of the test before. */
   @BeforeMethod
   public void restore() {
-    cluster.heal();
-    for (ClusterNode node : cluster.nodes()) {
-      if (!cluster.runs(node.instance())) {
-        cluster.startNode(node.instance());
+    cluster().heal();
+    for (ClusterNode node : cluster().nodes()) {
+      if (!cluster().runs(node.instance())) {
+        cluster().startNode(node.instance());
       }
     }
-    cluster.nodes().forEach(node -> cluster.awaitReady(node.instance()));
-    awaitServing(cluster.nodes());
+    cluster().nodes().forEach(node -> cluster().awaitReady(node.instance()));
+    awaitServing(cluster().nodes());
   }
 
+  /** Returns the cluster(). */
   protected LocalCluster cluster() {
-    return cluster;
+    return Objects.requireNonNull(cluster);
   }
 
+  /** Returns the key of the tests' account. */
   protected String key() {
     return key;
   }
 
+  /** Returns the address of a node's caller port. */
   protected String caller(String instance) {
-    return cluster.node(instance).callerAddress();
+    return cluster().node(instance).callerAddress();
   }
 
   /** Returns all instances but the named ones. */
   protected List<String> others(String... instances) {
-    return cluster.nodes().stream()
+    return cluster().nodes().stream()
         .map(ClusterNode::instance)
         .filter(instance -> !List.of(instances).contains(instance))
         .toList();
@@ -147,7 +152,7 @@
     ByteArrayOutputStream error = new ByteArrayOutputStream();
     String addresses =
         instances.stream()
-            .map(instance -> cluster.node(instance).operatorAddress())
+            .map(instance -> cluster().node(instance).operatorAddress())
             .collect(Collectors.joining(","));
     ExitCode code =
         CommandLineMain.run(
@@ -158,7 +163,7 @@
                     "TEASELTRESTLE_OPERATOR_ADDRESS",
                     addresses,
                     "TEASELTRESTLE_TOKEN_FILE",
-                    cluster.tokenFile().toString())),
+                    cluster().tokenFile().toString())),
             arguments);
     return new Answer(code, output.toString(UTF_8), error.toString(UTF_8));
   }
@@ -190,12 +195,13 @@
   /** Returns a node's status, or an empty object if it gives none. */
   protected JsonNode status(String instance) {
     try {
-      return RevisionWatcher.status(cluster.node(instance), token);
+      return RevisionWatcher.status(cluster().node(instance), token);
     } catch (TrestleException e) {
       return Json.object();
     }
   }
 
+  /** Returns the revision that a node shows, or -1. */
   protected long revision(String instance) {
     return status(instance).path("listsRevision").asLong(-1);
   }
@@ -209,9 +215,9 @@
         () -> {
           found.clear();
           others().stream()
-              .filter(cluster::runs)
+              .filter(cluster()::runs)
               .map(instance -> status(instance).path("authorityInstance").asText(""))
-              .filter(instance -> !instance.isEmpty() && cluster.runs(instance))
+              .filter(instance -> !instance.isEmpty() && cluster().runs(instance))
               .findFirst()
               .ifPresent(found::add);
           return !found.isEmpty();
@@ -221,7 +227,7 @@
 
   /** Waits until every node shows a revision. */
   protected void awaitRevision(long revision) {
-    for (ClusterNode node : cluster.nodes()) {
+    for (ClusterNode node : cluster().nodes()) {
       Await.until(
           node.instance() + " shows revision " + revision,
           LIMIT,
@@ -245,7 +251,7 @@
 
   /** Returns the number of model requests that the engines have started so far. */
   protected long started() {
-    return cluster.fakes().records().engines().stream()
+    return cluster().fakes().records().engines().stream()
         .filter(entry -> entry.kind().equals("started"))
         .count();
   }
@@ -265,7 +271,7 @@
   /** Returns a node's log. */
   protected String log(String instance) {
     try {
-      return new String(Files.readAllBytes(cluster.node(instance).logFile()), UTF_8);
+      return new String(Files.readAllBytes(cluster().node(instance).logFile()), UTF_8);
     } catch (IOException e) {
       throw new TrestleException(ErrorCode.FILE_ACCESS, instance + " has no readable log", e);
     }
@@ -273,9 +279,9 @@
 
   /** Checks all invariants on everything recorded so far. */
   protected void checkInvariants() {
-    RunEvidence.Builder evidence = RunEvidence.of(cluster.fakes().records());
+    RunEvidence.Builder evidence = RunEvidence.of(cluster().fakes().records());
     evidence.results(results).keys(keys).faults(RunEvidence.Faults.INJECTED);
-    watcher.seen().forEach(evidence::seen);
+    Objects.requireNonNull(watcher).seen().forEach(evidence::seen);
     others().forEach(instance -> evidence.log(instance, log(instance)));
     long now = System.currentTimeMillis();
     stops.forEach(instance -> evidence.gracefulStop(caller(instance), now));
--- a/integration/src/test/java/org/teaseltrestle/integration/faults/DiskFaultsTest.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/DiskFaultsTest.java
@@ -20,7 +20,7 @@
   public void lostDiskIsRepairedAndSecondLossIsSurvived() {
     mustApplyNext();
     String leader = leader();
-    long accepted = revision(leader);
+    final long accepted = revision(leader);
     String lost = voterBeside(leader);
     cluster().kill(lost);
     cluster().loseDisk(lost);
--- a/integration/src/test/java/org/teaseltrestle/integration/faults/LeaderFaultsTest.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/LeaderFaultsTest.java
@@ -20,9 +20,9 @@
   public void killedLeaderLosesNothing() throws Exception {
     mustApplyNext();
     String leader = leader();
-    long before = revision(leader);
+    final long before = revision(leader);
     final long startedBefore = started();
-    CompletableFuture<List<RequestResult>> running =
+    final CompletableFuture<List<RequestResult>> running =
         replay("leader-killed", others(leader), Callers.streams(40, 150, 60));
     Await.until("streams run", LIMIT, () -> started() > startedBefore + 3);
     cluster().kill(leader);
@@ -41,7 +41,7 @@
     mustApplyNext();
     String frozen = leader();
     long before = revision(frozen);
-    CompletableFuture<List<RequestResult>> running =
+    final CompletableFuture<List<RequestResult>> running =
         replay("leader-frozen", others(frozen), Callers.streams(30, 150, 60));
     cluster().process(frozen).freeze();
     try {
--- a/integration/src/test/java/org/teaseltrestle/integration/faults/ServingFaultsTest.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/ServingFaultsTest.java
@@ -30,7 +30,7 @@
   public void gracefulStopCutsNothing() throws Exception {
     for (String stopped : List.of(FOLLOWER, leader())) {
       long before = started();
-      CompletableFuture<List<RequestResult>> running =
+      final CompletableFuture<List<RequestResult>> running =
           replay("stop-" + stopped, List.of(stopped), Callers.streams(16, 0, OUTPUT_TOKENS));
       Await.until("streams run", LIMIT, () -> started() >= before + 16);
       noteGracefulStop(stopped);
@@ -101,7 +101,7 @@
         replay("usage", List.of(FOLLOWER), Callers.streams(12, 20, 20)).get(60, TimeUnit.SECONDS);
     cluster().kill(FOLLOWER);
     assertAllWhole(answers);
-    long tokens = answers.stream().mapToLong(RequestResult::tokens).sum();
+    final long tokens = answers.stream().mapToLong(RequestResult::tokens).sum();
     Await.until(
         "usage shows the killed node's requests", LIMIT, () -> usage()[0] - before[0] >= 12);
     cluster().startNode(FOLLOWER);
