--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.transport.PeerTransport;
 import org.teaseltrestle.wire.CommittedCommands;
 import org.teaseltrestle.wire.CommittedState;
@@ -19,6 +20,7 @@
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
 import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
 /**
@@ -38,6 +40,7 @@
   private final Map<String, Child> children = new HashMap<>();
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
+  private ServingLists lists = ServingLists.EMPTY;
 
   private static final class Child {
     InetSocketAddress address;
@@ -45,6 +48,7 @@
     long reportedIndex = -1;
     long heardAtNanos;
     Map<String, Double> demand = Map.of();
+    List<PoolDemand> pools = List.of();
 
     Child(InetSocketAddress address) {
       this.address = address;
@@ -74,6 +78,8 @@
     child.address = address;
     child.heardAtNanos = clock.nowNanos();
     child.demand = AccountShares.toMap(bundle.getDemandList());
+    child.pools = bundle.getPoolDemandList();
+    lists = state.view().lists();
     // The same index twice, although more was sent, means that a message was lost.
     boolean stuck = bundle.getAppliedIndex() == child.reportedIndex;
     if (!known || stuck || bundle.getAppliedIndex() > child.sentIndex) {
@@ -115,7 +121,12 @@
     }
   }
 
-  /** Passes each grant to the child that the renewal came from. */
+  /** Adds the children's demand of pools to a list. */
+  void addPoolDemand(List<PoolDemand> demands) {
+    children.values().forEach(child -> demands.addAll(child.pools));
+  }
+
+  /** Passes each grant to the child that the renewal came from, with the demand it needs. */
   void passGrants(GrantBundle bundle) {
     Map<String, GrantBundle.Builder> byChild = new HashMap<>();
     for (LeaseGrant grant : bundle.getGrantsList()) {
@@ -123,13 +134,16 @@
           .ifPresent(
               child ->
                   byChild
-                      .computeIfAbsent(child, id -> bundle.toBuilder().clearGrants())
+                      .computeIfAbsent(
+                          child, id -> bundle.toBuilder().clearGrants().clearTotalDemand())
                       .addGrants(grant));
     }
     byChild.forEach(
         (id, grants) -> {
           Child child = children.get(id);
           if (child != null) {
+            grants.addAllTotalDemand(
+                DemandFilter.forChild(bundle.getTotalDemandList(), child.demand.keySet(), lists));
             send(child, FollowMessage.GRANTS, grants.build().toByteArray());
           }
         });
