--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -228,10 +228,27 @@
           if (answer != null) {
             journal.committedThrough(answer.getLastSequence());
             release(answer.getLastSequence());
+            tellPartner();
           }
         });
   }
 
+  /** Tells the partner what is committed, so that it does not take the origin for silent. */
+  private void tellPartner() {
+    if (partner == null || !journal.isEmpty()) {
+      return;
+    }
+    UsageCopy committed =
+        UsageCopy.newBuilder()
+            .setInstance(instance.value())
+            .setBoot(boot)
+            .setFirstSequence(journal.firstUncommitted())
+            .build();
+    addresses
+        .apply(partner)
+        .ifPresent(address -> transport.send(address, NAME, COPY_KIND, committed.toByteArray()));
+  }
+
   private void commitForOther(UsageBatch batch) {
     propose(
         batch,
