--- a/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
@@ -23,6 +23,13 @@
    */
   CompletableFuture<CommandAnswer> propose(Command command);
 
+  /**
+   * Returns a log index that a quorum confirmed as committed after this call: a view that has
+   * applied it shows every change accepted before. The future fails with a {@code TrestleException}
+   * of {@link ErrorCode#UNREACHABLE} when no leader confirmed in time.
+   */
+  CompletableFuture<Long> confirmedIndex();
+
   /** Returns whether this instance has confirmed the committed state since its start. */
   boolean isReady();
 
--- a/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ConfirmationTracker;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlState;
@@ -17,13 +18,26 @@
 
   private final ControlState state = new ControlState();
   private long index;
+  private @Nullable ControlView frozen;
   private int answersToLose;
   private boolean ready = true;
   private List<UnconfirmedInstance> unconfirmed = List.of();
 
   @Override
   public synchronized ControlView view() {
-    return state.view();
+    return frozen == null ? state.view() : frozen;
+  }
+
+  /** Confirms the index of the last command; a view that was held back catches up. */
+  @Override
+  public synchronized CompletableFuture<Long> confirmedIndex() {
+    frozen = null;
+    return CompletableFuture.completedFuture(index);
+  }
+
+  /** Holds the view back at the present state until the next confirmation. */
+  synchronized void holdViewBack() {
+    frozen = state.view();
   }
 
   @Override
--- a/integration/src/test/java/org/teaseltrestle/integration/operators/OperatorCommandLineTest.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/operators/OperatorCommandLineTest.java
@@ -39,6 +39,7 @@
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.ObserveFleet;
 import org.teaseltrestle.wire.RegisterInstance;
+import org.teaseltrestle.wire.ReplaceLists;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -138,6 +139,27 @@
   /** Changes of the lists. */
   public static class Lists extends ServerFixture {
 
+    /** Guards against a needless conflict when the node that is asked lags behind a change. */
+    @Test
+    public void applyReplacesTheRevisionThatIsCommitted() throws IOException {
+      assertEquals(runOnLists("apply"), ExitCode.DONE, error);
+      control.holdViewBack();
+      var answer =
+          control.propose(
+              Command.newBuilder()
+                  .setRequestId("change of another operator")
+                  .setReplaceLists(
+                      ReplaceLists.newBuilder()
+                          .setBaseRevision(1)
+                          .setAccountsJson("{\"accounts\": []}")
+                          .setPlansJson(control.view().plansJson()))
+                  .build());
+      assertEquals(answer.join().getListsRevision(), 2);
+      writeAccounts("yard-south");
+      assertEquals(runOnLists("apply"), ExitCode.DONE, error);
+      assertEquals(control.view().listsRevision(), 3);
+    }
+
     /** Guards against a plan that hides a difference or applies something. */
     @Test
     public void planShowsDifferences() throws IOException {
--- a/node/src/main/java/org/teaseltrestle/node/operators/OperatorEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/operators/OperatorEvent.java
@@ -7,7 +7,8 @@
   SERVER_STARTED(7001, "operator server started"),
   CHANGE_ANSWERED(7002, "operator change answered"),
   TOKEN_REFUSED(7003, "operator request without the right token refused"),
-  REQUEST_FAILED(7004, "operator request failed");
+  REQUEST_FAILED(7004, "operator request failed"),
+  READ_NOT_CONFIRMED(7005, "no leader confirmed a read; the newest local view is returned");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/operators/OperatorService.java
+++ b/node/src/main/java/org/teaseltrestle/node/operators/OperatorService.java
@@ -4,13 +4,17 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.teaseltrestle.control.ConfirmationTracker;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.control.KeyVerifier;
 import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ErrorCode;
@@ -45,6 +49,7 @@
 
   private static final long PROPOSE_TIMEOUT_MILLISECONDS = 8_000;
   private static final long CONFIRMATION_TIMEOUT_MILLISECONDS = 2_000;
+  private static final long VIEW_POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
   private static final EventLog LOG = EventLog.of(OperatorService.class);
 
   private final InstanceId instance;
@@ -77,14 +82,14 @@
 
   /** Returns the lists in force. */
   public ListsAnswer lists() {
-    ControlView view = readyView();
+    ControlView view = confirmedView();
     return new ListsAnswer(
         view.listsRevision(), view.appliedIndex(), view.accountsJson(), view.plansJson());
   }
 
   /** Returns what proposed lists would change. */
   public PlanAnswer plan(ListsProposal proposal) {
-    ControlView view = readyView();
+    ControlView view = confirmedView();
     ParsedLists parsed =
         ListsParser.parse(
             "accounts.json", proposal.accountsJson(), "plans.json", proposal.plansJson());
@@ -157,6 +162,31 @@
     return ViewRecords.status(instance, gateway.isReady(), view, confirmation(index));
   }
 
+  /**
+   * Returns a view that shows every change accepted before this call, so that an operator does not
+   * work from a revision that has just been replaced. Without a leader the newest view of this
+   * instance is returned: operators of a cut-off failure domain still see what is in force there.
+   */
+  private ControlView confirmedView() {
+    readyView();
+    long deadlineNanos =
+        MonotonicClock.SYSTEM.nowNanos()
+            + TimeUnit.MILLISECONDS.toNanos(CONFIRMATION_TIMEOUT_MILLISECONDS);
+    try {
+      long index =
+          gateway.confirmedIndex().get(CONFIRMATION_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS);
+      while (gateway.view().appliedIndex() < index
+          && MonotonicClock.SYSTEM.nowNanos() - deadlineNanos < 0) {
+        LockSupport.parkNanos(VIEW_POLL_NANOS);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      LOG.warn(OperatorEvent.READ_NOT_CONFIRMED, "reason", e.getMessage());
+    }
+    return gateway.view();
+  }
+
   private ControlView readyView() {
     if (!gateway.isReady()) {
       throw new TrestleException(
--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -66,6 +66,11 @@
     return follower == null ? current().authority() : Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Long> confirmedIndex() {
+    return current().confirmedIndex();
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return current().withdrawalReport(index);
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -104,6 +104,11 @@
     return Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Long> confirmedIndex() {
+    return leader.confirmedIndex();
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return leader.withdrawalReport(index);
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -148,6 +148,11 @@
     return authority.current();
   }
 
+  @Override
+  public CompletableFuture<Long> confirmedIndex() {
+    return leader.confirmedIndex();
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return leader.withdrawalReport(index);
--- a/node/src/test/java/org/teaseltrestle/node/orders/StubPlane.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/StubPlane.java
@@ -75,6 +75,11 @@
         : Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<Long> confirmedIndex() {
+    return CompletableFuture.completedFuture(view.appliedIndex());
+  }
+
   @Override
   public boolean isReady() {
     return true;
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -56,6 +56,11 @@
     index++;
   }
 
+  @Override
+  public CompletableFuture<Long> confirmedIndex() {
+    return CompletableFuture.completedFuture(appliedIndex());
+  }
+
   @Override
   public ControlView view() {
     return this;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/command/LocalClusterCommand.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/command/LocalClusterCommand.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.testkit.cluster.ClusterPlan;
 import org.teaseltrestle.testkit.cluster.Folders;
 import org.teaseltrestle.testkit.cluster.LocalCluster;
+import org.teaseltrestle.testkit.cluster.PolicyVariant;
 import org.teaseltrestle.testkit.cluster.SampleRun;
 
 /** Starts a local cluster, applies the sample lists, replays sample traces and reports. */
@@ -31,6 +32,9 @@
   @Option(name = "--time-scale", description = "Factor on the arrival times")
   private double timeScale = 1;
 
+  @Option(name = "--policy", description = "Variant of the decisions, such as baseline")
+  private String policy = "adaptive";
+
   @Option(name = "--keep", description = "Leave everything running until interrupted")
   private boolean keep;
 
@@ -39,7 +43,11 @@
     Path base = Path.of(root).toAbsolutePath().normalize();
     Path work = Path.of(workFolder).toAbsolutePath().normalize();
     Folders.delete(work);
-    LocalCluster cluster = LocalCluster.prepare(ClusterPlan.builder(base, work).build());
+    LocalCluster cluster =
+        LocalCluster.prepare(
+            ClusterPlan.builder(base, work)
+                .nodeSettings(PolicyVariant.of(policy).nodeSettings())
+                .build());
     // The hook also ends the nodes when this process is interrupted half-way.
     Thread hook = new Thread(cluster::close);
     Runtime.getRuntime().addShutdownHook(hook);
