Log an order that was withheld as not sent

Cause: when the authority ended between the decision and the send, the log still said "order sent", and the event for a withheld order was never used. Conclusion: the log now tells sends from withheld orders; what is sent is unchanged.

--- a/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeProcess.java
@@ -2,7 +2,6 @@
 
 import jakarta.inject.Inject;
 import jakarta.inject.Singleton;
-import java.util.concurrent.CountDownLatch;
 import org.teaseltrestle.kernel.Closer;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.ServiceRegistry;
@@ -33,7 +32,6 @@
   private final RelayService relay;
   private final OrdersDuty orders;
   private final OperatorService operators;
-  private final CountDownLatch stopped = new CountDownLatch(1);
 
   @Inject
   NodeProcess(
@@ -93,6 +91,5 @@
     relay.shutdown();
     closer.close();
     LOG.info(NodeEvent.NODE_STOPPED, "instance", settings.instance());
-    stopped.countDown();
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -152,7 +152,7 @@
         order.getOrderId(),
         () -> {
           if (!maySend(order)) {
-            return new OrderAnswer(OrderAnswer.Kind.UNKNOWN, "authority ended");
+            return new OrderAnswer(OrderAnswer.Kind.NOT_SENT, "authority ended");
           }
           String address =
               control.view().backendServers().stream()
@@ -161,7 +161,7 @@
                   .findFirst()
                   .orElse("");
           return address.isEmpty()
-              ? new OrderAnswer(OrderAnswer.Kind.UNKNOWN, "engine is not listed")
+              ? new OrderAnswer(OrderAnswer.Kind.NOT_SENT, "engine is not listed")
               : ports.engineOrders().send(address, order);
         });
   }
@@ -172,7 +172,7 @@
         () ->
             authority.mayAct(clock.nowNanos())
                 ? ports.platformOrders().send(order, control.view().authority().getFencingNumber())
-                : new OrderAnswer(OrderAnswer.Kind.UNKNOWN, "authority ended"));
+                : new OrderAnswer(OrderAnswer.Kind.NOT_SENT, "authority ended"));
   }
 
   private boolean maySend(EngineOrder order) {
@@ -190,7 +190,11 @@
     calls.execute(
         () -> {
           OrderAnswer answer = call.send();
-          LOG.info(OrdersEvent.ORDER_SENT, "order", orderId, "answer", answer.detail());
+          OrdersEvent event =
+              answer.kind() == OrderAnswer.Kind.NOT_SENT
+                  ? OrdersEvent.ORDER_NOT_SENT
+                  : OrdersEvent.ORDER_SENT;
+          LOG.info(event, "order", orderId, "answer", answer.detail());
           deliver(
               () ->
                   orderBook
@@ -269,7 +273,7 @@
       case ACCEPTED -> CallOutcome.DONE;
       case REFUSED -> CallOutcome.REFUSED;
       // A stale number means that another authority exists; the order is its business now.
-      case STALE, BUSY, UNKNOWN -> CallOutcome.AGAIN;
+      case STALE, BUSY, NOT_SENT, UNKNOWN -> CallOutcome.AGAIN;
     };
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/port/OrderAnswer.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/OrderAnswer.java
@@ -31,6 +31,8 @@
     BUSY,
     /** Refused for good. */
     REFUSED,
+    /** Not sent: this process lost its right to send it, or the receiver is not listed. */
+    NOT_SENT,
     /** No answer: the order may have been taken; the same order must be sent again. */
     UNKNOWN
   }
