--- a/consensus/src/main/java/org/teaseltrestle/consensus/MembershipDriver.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/MembershipDriver.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.consensus.RaftAction.Refusal;
 import org.teaseltrestle.consensus.RaftEvent.ChangeMembership;
+import org.teaseltrestle.consensus.RaftSettings.Membership;
 import org.teaseltrestle.model.ReplicaId;
 
 /**
@@ -16,6 +17,9 @@
   /** Largest distance to the commit index at which a learner counts as caught up. */
   private static final long CAUGHT_UP_ENTRIES = 16;
 
+  /** Fewest voters that survive the loss of one. */
+  private static final int LEAST_VOTERS = 3;
+
   // A learner lost again before it became a voter would stay a member for ever.
   private static final long LEARNER_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
@@ -31,7 +35,7 @@
     Configuration current = context.configuration();
     if (!current.isMember(joining)
         && !joining.instance().equals(context.self.instance())
-        && context.settings.initialVoters().contains(joining.instance())
+        && mayJoin(joining)
         && mayChange()) {
       change(current.withLearner(joining));
     }
@@ -74,8 +78,13 @@
       change(current.withoutMember(replaced.get()));
       return;
     }
+    Optional<ReplicaId> silent = silentVoter(current);
+    if (silent.isPresent()) {
+      change(current.withoutMember(silent.get()));
+      return;
+    }
     for (ReplicaId learner : current.learners()) {
-      if (hasCaughtUp(learner)) {
+      if (hasCaughtUp(learner) && hasPlaceFor(learner, current)) {
         change(current.withVoter(learner));
         return;
       }
@@ -105,6 +114,33 @@
     leadership.replicate();
   }
 
+  private boolean mayJoin(ReplicaId joining) {
+    return context.settings.membership() == Membership.OPEN
+        || context.settings.initialVoters().contains(joining.instance());
+  }
+
+  /** Tells whether a learner may vote: within the most voters, or in place of a lost identity. */
+  private boolean hasPlaceFor(ReplicaId learner, Configuration current) {
+    return current.voters().size() < context.settings.maximumVoters()
+        || current.voters().stream().anyMatch(id -> id.instance().equals(learner.instance()));
+  }
+
+  /**
+   * Returns a voter of an open group that has been silent for long. Without it the group survives
+   * the loss of another voter; a removed voter that comes back asks to join again.
+   */
+  private Optional<ReplicaId> silentVoter(Configuration current) {
+    if (context.settings.membership() != Membership.OPEN
+        || current.voters().size() <= LEAST_VOTERS) {
+      return Optional.empty();
+    }
+    return current.voters().stream()
+        .filter(voter -> !voter.equals(context.self))
+        .filter(voter -> silentNanos(voter) > context.settings.silentVoterNanos())
+        .filter(voter -> hasLiveQuorum(current.withoutMember(voter)))
+        .findFirst();
+  }
+
   /** Tells whether a group could go on at once: a quorum of it is in contact and caught up. */
   private boolean hasLiveQuorum(Configuration changed) {
     return changed.isQuorum(changed.voters().stream().filter(this::hasCaughtUp).toList());
--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftSettings.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftSettings.java
@@ -33,6 +33,21 @@
     return values.initialVoters;
   }
 
+  /** Returns which replicas may join the group. */
+  public Membership membership() {
+    return values.membership;
+  }
+
+  /** Returns the most voters of an open group; further members stay learners. */
+  public int maximumVoters() {
+    return values.maximumVoters;
+  }
+
+  /** Returns the silence after which an open group goes on without a voter, in nanoseconds. */
+  public long silentVoterNanos() {
+    return values.silentVoterNanos;
+  }
+
   /** Returns the time between two heartbeats, in nanoseconds. */
   public long heartbeatNanos() {
     return values.heartbeatNanos;
@@ -78,9 +93,21 @@
     return values.retainedEntries;
   }
 
+  /** Which replicas may join the group. */
+  public enum Membership {
+    /** Only replicas of the initial voters' instances; a voter is replaced by its own instance. */
+    INITIAL_VOTERS,
+    /** Any replica that asks; a silent voter is removed as long as enough others remain. */
+    OPEN
+  }
+
   /** Collects settings. */
   public static final class Builder implements Cloneable {
     private Set<InstanceId> initialVoters = Set.of();
+    private Membership membership = Membership.INITIAL_VOTERS;
+    private int maximumVoters = 7; // docs/design.md, section 6
+    // Longer than two elections, so that a restarted voter is not removed.
+    private long silentVoterNanos = TimeUnit.MILLISECONDS.toNanos(3_000);
     private long heartbeatNanos = TimeUnit.MILLISECONDS.toNanos(100);
     private long electionMinimumNanos = TimeUnit.MILLISECONDS.toNanos(1_000);
     private long electionMaximumNanos = TimeUnit.MILLISECONDS.toNanos(2_000);
@@ -99,6 +126,18 @@
       return this;
     }
 
+    /** Sets which replicas may join the group. */
+    public Builder membership(Membership rule) {
+      membership = rule;
+      return this;
+    }
+
+    /** Sets the silence after which an open group goes on without a voter, in nanoseconds. */
+    public Builder silentVoterNanos(long nanos) {
+      silentVoterNanos = nanos;
+      return this;
+    }
+
     /** Sets the time between two heartbeats, in nanoseconds. */
     public Builder heartbeatNanos(long nanos) {
       heartbeatNanos = nanos;
--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -34,6 +34,7 @@
   private final PlatformOrdersArea platformOrders = new PlatformOrdersArea();
   private final UsageArea usage = new UsageArea();
   private final ClaimsArea claims = new ClaimsArea();
+  private final ServingArea serving = new ServingArea();
   private long appliedIndex;
   private long stateTimeMillis;
 
@@ -116,7 +117,8 @@
         platformOrders.open(),
         authority.authority(),
         usage.windows(),
-        claims.claims());
+        claims.claims(),
+        serving.document());
   }
 
   /** Returns the whole state; equal states have equal bytes. */
@@ -135,6 +137,7 @@
     platformOrders.save(snapshot);
     usage.save(snapshot);
     claims.save(snapshot);
+    serving.save(snapshot);
     return snapshot.build().toByteArray();
   }
 
@@ -151,6 +154,7 @@
     platformOrders.load(snapshot);
     usage.load(snapshot);
     claims.load(snapshot);
+    serving.load(snapshot);
   }
 
   private CommandAnswer.Builder change(Command command, CommandContext context) {
@@ -175,6 +179,7 @@
       case CLAIM_IDEMPOTENCY ->
           claims.claim(command.getClaimIdempotency().getClaim(), instances, context);
       case RECORD_OUTCOME -> claims.record(command.getRecordOutcome(), context);
+      case PUBLISH_CONFIGURATION -> serving.publish(command.getPublishConfiguration());
       case CHANGE_NOT_SET -> Answers.rejected("", "the command holds no known change");
     };
   }
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -74,6 +74,11 @@
     return Optional.empty();
   }
 
+  /** Returns the serving configuration in force. */
+  default ServingDocument servingDocument() {
+    return ServingDocument.NONE;
+  }
+
   /** Returns how many ordered backend servers are still on their way. */
   default int outstandingServers(String pool, String failureDomain, String capacity) {
     return openPlatformOrders().stream()
--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/ServingArea.java
@@ -0,0 +1,43 @@
+package org.teaseltrestle.control;
+
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.ControlSnapshot;
+import org.teaseltrestle.wire.PublishConfiguration;
+
+/**
+ * The serving configuration with the highest version. A lower or equal version is accepted without
+ * an effect: its operator sent it again, or another operator was faster.
+ */
+final class ServingArea {
+
+  private static final String SUBJECT = "configuration";
+
+  private ServingDocument document = ServingDocument.NONE;
+
+  ServingDocument document() {
+    return document;
+  }
+
+  CommandAnswer.Builder publish(PublishConfiguration change) {
+    if (change.getVersion() > document.version()) {
+      document = new ServingDocument(change.getVersion(), change.getDocument());
+    }
+    return Answers.accepted(SUBJECT);
+  }
+
+  void save(ControlSnapshot.Builder snapshot) {
+    if (document.isPresent()) {
+      snapshot.setServingConfiguration(
+          PublishConfiguration.newBuilder()
+              .setVersion(document.version())
+              .setDocument(document.document()));
+    }
+  }
+
+  void load(ControlSnapshot snapshot) {
+    if (snapshot.hasServingConfiguration()) {
+      PublishConfiguration saved = snapshot.getServingConfiguration();
+      document = new ServingDocument(saved.getVersion(), saved.getDocument());
+    }
+  }
+}
--- a/control/src/main/java/org/teaseltrestle/control/StateView.java
+++ b/control/src/main/java/org/teaseltrestle/control/StateView.java
@@ -31,7 +31,8 @@
     PersistentMap<String, PlatformOrder> platformOrdersById,
     AuthorityRecord authority,
     PersistentMap<Long, UsageArea.Window> windowsByNumber,
-    PersistentMap<ClaimsArea.ClaimKey, ClaimSnapshot> claimsByKey)
+    PersistentMap<ClaimsArea.ClaimKey, ClaimSnapshot> claimsByKey,
+    ServingDocument servingDocument)
     implements ControlView {
 
   @Override
--- /dev/null
+++ b/model/src/main/java/org/teaseltrestle/model/serving/ServingConfiguration.java
@@ -0,0 +1,145 @@
+package org.teaseltrestle.model.serving;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.PoolId;
+
+/** One version of the serving configuration; immutable. */
+public final class ServingConfiguration {
+
+  private final long version;
+  private final List<ServingRoute> routes;
+  private final Map<PoolId, ServedPool> pools;
+  private final List<ServedAccount> accounts;
+  private final CallerLimits limits;
+  private final Map<String, List<ServingRoute>> routesByHost;
+  private final Map<String, ServedAccount> accountByKey;
+
+  /** Creates a configuration; {@link #problems()} tells whether it may be put in force. */
+  public ServingConfiguration(
+      long version,
+      List<ServingRoute> routes,
+      List<ServedPool> pools,
+      List<ServedAccount> accounts,
+      CallerLimits limits) {
+    this.version = version;
+    this.routes = List.copyOf(routes);
+    this.accounts = List.copyOf(accounts);
+    this.limits = limits;
+    this.pools = new HashMap<>();
+    pools.forEach(pool -> this.pools.put(pool.pool(), pool));
+    // The first route that matches is the one with the longest prefix.
+    this.routesByHost =
+        routes.stream()
+            .sorted(Comparator.comparing(route -> -route.pathPrefix().length()))
+            .collect(Collectors.groupingBy(route -> route.host().toLowerCase(Locale.ROOT)));
+    this.accountByKey = new HashMap<>();
+    accounts.forEach(account -> account.keys().forEach(key -> accountByKey.put(key, account)));
+  }
+
+  /** Returns the version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns all routes. */
+  public List<ServingRoute> routes() {
+    return routes;
+  }
+
+  /** Returns the limits of callers. */
+  public CallerLimits limits() {
+    return limits;
+  }
+
+  /** Returns all pools. */
+  public List<ServedPool> pools() {
+    return List.copyOf(pools.values());
+  }
+
+  /** Returns a pool, or null if there is none of that name. */
+  public @Nullable ServedPool pool(PoolId pool) {
+    return pools.get(pool);
+  }
+
+  /** Returns whether requests need a key unless their route is open to all. */
+  public boolean needsKeys() {
+    return !accounts.isEmpty();
+  }
+
+  /** Returns the account that a key belongs to, or null if no account holds it. */
+  public @Nullable ServedAccount accountOf(String key) {
+    return accountByKey.get(key);
+  }
+
+  /**
+   * Returns the route of a request, or null if none matches.
+   *
+   * @param host host that the caller named, with or without a port
+   * @param path path without the query
+   */
+  public @Nullable ServingRoute route(String host, String path) {
+    String name = withoutPort(host).toLowerCase(Locale.ROOT);
+    for (ServingRoute route : routesByHost.getOrDefault(name, List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return route;
+      }
+    }
+    return null;
+  }
+
+  /** Returns why this configuration must not be put in force; empty if it may. */
+  public List<String> problems() {
+    List<String> problems = new ArrayList<>();
+    if (version <= 0) {
+      problems.add("the version must be above 0, but is " + version);
+    }
+    Set<String> places = new HashSet<>();
+    for (ServingRoute route : routes) {
+      check(route, places, problems);
+    }
+    Set<String> keys = new HashSet<>();
+    for (ServedAccount account : accounts) {
+      for (String key : account.keys()) {
+        if (!keys.add(key)) {
+          problems.add("account " + account.account() + " shares a key with another account");
+        }
+      }
+    }
+    return problems;
+  }
+
+  private void check(ServingRoute route, Set<String> places, List<String> problems) {
+    String name = "route " + route.name();
+    if (!places.add(route.host().toLowerCase(Locale.ROOT) + ' ' + route.pathPrefix())) {
+      problems.add(name + " has the host and prefix of another route");
+    }
+    if (route.totalWeight() <= 0) {
+      problems.add(name + " has no weight above 0");
+    }
+    if (route.longestWaitMillis() <= 0) {
+      problems.add(name + " has a timeout of 0");
+    }
+    for (PoolShare share : route.shares()) {
+      if (!pools.containsKey(share.pool())) {
+        problems.add(name + " names the unknown service " + share.pool());
+      }
+      if (share.weight() < 0) {
+        problems.add(name + " has a weight below 0");
+      }
+    }
+  }
+
+  private static String withoutPort(String host) {
+    int colon = host.lastIndexOf(':');
+    return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
@@ -30,6 +30,7 @@
   private final OkHttpClient pooled;
   private final OkHttpClient fresh;
   private final OkHttpClient polling;
+  private final OkHttpClient unbounded;
 
   // Timeouts are settings, so there are few; building a client for each call is costly.
   private final Map<Duration, OkHttpClient> pooledByTimeout = new ConcurrentHashMap<>();
@@ -57,6 +58,8 @@
             .build();
     this.fresh =
         pooled.newBuilder().connectionPool(new ConnectionPool(0, 1, TimeUnit.SECONDS)).build();
+    this.unbounded =
+        fresh.newBuilder().readTimeout(Duration.ZERO).socketFactory(new PromptSockets()).build();
     this.polling =
         pooled
             .newBuilder()
@@ -78,6 +81,14 @@
         readTimeout, timeout -> fresh.newBuilder().readTimeout(timeout).build());
   }
 
+  /**
+   * Returns the client that opens a connection for each call and sets no limit on the wait for a
+   * read: the caller cancels the call when its time is over.
+   */
+  OkHttpClient unbounded() {
+    return unbounded;
+  }
+
   /** Returns the client for short calls in the background. */
   OkHttpClient polling() {
     return polling;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpRelayedClient.java
@@ -0,0 +1,143 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import okhttp3.Call;
+import okhttp3.Headers;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.RelayedCall;
+import org.teaseltrestle.node.port.RelayedClient;
+import org.teaseltrestle.node.port.ServiceAnswer;
+import org.teaseltrestle.policy.FailureKind;
+
+/**
+ * Relays routed requests over HTTP. Each attempt has a connection of its own: an answer that comes
+ * late or twice then cannot be taken for that of another request, and no request is lost on a
+ * connection that its server has just closed.
+ */
+public final class HttpRelayedClient implements RelayedClient {
+
+  private final BackendHttp http;
+
+  /** Creates the adapter. */
+  public HttpRelayedClient(BackendHttp http) {
+    this.http = http;
+  }
+
+  @Override
+  public ServiceAnswer call(RelayedCall call) {
+    AttemptProgress progress = new AttemptProgress(call.handle());
+    Call wire = http.unbounded().newCall(request(call, progress));
+    call.handle().onCancel(wire::cancel);
+    try {
+      return new Answer(wire.execute(), progress);
+    } catch (IOException e) {
+      throw progress.failure(e);
+    }
+  }
+
+  private static Request request(RelayedCall call, AttemptProgress progress) {
+    Headers.Builder headers = new Headers.Builder();
+    for (HeaderField field : call.headers()) {
+      headers.addUnsafeNonAscii(field.name(), field.value());
+    }
+    // Without these OkHttp would add its own values, and unpack an answer it asked to be packed.
+    if (headers.get("Accept-Encoding") == null) {
+      headers.set("Accept-Encoding", "identity");
+    }
+    if (headers.get("User-Agent") == null) {
+      headers.set("User-Agent", "teaseltrestle");
+    }
+    headers.set("Connection", "close");
+    return new Request.Builder()
+        .url(url(call))
+        .headers(headers.build())
+        .tag(AttemptProgress.class, progress)
+        .method(call.method(), body(call))
+        .build();
+  }
+
+  /** Refuses a target that OkHttp would change: the backend server must see what the caller sent. */
+  private static HttpUrl url(RelayedCall call) {
+    HttpUrl url = BackendAddress.url(call.address(), call.target());
+    String query = url.encodedQuery();
+    if (!call.target().equals(url.encodedPath() + (query == null ? "" : "?" + query))) {
+      throw new TrestleException(
+          ErrorCode.MALFORMED_MESSAGE, "the target cannot be relayed unchanged: " + call.target());
+    }
+    return url;
+  }
+
+  private static @Nullable RequestBody body(RelayedCall call) {
+    boolean bodyless =
+        switch (call.method().toUpperCase(Locale.ROOT)) {
+          case "GET", "HEAD" -> true;
+          case "POST", "PUT", "PATCH", "PROPPATCH", "REPORT" -> false;
+          default -> call.body().length == 0;
+        };
+    return bodyless ? null : new OneShotBody(call.body());
+  }
+
+  /** Answer whose body ends by its length, by its last chunk, or with a connection closed cleanly. */
+  private static final class Answer implements ServiceAnswer {
+
+    private final Response response;
+    private final AttemptProgress progress;
+
+    Answer(Response response, AttemptProgress progress) {
+      this.response = response;
+      this.progress = progress;
+    }
+
+    @Override
+    public int status() {
+      return response.code();
+    }
+
+    @Override
+    public List<HeaderField> headers() {
+      List<HeaderField> fields = new ArrayList<>();
+      response
+          .headers()
+          .forEach(
+              pair -> {
+                boolean hidden = pair.getFirst().equals(BackendHttp.HIDDEN_RETRY_AFTER);
+                fields.add(
+                    new HeaderField(hidden ? "Retry-After" : pair.getFirst(), pair.getSecond()));
+              });
+      return fields;
+    }
+
+    @Override
+    public int read(byte[] buffer) {
+      ResponseBody body = response.body();
+      if (body == null) {
+        return -1;
+      }
+      try {
+        return body.source().read(buffer);
+      } catch (IOException e) {
+        AttemptFailure failure = progress.failure(e);
+        throw failure.kind() == FailureKind.LOST_BEFORE_ANSWER
+            ? new AttemptFailure(FailureKind.LOST_DURING_ANSWER, "answer was cut")
+            : failure;
+      }
+    }
+
+    @Override
+    public void close() {
+      response.close();
+    }
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleet.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleet.java
@@ -13,16 +13,18 @@
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.EngineRole;
 import org.teaseltrestle.wire.BackendServerRecord;
 
 /** Reads the committed fleet in the form of the platform's instance list. */
-final class CommittedFleet {
+public final class CommittedFleet {
 
   private static final EventLog LOG = EventLog.of(CommittedFleet.class);
 
   private CommittedFleet() {}
 
-  static List<ListedServer> of(Collection<BackendServerRecord> records) {
+  /** Returns the servers; malformed records are logged and left out. */
+  public static List<ListedServer> of(Collection<BackendServerRecord> records) {
     List<ListedServer> servers = new ArrayList<>();
     for (BackendServerRecord record : records) {
       try {
@@ -49,9 +51,19 @@
                 : BackendServer.Capacity.REGULAR,
             record.getState().equals("leaving")
                 ? BackendServer.State.LEAVING
-                : BackendServer.State.LIVE);
+                : BackendServer.State.LIVE,
+            role(record.getRole()));
     return new ListedServer(
         server,
         record.getKind().equals("service") ? ListedServer.Kind.SERVICE : ListedServer.Kind.ENGINE);
   }
+
+  private static EngineRole role(String text) {
+    return switch (text) {
+      case "prefill" -> EngineRole.PREFILL;
+      case "prefill_only" -> EngineRole.PREFILL_ONLY;
+      case "decode" -> EngineRole.DECODE;
+      default -> EngineRole.MIXED;
+    };
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -46,7 +46,7 @@
   private final Predicate<AdmissionEvent> admission;
   private final FleetPoller poller;
   private final DutyThread<FleetItem> thread;
-  private final ServerMarks marks = new ServerMarks();
+  private final ServerMarks marks;
   private final Map<BackendServerId, WatchedServer> watched = new HashMap<>();
   private final Map<BackendServerId, BackendServer> known = new ConcurrentHashMap<>();
   private final Map<PoolId, Integer> pieceTokens = new ConcurrentHashMap<>();
@@ -73,6 +73,7 @@
     this.settings = settings;
     this.control = control;
     this.clock = clock;
+    this.marks = new ServerMarks(settings.longestEjection().toNanos());
     this.admission = admission;
     this.thread =
         new DutyThread<>("fleet", RING_CAPACITY, this::handle, this::tick, TICK_NANOS, clock);
@@ -126,11 +127,15 @@
   }
 
   private void poll(WatchedServer server, long nowNanos) {
-    if (!server.loadRunning && nowNanos - server.nextLoadNanos >= 0) {
+    if (settings.polls().contains(FleetSettings.Poll.LOAD)
+        && !server.loadRunning
+        && nowNanos - server.nextLoadNanos >= 0) {
       server.nextLoadNanos = nowNanos + settings.loadInterval().toNanos();
       server.loadRunning = poller.readLoad(server.entry);
     }
-    if (server.isEngine() && !server.cacheRunning && nowNanos - server.nextCacheNanos >= 0) {
+    if (settings.polls().contains(FleetSettings.Poll.CACHE)
+        && server.isEngine()
+        && !server.cacheRunning && nowNanos - server.nextCacheNanos >= 0) {
       server.nextCacheNanos = nowNanos + settings.cacheInterval().toNanos();
       server.cacheRunning = poller.readCache(server.entry, server.cache);
     }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetEvent.java
@@ -11,7 +11,8 @@
   SERVER_EJECTED(6005, "backend server is ejected after a lost connection"),
   CACHE_GAP(6006, "cache events have a gap; cache view is unknown until a full listing"),
   ADMISSION_EVENT_DROPPED(6007, "admission ring is full; fleet report dropped"),
-  FLEET_CHANGED(6008, "subset of backend servers changed");
+  FLEET_CHANGED(6008, "subset of backend servers changed"),
+  LIST_READ_WITHOUT_LEADER(6009, "platform's list read directly, since no leader was heard");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetSettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetSettings.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.fleet;
 
 import java.time.Duration;
+import java.util.Set;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
 
@@ -14,6 +15,8 @@
  * @param loadInterval time between two load reports of one backend server
  * @param cacheInterval time between two reads of one engine's cache events
  * @param pollThreads calls in the background at once
+ * @param polls what is read of each backend server
+ * @param longestEjection time after which a server is tried again even without a load report
  */
 public record FleetSettings(
     InstanceId instance,
@@ -22,11 +25,47 @@
     Duration listInterval,
     Duration loadInterval,
     Duration cacheInterval,
-    int pollThreads) {
+    int pollThreads,
+    Set<Poll> polls,
+    Duration longestEjection) {
 
   private static final int DEFAULT_SUBSET = 32;
   private static final int DEFAULT_THREADS = 8;
 
+  private static final Duration DEFAULT_EJECTION = Duration.ofSeconds(10);
+
+  /** Copies the set. */
+  public FleetSettings {
+    polls = Set.copyOf(polls);
+  }
+
+  /** Creates settings that read load and cache of each backend server. */
+  public FleetSettings(
+      InstanceId instance,
+      FailureDomain failureDomain,
+      int subsetSize,
+      Duration listInterval,
+      Duration loadInterval,
+      Duration cacheInterval,
+      int pollThreads) {
+    this(
+        instance,
+        failureDomain,
+        subsetSize,
+        listInterval,
+        loadInterval,
+        cacheInterval,
+        pollThreads,
+        Set.of(Poll.LOAD, Poll.CACHE),
+        DEFAULT_EJECTION);
+  }
+
+  /** What is read of each backend server at intervals. */
+  public enum Poll {
+    LOAD,
+    CACHE
+  }
+
   /** Returns the settings of an instance with the default intervals. */
   public static FleetSettings of(InstanceId instance, FailureDomain failureDomain) {
     return new FleetSettings(
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetStates.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetStates.java
@@ -32,7 +32,7 @@
     for (ListedServer entry : subset) {
       BackendServer server = entry.server();
       State state = settled(server, marks, draining, nowNanos);
-      servers.add(with(server, state));
+      servers.add(server.in(state));
       if (state == State.LIVE && !marks.isEjected(server.id(), nowNanos)) {
         usablePools.add(server.pool());
       }
@@ -42,7 +42,7 @@
             server.state() == State.LIVE
                     && marks.isEjected(server.id(), nowNanos)
                     && usablePools.contains(server.pool())
-                ? with(server, State.LEAVING)
+                ? server.in(State.LEAVING)
                 : server);
     return servers;
   }
@@ -64,15 +64,4 @@
     }
     return draining;
   }
-
-  private static BackendServer with(BackendServer server, State state) {
-    return new BackendServer(
-        server.id(),
-        server.pool(),
-        server.failureDomain(),
-        server.address(),
-        server.models(),
-        server.capacity(),
-        state);
-  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
@@ -20,11 +20,19 @@
   /** Shortest ejection after a lost connection; the next load report after it ends it. */
   private static final long EJECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-  /** Longest ejection, after which the server is tried again even without a load report. */
-  private static final long MAXIMUM_EJECTION_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   private final Map<BackendServerId, Long> leavingUntil = new HashMap<>();
   private final Map<BackendServerId, Long> lostAt = new HashMap<>();
+  private final long longestEjectionNanos;
+
+  /**
+   * Creates marks.
+   *
+   * @param longestEjectionNanos time after which a server is tried again even without a load report
+   */
+  ServerMarks(long longestEjectionNanos) {
+    this.longestEjectionNanos = longestEjectionNanos;
+  }
 
   /** Marks a leaving server; returns whether that is new. */
   boolean leaving(BackendServerId server, long nowNanos) {
@@ -62,12 +70,12 @@
 
   boolean isEjected(BackendServerId server, long nowNanos) {
     Long since = lostAt.get(server);
-    return since != null && nowNanos - since < MAXIMUM_EJECTION_NANOS;
+    return since != null && nowNanos - since < longestEjectionNanos;
   }
 
   /** Forgets marks that have ended. */
   void expire(long nowNanos) {
     leavingUntil.values().removeIf(until -> nowNanos - until >= 0);
-    lostAt.values().removeIf(since -> nowNanos - since >= MAXIMUM_EJECTION_NANOS);
+    lostAt.values().removeIf(since -> nowNanos - since >= longestEjectionNanos);
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -11,7 +11,6 @@
 import org.teaseltrestle.control.leader.LeaseTimings;
 import org.teaseltrestle.control.leader.OrderBookPolicy;
 import org.teaseltrestle.control.leader.OrderBookPolicy.CallOutcome;
-import org.teaseltrestle.control.leader.OutwardAuthority;
 import org.teaseltrestle.control.leader.UsageReporter;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
@@ -38,7 +37,7 @@
   private static final int RING_CAPACITY = 256;
   private static final int CALL_THREADS = 4;
   private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-  private static final long OBSERVE_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long OBSERVE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final InstanceId instance;
   private final long boot;
@@ -46,7 +45,7 @@
   private final OutwardPorts ports;
   private final MonotonicClock clock;
   private final WallClock wallClock;
-  private final OutwardAuthority authority;
+  private final PlaneAuthority authority;
   private final OrderBookPolicy orderBook;
   private final UsageReporter usageReporter;
   private final FleetControl fleetControl;
@@ -119,9 +118,10 @@
     usageReporter
         .handle(new UsageReporter.Tick(view, wallClock.nowMillis()), nowNanos)
         .forEach(this::act);
-    if (authority.mayAct(nowNanos) && view.authority().getTerm() == authority.term()) {
+    if (authority.leads(nowNanos) && view.authority().getTerm() == authority.term()) {
+      // Reading needs no authority: it has no effect outside.
       observe(nowNanos);
-      if (fleetCurrent) {
+      if (fleetCurrent && authority.mayAct(nowNanos)) {
         fleetControl.decide(view, orderBook, nowNanos).forEach(proposer::propose);
       }
     } else {
@@ -251,7 +251,7 @@
 
   private void observed(List<BackendServerRecord> servers, Set<String> gone) {
     observing = false;
-    if (!authority.mayAct(clock.nowNanos())) {
+    if (!authority.leads(clock.nowNanos())) {
       return;
     }
     Optional<ObserveFleet> difference =
--- a/node/src/main/java/org/teaseltrestle/node/orders/PlaneAuthority.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/PlaneAuthority.java
@@ -18,6 +18,14 @@
     return control.authority().filter(authority -> authority.isValid(nowNanos)).isPresent();
   }
 
+  /** Returns whether this process leads under a lease; it may have to wait before it acts. */
+  boolean leads(long nowNanos) {
+    return control
+        .authority()
+        .filter(authority -> nowNanos - authority.endsAtNanos() < 0)
+        .isPresent();
+  }
+
   @Override
   public long term() {
     return control.authority().map(Authority::term).orElse(0L);
--- a/node/src/main/java/org/teaseltrestle/node/port/AttemptHandle.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/AttemptHandle.java
@@ -7,6 +7,7 @@
 
   private @Nullable Runnable canceller;
   private boolean cancelled;
+  private boolean expired;
 
   /** Sets what stops the attempt; runs it at once if the attempt is already cancelled. */
   public synchronized void onCancel(Runnable action) {
@@ -26,6 +27,17 @@
     }
   }
 
+  /** Stops the attempt because its time is over. */
+  public synchronized void expire() {
+    expired = !cancelled;
+    cancel();
+  }
+
+  /** Tells whether the attempt was stopped because its time was over. */
+  public synchronized boolean isExpired() {
+    return expired;
+  }
+
   /** Tells whether the attempt was cancelled. */
   public synchronized boolean isCancelled() {
     return cancelled;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/port/RelayedCall.java
@@ -0,0 +1,27 @@
+package org.teaseltrestle.node.port;
+
+import java.util.List;
+
+/**
+ * One attempt of a routed request at a backend server.
+ *
+ * @param address address of the backend server
+ * @param method HTTP method
+ * @param target path and query as received
+ * @param headers header fields to send
+ * @param body request body, empty if there is none
+ * @param handle cancels the attempt, or ends it when its time is over
+ */
+public record RelayedCall(
+    String address,
+    String method,
+    String target,
+    List<HeaderField> headers,
+    byte[] body,
+    AttemptHandle handle) {
+
+  /** Copies the header fields. */
+  public RelayedCall {
+    headers = List.copyOf(headers);
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/port/UsageRecorder.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/UsageRecorder.java
@@ -9,4 +9,12 @@
    * record survives the loss of this instance, or after a bounded wait.
    */
   void record(CompletedAnswer answer);
+
+  /**
+   * Records a request that a backend server has begun to run. Returns at once; the record survives
+   * the loss of this instance a little later.
+   */
+  default void recordBegun(CompletedAnswer begun) {
+    record(begun);
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -45,6 +45,10 @@
     return channel != null;
   }
 
+  @Nullable String contentType() {
+    return exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
+  }
+
   void header(String name, String value) {
     exchange.getResponseHeaders().add(new HttpString(name), value);
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -1,12 +1,9 @@
 package org.teaseltrestle.node.relay;
 
-import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
-import java.util.UUID;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.model.RefusalCode;
@@ -21,24 +18,15 @@
   private static final EventLog LOG = EventLog.of(CallerRouter.class);
 
   private final RelayContext context;
-  private final MetricRegistry metrics;
   private final RelayThreads threads;
-  private final CompletionHandler completions;
-  private final ServiceHandler services;
+  private final CallerInterface callers;
   private final Drain drain;
 
   CallerRouter(
-      RelayContext context,
-      MetricRegistry metrics,
-      RelayThreads threads,
-      CompletionHandler completions,
-      ServiceHandler services,
-      Drain drain) {
+      RelayContext context, RelayThreads threads, CallerInterface callers, Drain drain) {
     this.context = context;
-    this.metrics = metrics;
     this.threads = threads;
-    this.completions = completions;
-    this.services = services;
+    this.callers = callers;
     this.drain = drain;
   }
 
@@ -48,21 +36,13 @@
       exchange.setPersistent(false);
     }
     String path = path(exchange);
-    switch (path) {
-      case "/health/live" -> page(exchange, 200, InfoPages.status("live"));
-      case "/health/ready" -> ready(exchange);
-      case "/metrics" -> page(exchange, 200, InfoPages.metrics(metrics));
-      default -> dispatch(exchange, path);
+    if (!callers.answerPage(exchange, path)) {
+      dispatch(exchange, path);
     }
   }
 
-  private void ready(HttpServerExchange exchange) {
-    boolean ready = context.control().isReady() && !drain.isDraining();
-    page(exchange, ready ? 200 : 503, InfoPages.status(ready ? "ready" : "not_ready"));
-  }
-
   private void dispatch(HttpServerExchange exchange, String path) {
-    RequestId request = new RequestId("req-" + UUID.randomUUID());
+    RequestId request = callers.identify(exchange);
     context.counters().request();
     drain.begin();
     if (!threads.execute(exchange, () -> relayCounted(exchange, request, path))) {
@@ -73,7 +53,9 @@
       context.counters().refusal(refusal.refusal());
       refusalHeaders(exchange, refusal, request);
       exchange.setPersistent(false);
-      page(exchange, refusal.refusal().httpStatus(), RefusalAnswer.body(refusal, request));
+      exchange.setStatusCode(callers.status(refusal));
+      exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+      exchange.getResponseSender().send(ByteBuffer.wrap(RefusalAnswer.body(refusal, request)));
     }
   }
 
@@ -94,7 +76,7 @@
         new CallerResponse(
             exchange, request, context.settings().callerWriteTimeout(), context.clock());
     try {
-      route(exchange, request, path, response);
+      callers.serve(exchange, request, path, response);
     } catch (RefusalException refusal) {
       refuse(exchange, request, response, refusal);
     } catch (CallerGoneException e) {
@@ -111,62 +93,6 @@
     }
   }
 
-  private void route(
-      HttpServerExchange http, RequestId request, String path, CallerResponse response) {
-    CallerCredentials credentials =
-        CallerCredentials.take(http.getRequestHeaders(), http.getQueryString());
-    checkHeaders(http);
-    context.gate().requireReady();
-    Exchange exchange = new Exchange(http, request, path, credentials, response);
-    if (path.startsWith(ServiceTarget.PREFIX)) {
-      services.handle(exchange);
-      return;
-    }
-    switch (path) {
-      case "/v1/chat/completions" -> complete(exchange, CompletionRequest.Endpoint.CHAT);
-      case "/v1/completions" -> complete(exchange, CompletionRequest.Endpoint.TEXT);
-      case "/v1/models" -> models(exchange);
-      default -> throw new RefusalException(RefusalCode.UNKNOWN_ROUTE, "no such route");
-    }
-  }
-
-  private void complete(Exchange exchange, CompletionRequest.Endpoint endpoint) {
-    requireMethod(exchange, "POST");
-    completions.handle(exchange, endpoint);
-  }
-
-  private void models(Exchange exchange) {
-    requireMethod(exchange, "GET");
-    Caller caller = context.gate().identify(exchange.credentials(), context.control().view());
-    if (caller.plan() != null) {
-      exchange.response().whole(200, "application/json", InfoPages.models(caller.plan()));
-    }
-  }
-
-  private static void requireMethod(Exchange exchange, String method) {
-    if (!exchange.http().getRequestMethod().toString().equals(method)) {
-      exchange.response().header("Allow", method);
-      throw new RefusalException(RefusalCode.METHOD_NOT_ALLOWED, "this route takes " + method);
-    }
-  }
-
-  private void checkHeaders(HttpServerExchange exchange) {
-    int bytes = exchange.getQueryString().length() + exchange.getRequestURI().length();
-    for (HeaderValues values : exchange.getRequestHeaders()) {
-      for (String value : values) {
-        bytes += values.getHeaderName().length() + value.length();
-      }
-    }
-    if (bytes > context.settings().maximumHeaderBytes()) {
-      exchange.setPersistent(false);
-      throw new RefusalException(
-          RefusalCode.HEADERS_TOO_LARGE,
-          "the request's target and headers are larger than "
-              + context.settings().maximumHeaderBytes()
-              + " bytes");
-    }
-  }
-
   private void refuse(
       HttpServerExchange exchange,
       RequestId request,
@@ -175,40 +101,21 @@
     context.counters().refusal(refusal.refusal());
     try {
       if (response.hasBegun()) {
-        failBegun(exchange, request, response, refusal);
+        callers.failBegun(response, refusal, request);
         return;
       }
       refusalHeaders(exchange, refusal, request);
       response.whole(
-          refusal.refusal().httpStatus(), "application/json", RefusalAnswer.body(refusal, request));
+          callers.status(refusal), "application/json", RefusalAnswer.body(refusal, request));
     } catch (CallerGoneException e) {
       response.abort();
     }
   }
 
-  private static void failBegun(
-      HttpServerExchange exchange,
-      RequestId request,
-      CallerResponse response,
-      RefusalException refusal) {
-    String contentType = exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
-    if (contentType == null || !contentType.startsWith("text/event-stream")) {
-      response.abort();
-      return;
-    }
-    LOG.warn(
-        RelayEvent.STREAM_ENDED_WITH_ERROR,
-        "request",
-        request,
-        "code",
-        refusal.refusal().wireName());
-    StreamSink.fail(response, RefusalAnswer.text(refusal, request));
-  }
-
-  private static void refusalHeaders(
+  private void refusalHeaders(
       HttpServerExchange exchange, RefusalException refusal, RequestId request) {
     exchange.getResponseHeaders().put(CallerResponse.REQUEST_ID, request.value());
-    @Nullable String retryAfter = RefusalAnswer.retryAfter(refusal);
+    @Nullable String retryAfter = callers.retryAfter(refusal);
     if (retryAfter != null) {
       exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfter);
     }
@@ -217,13 +124,6 @@
     }
   }
 
-  /** Answers without a relay thread. */
-  private static void page(HttpServerExchange exchange, int status, byte[] body) {
-    exchange.setStatusCode(status);
-    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-    exchange.getResponseSender().send(ByteBuffer.wrap(body));
-  }
-
   /** Returns the path as received; the request line may hold a complete URL. */
   private static String path(HttpServerExchange exchange) {
     String uri = exchange.getRequestURI();
--- a/node/src/main/java/org/teaseltrestle/node/relay/HeaderRules.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/HeaderRules.java
@@ -63,6 +63,22 @@
     return kept;
   }
 
+  /** Returns the caller's fields that do not concern only its connection. */
+  static List<HeaderField> endToEnd(HeaderMap headers) {
+    Set<String> named = namedByConnection(headers.get("Connection"));
+    List<HeaderField> kept = new ArrayList<>();
+    for (HeaderValues values : headers) {
+      String name = values.getHeaderName().toString();
+      String lower = name.toLowerCase(Locale.ROOT);
+      if (!HOP_BY_HOP.contains(lower)
+          && !named.contains(lower)
+          && !lower.equals("content-length")) {
+        values.forEach(value -> kept.add(new HeaderField(name, value)));
+      }
+    }
+    return kept;
+  }
+
   /** Returns the service's fields that the caller may see. */
   static List<HeaderField> towardsCaller(List<HeaderField> headers) {
     Set<String> named = new HashSet<>();
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/OwnInterface.java
@@ -0,0 +1,150 @@
+package org.teaseltrestle.node.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
+import java.util.UUID;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.model.RequestId;
+
+/** The project's own interface for callers: completions, plain services and pages. */
+final class OwnInterface implements CallerInterface {
+
+  private static final EventLog LOG = EventLog.of(OwnInterface.class);
+
+  private final RelayContext context;
+  private final MetricRegistry metrics;
+  private final CompletionHandler completions;
+  private final ServiceHandler services;
+  private final Drain drain;
+
+  OwnInterface(
+      RelayContext context,
+      MetricRegistry metrics,
+      CompletionHandler completions,
+      ServiceHandler services,
+      Drain drain) {
+    this.context = context;
+    this.metrics = metrics;
+    this.completions = completions;
+    this.services = services;
+    this.drain = drain;
+  }
+
+  @Override
+  public RequestId identify(HttpServerExchange exchange) {
+    return new RequestId("req-" + UUID.randomUUID());
+  }
+
+  @Override
+  public boolean answerPage(HttpServerExchange exchange, String path) {
+    switch (path) {
+      case "/health/live" -> page(exchange, 200, InfoPages.status("live"));
+      case "/health/ready" -> ready(exchange);
+      case "/metrics" -> page(exchange, 200, InfoPages.metrics(metrics));
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  @Override
+  public void serve(
+      HttpServerExchange http, RequestId request, String path, CallerResponse response) {
+    CallerCredentials credentials =
+        CallerCredentials.take(http.getRequestHeaders(), http.getQueryString());
+    checkHeaders(http);
+    context.gate().requireReady();
+    Exchange exchange = new Exchange(http, request, path, credentials, response);
+    if (path.startsWith(ServiceTarget.PREFIX)) {
+      services.handle(exchange);
+      return;
+    }
+    switch (path) {
+      case "/v1/chat/completions" -> complete(exchange, CompletionRequest.Endpoint.CHAT);
+      case "/v1/completions" -> complete(exchange, CompletionRequest.Endpoint.TEXT);
+      case "/v1/models" -> models(exchange);
+      default -> throw new RefusalException(RefusalCode.UNKNOWN_ROUTE, "no such route");
+    }
+  }
+
+  @Override
+  public int status(RefusalException refusal) {
+    return refusal.refusal().httpStatus();
+  }
+
+  @Override
+  public @Nullable String retryAfter(RefusalException refusal) {
+    return RefusalAnswer.retryAfter(refusal);
+  }
+
+  @Override
+  public void failBegun(CallerResponse response, RefusalException refusal, RequestId request) {
+    String contentType = response.contentType();
+    if (contentType == null || !contentType.startsWith("text/event-stream")) {
+      response.abort();
+      return;
+    }
+    LOG.warn(
+        RelayEvent.STREAM_ENDED_WITH_ERROR,
+        "request",
+        request,
+        "code",
+        refusal.refusal().wireName());
+    StreamSink.fail(response, RefusalAnswer.text(refusal, request));
+  }
+
+  private void ready(HttpServerExchange exchange) {
+    boolean ready = context.control().isReady() && !drain.isDraining();
+    page(exchange, ready ? 200 : 503, InfoPages.status(ready ? "ready" : "not_ready"));
+  }
+
+  private void complete(Exchange exchange, CompletionRequest.Endpoint endpoint) {
+    requireMethod(exchange, "POST");
+    completions.handle(exchange, endpoint);
+  }
+
+  private void models(Exchange exchange) {
+    requireMethod(exchange, "GET");
+    Caller caller = context.gate().identify(exchange.credentials(), context.control().view());
+    if (caller.plan() != null) {
+      exchange.response().whole(200, "application/json", InfoPages.models(caller.plan()));
+    }
+  }
+
+  private static void requireMethod(Exchange exchange, String method) {
+    if (!exchange.http().getRequestMethod().toString().equals(method)) {
+      exchange.response().header("Allow", method);
+      throw new RefusalException(RefusalCode.METHOD_NOT_ALLOWED, "this route takes " + method);
+    }
+  }
+
+  private void checkHeaders(HttpServerExchange exchange) {
+    int bytes = exchange.getQueryString().length() + exchange.getRequestURI().length();
+    for (HeaderValues values : exchange.getRequestHeaders()) {
+      for (String value : values) {
+        bytes += values.getHeaderName().length() + value.length();
+      }
+    }
+    if (bytes > context.settings().maximumHeaderBytes()) {
+      exchange.setPersistent(false);
+      throw new RefusalException(
+          RefusalCode.HEADERS_TOO_LARGE,
+          "the request's target and headers are larger than "
+              + context.settings().maximumHeaderBytes()
+              + " bytes");
+    }
+  }
+
+  /** Answers without a relay thread. */
+  private static void page(HttpServerExchange exchange, int status, byte[] body) {
+    exchange.setStatusCode(status);
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.getResponseSender().send(ByteBuffer.wrap(body));
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/relay/RefusalAnswer.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RefusalAnswer.java
@@ -40,11 +40,17 @@
 
   /** Returns the value of {@code Retry-After} in seconds, or null if waiting does not help. */
   static @Nullable String retryAfter(RefusalException refusal) {
+    Duration wait = wait(refusal);
+    return wait == null ? null : Long.toString(Math.max(1, (wait.toMillis() + 999) / 1000));
+  }
+
+  /** Returns the time after which a caller may come back, or null if waiting does not help. */
+  static @Nullable Duration wait(RefusalException refusal) {
     Duration wait = refusal.retryAfter();
     if (wait == null) {
       wait = helpsToWait(refusal.refusal(), refusal.notRun()) ? DEFAULT_RETRY_AFTER : null;
     }
-    return wait == null ? null : Long.toString(Math.max(1, (wait.toMillis() + 999) / 1000));
+    return wait;
   }
 
   private static boolean helpsToWait(RefusalCode code, NotRun notRun) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -16,7 +16,10 @@
   OUTCOME_NOT_RECORDED(5010, "outcome of an idempotency claim could not be recorded yet"),
   USAGE_RECORD_FAILED(5011, "usage record could not be handed over"),
   DRAIN_BOUND_REACHED(5012, "bound for finishing requests reached; requests are cut"),
-  ADMISSION_EVENT_LOST(5013, "admission ring stayed full; end of an attempt was not delivered");
+  ADMISSION_EVENT_LOST(5013, "admission ring stayed full; end of an attempt was not delivered"),
+  ROUTED_ENDED(5014, "routed request ended"),
+  ROUTED_REFUSED(5015, "routed request was refused"),
+  ATTEMPT_SENT(5016, "attempt was sent to a backend server");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -41,6 +41,7 @@
   private final ScheduledExecutorService resends;
   private final Drain drain = new Drain();
   private final CallerRouter router;
+  private final Runnable closeInterface;
   private @Nullable XnioWorker worker;
   private @Nullable Undertow server;
 
@@ -65,14 +66,27 @@
             settings.claimTimeout().toMillis(),
             context.wallClock(),
             resends);
-    this.router =
-        new CallerRouter(
-            context,
-            builder.metrics,
-            threads,
-            new CompletionHandler(context, bodies, cancels),
-            new ServiceHandler(context, bodies, claims),
-            drain);
+    RoutedSetup setup = builder.routed;
+    RoutedInterface routed =
+        setup == null
+            ? null
+            : new RoutedInterface(context, setup, bodies, new RelayMetrics(builder.metrics));
+    this.closeInterface = routed == null ? () -> {} : routed::close;
+    CallerInterface callers =
+        routed == null
+            ? new OwnInterface(
+                context,
+                builder.metrics,
+                new CompletionHandler(context, bodies, cancels),
+                new ServiceHandler(context, bodies, claims),
+                drain)
+            : routed;
+    this.router = new CallerRouter(context, threads, callers, drain);
+  }
+
+  /** Returns whether a stop was asked for; the instance must not count as ready any more. */
+  public boolean isDraining() {
+    return drain.isDraining();
   }
 
   /** Returns a builder. */
@@ -149,6 +163,7 @@
     threads.close();
     cancels.close();
     resends.shutdownNow();
+    closeInterface.run();
     synchronized (this) {
       if (worker != null) {
         worker.shutdownNow();
@@ -201,6 +216,7 @@
     private @Nullable UsageRecorder usage;
     private @Nullable InstanceId instance;
     private long boot;
+    private @Nullable RoutedSetup routed;
 
     private Builder() {}
 
@@ -254,6 +270,12 @@
       return this;
     }
 
+    /** Serves routed requests in place of the project's own interface. */
+    public Builder routed(RoutedSetup value) {
+      routed = value;
+      return this;
+    }
+
     /** Sets the identity under which idempotency claims are made. */
     public Builder identity(InstanceId instanceId, long bootId) {
       instance = instanceId;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ControlPlaneSettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ControlPlaneSettings.java
@@ -29,6 +29,8 @@
  * @param heartbeatMilliseconds interval of the leader's heartbeats
  * @param electionTimeoutMilliseconds shortest election timeout
  * @param keyLeaseMilliseconds length of the key lease
+ * @param membership which instances with a data folder hold a voter
+ * @param tree shape and timeouts of the dissemination tree
  */
 public record ControlPlaneSettings(
     InstanceId instance,
@@ -42,7 +44,9 @@
     Map<InstanceId, InetSocketAddress> peerRoutes,
     long heartbeatMilliseconds,
     long electionTimeoutMilliseconds,
-    long keyLeaseMilliseconds) {
+    long keyLeaseMilliseconds,
+    RaftSettings.Membership membership,
+    TreeSettings tree) {
 
   private static final double LEASE_SHARE_OF_ELECTION_TIMEOUT = 0.9;
   private static final long RETAINED_ENTRIES = 4_096;
@@ -53,6 +57,37 @@
     peerRoutes = Map.copyOf(peerRoutes);
   }
 
+  /** Creates settings of a fixed group of voters with the default tree. */
+  public ControlPlaneSettings(
+      InstanceId instance,
+      long boot,
+      FailureDomain failureDomain,
+      String region,
+      InetSocketAddress peerAddress,
+      @Nullable Path dataFolder,
+      long maximumDataBytes,
+      List<VoterSettings> voters,
+      Map<InstanceId, InetSocketAddress> peerRoutes,
+      long heartbeatMilliseconds,
+      long electionTimeoutMilliseconds,
+      long keyLeaseMilliseconds) {
+    this(
+        instance,
+        boot,
+        failureDomain,
+        region,
+        peerAddress,
+        dataFolder,
+        maximumDataBytes,
+        voters,
+        peerRoutes,
+        heartbeatMilliseconds,
+        electionTimeoutMilliseconds,
+        keyLeaseMilliseconds,
+        RaftSettings.Membership.INITIAL_VOTERS,
+        TreeSettings.DEEP);
+  }
+
   /** Takes the settings of a node that runs as the given process start. */
   public static ControlPlaneSettings of(NodeSettings node, long boot) {
     Path folder = node.dataFolder();
@@ -73,7 +108,8 @@
 
   /** Returns whether this instance holds a voting replica. */
   public boolean isVoter() {
-    return dataFolder != null && voterInstances().contains(instance);
+    return dataFolder != null
+        && (membership == RaftSettings.Membership.OPEN || voterInstances().contains(instance));
   }
 
   /** Returns the instances of the initial voters. */
@@ -96,6 +132,7 @@
     long election = TimeUnit.MILLISECONDS.toNanos(electionTimeoutMilliseconds);
     return RaftSettings.builder()
         .initialVoters(Set.copyOf(voterInstances()))
+        .membership(membership)
         .heartbeatNanos(TimeUnit.MILLISECONDS.toNanos(heartbeatMilliseconds))
         .electionNanos(election, 2 * election)
         .leaseNanos(authorityLeaseNanos())
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -55,7 +55,7 @@
     this.lease = new KeyLease(settings, context.clock());
     long now = context.clock().nowNanos();
     this.nextPlacementNanos = now;
-    this.parents = new ParentChooser(now);
+    this.parents = new ParentChooser(settings.tree(), now);
     this.children =
         new ChildFeeds(context.transport(), addresses, context.clock(), this::rootAgeMillis);
     this.renewals =
@@ -144,7 +144,11 @@
       nextPlacementNanos = nowNanos + PLACEMENT_INTERVAL_NANOS;
       parents.candidates(
           TreePlacement.parents(
-              settings.instance(), settings.failureDomain(), settings.voters(), state.view()));
+              settings.instance(),
+              settings.failureDomain(),
+              settings.voters(),
+              settings.tree().fanOut(),
+              state.view()));
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -23,13 +23,12 @@
  */
 final class LeaderCalls {
 
-  private static final long ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+  private static final long ATTEMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
   private static final int RETRY_PAUSE_MILLISECONDS = 50;
 
   private final PeerTransport transport;
   private final PeerAddresses addresses;
   private final MonotonicClock clock;
-  private final List<InstanceId> voters;
   private final InstanceId self;
   private final @Nullable LeaderHandler local;
   private final AtomicInteger nextVoter = new AtomicInteger();
@@ -56,7 +55,6 @@
     this.transport = transport;
     this.addresses = addresses;
     this.clock = clock;
-    this.voters = settings.voterInstances();
     this.self = settings.instance();
     this.local = local;
   }
@@ -147,8 +145,10 @@
 
   private String target() {
     String known = leader;
-    return known != null
-        ? known
-        : voters.get(Math.floorMod(nextVoter.get(), voters.size())).value();
+    if (known != null) {
+      return known;
+    }
+    List<String> voters = addresses.voters();
+    return voters.get(Math.floorMod(nextVoter.get(), voters.size()));
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentChooser.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentChooser.java
@@ -10,20 +10,17 @@
 final class ParentChooser {
 
   private static final EventLog LOG = EventLog.of(ParentChooser.class);
-  private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
-
-  // Two nodes that take each other for the parent answer each other, but hear no leader. Each level
-  // of the tree adds up to a second to the age, so this is longer than the silence of a parent.
-  private static final long ROOT_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(8);
   private static final long AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
   private List<String> candidates = List.of();
   private String parent = "";
+  private final TreeSettings tree;
   private long parentHeardNanos;
   private long rootHeardNanos;
 
-  ParentChooser(long nowNanos) {
+  ParentChooser(TreeSettings tree, long nowNanos) {
+    this.tree = tree;
     this.parentHeardNanos = nowNanos;
     this.rootHeardNanos = nowNanos;
   }
@@ -54,8 +51,9 @@
 
   /** Returns whether the parent has changed. */
   boolean update(long nowNanos) {
-    boolean silent = nowNanos - parentHeardNanos > SILENCE_NANOS;
-    boolean cutOff = nowNanos - rootHeardNanos > ROOT_SILENCE_NANOS;
+    boolean silent = nowNanos - parentHeardNanos > tree.parentSilenceNanos();
+    // Two nodes that take each other for the parent answer each other, but hear no leader.
+    boolean cutOff = nowNanos - rootHeardNanos > tree.rootSilenceNanos();
     if (!parent.isEmpty() && (silent || cutOff)) {
       avoidedUntilNanos.put(parent, nowNanos + AVOIDANCE_NANOS);
     }
--- a/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -2,8 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.node.settings.VoterSettings;
@@ -15,6 +18,7 @@
   private final Map<String, InetSocketAddress> routes = new HashMap<>();
   private final Map<String, InetSocketAddress> voters = new HashMap<>();
   private volatile Map<String, InetSocketAddress> registered = Map.of();
+  private volatile List<String> registeredVoters = List.of();
 
   /** Takes over the routes and voters of the settings. */
   public PeerAddresses(ControlPlaneSettings settings) {
@@ -49,6 +53,18 @@
       parse(each.getPeerAddress()).ifPresent(address -> updated.put(each.getInstance(), address));
     }
     registered = Map.copyOf(updated);
+    registeredVoters =
+        view.instances().stream()
+            .filter(InstanceRecord::getVoter)
+            .map(InstanceRecord::getInstance)
+            .toList();
+  }
+
+  /** Returns the voters of the settings and the registered ones. */
+  List<String> voters() {
+    Set<String> known = new LinkedHashSet<>(voters.keySet());
+    known.addAll(registeredVoters);
+    return List.copyOf(known);
   }
 
   /** Returns the address of an instance, if it is known. */
@@ -61,7 +77,11 @@
     if (address == null) {
       address = voters.get(instance);
     }
-    return Optional.ofNullable(address == null ? registered.get(instance) : address);
+    if (address == null) {
+      address = registered.get(instance);
+    }
+    // An instance that is named by its peer address needs no registration to be found.
+    return address == null ? parse(instance) : Optional.of(address);
   }
 
   /** Returns the address to answer a sender that states its own address. */
--- a/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
@@ -2,10 +2,11 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
@@ -14,54 +15,62 @@
 
 /**
  * Places the non-voters of each failure domain in a tree below one voter: sorted by id, node n
- * (from 1) has the parent (n - 1) / 8, and 0 is the voter.
+ * (from 1) has the parent (n - 1) / fan-out, and 0 is the voter.
  */
 final class TreePlacement {
 
-  static final int FAN_OUT = 8;
-
   private TreePlacement() {}
 
   /** Returns the possible parents of an instance: its ancestors upwards, then the other voters. */
   static List<String> parents(
-      InstanceId self, FailureDomain domain, List<VoterSettings> voters, ControlView view) {
+      InstanceId self,
+      FailureDomain domain,
+      List<VoterSettings> voters,
+      int fanOut,
+      ControlView view) {
+    Map<String, String> domainByVoter = domainByVoter(voters, view);
     Set<String> parents = new LinkedHashSet<>();
-    List<String> members = members(domain, voters, view);
+    List<String> members = members(domain, domainByVoter.keySet(), view);
     int position = members.indexOf(self.value()) + 1;
-    for (int ancestor = parentOf(position); ancestor > 0; ancestor = parentOf(ancestor)) {
+    for (int ancestor = parentOf(position, fanOut);
+        ancestor > 0;
+        ancestor = parentOf(ancestor, fanOut)) {
       parents.add(members.get(ancestor - 1));
     }
-    parents.addAll(roots(domain, voters));
+    parents.addAll(roots(domain, domainByVoter));
     parents.remove(self.value());
     return new ArrayList<>(parents);
   }
 
-  private static int parentOf(int position) {
-    return (position - 1) / FAN_OUT;
+  private static int parentOf(int position, int fanOut) {
+    return (position - 1) / fanOut;
   }
 
-  private static List<String> members(
-      FailureDomain domain, List<VoterSettings> voters, ControlView view) {
-    Set<String> voterIds = new LinkedHashSet<>();
-    voters.forEach(voter -> voterIds.add(voter.instance().value()));
+  private static List<String> members(FailureDomain domain, Set<String> voters, ControlView view) {
     return view.instances().stream()
         .filter(each -> each.getFailureDomain().equals(domain.value()))
         .map(InstanceRecord::getInstance)
-        .filter(instance -> !voterIds.contains(instance))
+        .filter(instance -> !voters.contains(instance))
         .sorted()
         .toList();
   }
 
+  /** Returns the voters of the settings and the registered ones; a registration knows better. */
+  private static Map<String, String> domainByVoter(List<VoterSettings> voters, ControlView view) {
+    Map<String, String> domains = new TreeMap<>();
+    voters.forEach(each -> domains.put(each.instance().value(), each.failureDomain().value()));
+    view.instances().stream()
+        .filter(InstanceRecord::getVoter)
+        .forEach(each -> domains.put(each.getInstance(), each.getFailureDomain()));
+    return domains;
+  }
+
   /** Returns the voters: those of the domain first, then the others from a domain's own start. */
-  private static List<String> roots(FailureDomain domain, List<VoterSettings> voters) {
+  private static List<String> roots(FailureDomain domain, Map<String, String> domainByVoter) {
     List<String> own = new ArrayList<>();
     List<String> others = new ArrayList<>();
-    voters.stream()
-        .sorted(Comparator.comparing(VoterSettings::instance))
-        .forEach(
-            voter ->
-                (voter.failureDomain().equals(domain) ? own : others)
-                    .add(voter.instance().value()));
+    domainByVoter.forEach(
+        (voter, voterDomain) -> (voterDomain.equals(domain.value()) ? own : others).add(voter));
     if (!others.isEmpty()) {
       // Domains without a voter spread over the voters.
       Collections.rotate(others, Math.floorMod(domain.value().hashCode(), others.size()));
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingService.java
@@ -0,0 +1,152 @@
+package org.teaseltrestle.node.serving;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Function;
+import java.util.zip.CRC32C;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.ServingDocument;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.model.serving.ServingConfiguration;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.PublishConfiguration;
+
+/** Accepts changes of the serving configuration and reads it as a quorum confirms it. */
+public final class ServingService {
+
+  private static final EventLog LOG = EventLog.of(ServingService.class);
+  private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+
+  private final ControlGateway control;
+  private final Function<byte[], ServingConfiguration> parser;
+  private final MonotonicClock clock;
+  private final WallClock wallClock;
+  private final long answerNanos;
+
+  /** What became of a change. */
+  public enum Outcome {
+    /** It is committed, or a version at least as high is. */
+    ACCEPTED,
+    /** It is invalid and will never be in force. */
+    INVALID,
+    /** No answer came in time: it may be committed later, and may be sent again. */
+    UNKNOWN
+  }
+
+  /**
+   * Answer to a change.
+   *
+   * @param problems why it is invalid
+   */
+  public record Answer(Outcome outcome, List<String> problems) {
+
+    /** Copies the problems. */
+    public Answer {
+      problems = List.copyOf(problems);
+    }
+  }
+
+  /**
+   * Creates the service.
+   *
+   * @param parser reads a document; throws a {@link TrestleException} if it cannot be read in full
+   * @param answerNanos time within which an operator wants an answer
+   */
+  public ServingService(
+      ControlGateway control,
+      Function<byte[], ServingConfiguration> parser,
+      MonotonicClock clock,
+      WallClock wallClock,
+      long answerNanos) {
+    this.control = control;
+    this.parser = parser;
+    this.clock = clock;
+    this.wallClock = wallClock;
+    this.answerNanos = answerNanos;
+  }
+
+  /** Checks a configuration and puts it in force unless a version at least as high is. */
+  public Answer publish(byte[] document) {
+    ServingConfiguration parsed;
+    try {
+      parsed = parser.apply(document);
+    } catch (TrestleException e) {
+      return invalid(0, List.of(String.valueOf(e.getMessage())));
+    }
+    List<String> problems = parsed.problems();
+    if (!problems.isEmpty()) {
+      return invalid(parsed.version(), problems);
+    }
+    Outcome outcome = commit(parsed.version(), document);
+    LOG.info(ServingEvent.CONFIGURATION_ANSWERED, "version", parsed.version(), "outcome", outcome);
+    return new Answer(outcome, List.of());
+  }
+
+  /** Returns the configuration in force, or nothing if no quorum confirms which one it is. */
+  public Optional<ServingDocument> read() {
+    long deadlineNanos = clock.nowNanos() + answerNanos;
+    Optional<Long> index = await(control.confirmedIndex(), deadlineNanos);
+    while (index.isPresent() && control.view().appliedIndex() < index.get()) {
+      if (clock.nowNanos() - deadlineNanos >= 0) {
+        return Optional.empty();
+      }
+      LockSupport.parkNanos(POLL_NANOS);
+    }
+    Optional<ServingDocument> document =
+        index.map(any -> control.view().servingDocument()).filter(ServingDocument::isPresent);
+    LOG.info(
+        ServingEvent.READ_ANSWERED,
+        "confirmed",
+        index.orElse(0L),
+        "version",
+        document.map(ServingDocument::version).orElse(0L));
+    return document;
+  }
+
+  private static Answer invalid(long version, List<String> problems) {
+    LOG.warn(
+        ServingEvent.CONFIGURATION_REFUSED, "version", version, "problems", problems.toString());
+    return new Answer(Outcome.INVALID, problems);
+  }
+
+  private Outcome commit(long version, byte[] document) {
+    CRC32C digest = new CRC32C();
+    digest.update(document);
+    Command command =
+        Command.newBuilder()
+            .setRequestId("configuration/" + version + "/" + Long.toHexString(digest.getValue()))
+            .setProposedAtMillis(wallClock.nowMillis())
+            .setPublishConfiguration(
+                PublishConfiguration.newBuilder()
+                    .setVersion(version)
+                    .setDocument(ByteString.copyFrom(document)))
+            .build();
+    return await(control.propose(command), clock.nowNanos() + answerNanos)
+        .filter(answer -> answer.getStatus() == CommandAnswer.Status.ACCEPTED)
+        .map(answer -> Outcome.ACCEPTED)
+        .orElse(Outcome.UNKNOWN);
+  }
+
+  private <T> Optional<T> await(CompletableFuture<T> future, long deadlineNanos) {
+    try {
+      return Optional.of(
+          future.get(Math.max(0, deadlineNanos - clock.nowNanos()), TimeUnit.NANOSECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return Optional.empty();
+    } catch (ExecutionException | TimeoutException e) {
+      // Without an answer the outcome is unknown; the caller says so and logs it.
+      return Optional.empty();
+    }
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageEvent.java
@@ -8,7 +8,8 @@
   BATCH_REFUSED(4502, "usage batch was refused"),
   RECORD_WITHOUT_COPY(4503, "usage record has no copy yet; answer released at its deadline"),
   TAKEOVER(4504, "proposing usage records of an instance that has not committed them"),
-  FLUSH_INCOMPLETE(4505, "usage records are left uncommitted at shutdown; the partner holds them");
+  FLUSH_INCOMPLETE(4505, "usage records are left uncommitted at shutdown; the partner holds them"),
+  RECORD_DROPPED(4506, "usage ring is full; record of a begun request is dropped");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -127,6 +127,13 @@
     }
   }
 
+  @Override
+  public void recordBegun(CompletedAnswer begun) {
+    if (!duty.offer(() -> append(begun, new CompletableFuture<>()))) {
+      LOG.warn(UsageEvent.RECORD_DROPPED, "request", begun.request());
+    }
+  }
+
   /** Commits what is left, as far as a leader can be reached in time, and stops. */
   @Override
   public void close() {
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -49,7 +49,7 @@
   public AdmissionCore(PolicyConfiguration configuration) {
     this.configuration = configuration;
     this.fleet = new Fleet(configuration);
-    this.retryBudget = new RetryBudget(configuration.retryRatio());
+    this.retryBudget = new RetryBudget(configuration);
     this.waiting =
         new WaitingRequests(
             configuration.queueing() == Queueing.FAIR ? FairQueue::new : FirstComeQueue::new);
@@ -100,6 +100,7 @@
       replaceLimits(changed.limits(), nowNanos, actions);
     } else if (event instanceof AdmissionEvent.SharesGranted granted) {
       limiter.grant(granted, limits, nowNanos);
+      retryBudget.share(granted.defaultShare());
     } else if (event instanceof AdmissionEvent.RequestsRevoked revoked) {
       revoke(revoked, actions);
     }
@@ -113,7 +114,7 @@
     if (requests.containsKey(work.request())) {
       return;
     }
-    PlanLimits plan = limits.get(work.account());
+    PlanLimits plan = limitsOf(work.account());
     if (plan == null) {
       actions.add(refusal(work.request(), RefusalCode.ACCOUNT_WITHOUT_PLAN, null));
       return;
@@ -203,6 +204,7 @@
       List<AdmissionAction> actions) {
     RefusalCode code = RetryTable.refusal(failure);
     if (RetryTable.mayHaveRun(failure)) {
+      request.possibleRuns++;
       request.rememberPossibleRun(code);
     }
     Progress progress = request.outputTokens > 0 ? Progress.PARTIAL : Progress.NONE;
@@ -225,11 +227,12 @@
     if (action != RetryAction.RETRY_UNCOUNTED) {
       request.countedAttempts++;
     }
-    if (request.countedAttempts >= configuration.maximumAttempts()) {
+    if (request.countedAttempts >= configuration.maximumAttempts()
+        || request.possibleRuns >= request.work.terms().maximumAttempts()) {
       return false;
     }
     return switch (action) {
-      case RETRY_UNCOUNTED -> true;
+      case RETRY_UNCOUNTED, RETRY_UNSENT -> true;
       case RETRY -> retryBudget.takeRetry();
       case RESUME -> isResumable(request) && retryBudget.takeResume();
       case END -> false;
@@ -281,7 +284,7 @@
     limits = new HashMap<>(changed);
     addOpenRoutes();
     for (RequestState request : waiting.all()) {
-      if (!limits.containsKey(request.work.account()) && !request.mayHaveRun()) {
+      if (limitsOf(request.work.account()) == null && !request.mayHaveRun()) {
         refuseWaiting(request, RefusalCode.ACCOUNT_WITHOUT_PLAN, null, actions);
       }
     }
@@ -340,10 +343,11 @@
     request.prefillAheadTokens = server.load.queuedPromptTokens();
     request.reservedPieces = choice.pieces();
     server.load.dispatched(request);
+    finder.homes().sent(request, server, nowNanos);
     server.health.dispatched();
     actions.add(
         new AdmissionAction.Dispatch(
-            request.id(), request.attempt, server.server.id(), request.limits.priority()));
+            request.id(), request.attempt, server.server.id(), request.priority()));
   }
 
   private void refuseWaiting(
@@ -380,9 +384,17 @@
       case ROUND_ROBIN -> new RoundRobinChooser();
       case LEAST_LOAD -> new LeastLoadChooser();
       case ADAPTIVE -> new AdaptiveChooser(costs);
+      case AFFINITY -> new AffinityChooser(costs);
     };
   }
 
+  private @Nullable PlanLimits limitsOf(ClientAccount account) {
+    PlanLimits plan = limits.get(account);
+    return plan == null && configuration.unplanned() == PolicyConfiguration.Unplanned.UNLIMITED
+        ? PlanLimits.unlimited(account)
+        : plan;
+  }
+
   private void addOpenRoutes() {
     limits.put(WorkRequest.OPEN_ROUTE_ACCOUNT, configuration.openRouteLimits());
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
@@ -16,6 +16,7 @@
  * @param models models that it serves; empty for a plain service
  * @param capacity regular capacity, or cheap capacity that may vanish on seconds' notice
  * @param state whether new work may be sent to it
+ * @param role what the platform has set an engine to do
  */
 public record BackendServer(
     BackendServerId id,
@@ -24,13 +25,31 @@
     String address,
     Set<ItemName> models,
     Capacity capacity,
-    State state) {
+    State state,
+    EngineRole role) {
 
   /** Copies the model names. */
   public BackendServer {
     models = Set.copyOf(models);
   }
 
+  /** Creates a backend server whose role is told by its load reports only. */
+  public BackendServer(
+      BackendServerId id,
+      PoolId pool,
+      FailureDomain failureDomain,
+      String address,
+      Set<ItemName> models,
+      Capacity capacity,
+      State state) {
+    this(id, pool, failureDomain, address, models, capacity, state, EngineRole.MIXED);
+  }
+
+  /** Returns this server in another state. */
+  public BackendServer in(State changed) {
+    return new BackendServer(id, pool, failureDomain, address, models, capacity, changed, role);
+  }
+
   /** Price class. */
   public enum Capacity {
     REGULAR,
--- a/policy/src/main/java/org/teaseltrestle/policy/CandidateFinder.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CandidateFinder.java
@@ -19,6 +19,7 @@
 
   private final PolicyConfiguration configuration;
   private final Fleet fleet;
+  private final PromptHomes homes = new PromptHomes();
   private final boolean limitsByCapacity;
 
   CandidateFinder(PolicyConfiguration configuration, Fleet fleet) {
@@ -27,17 +28,25 @@
     this.limitsByCapacity = configuration.queueing() == Queueing.FAIR;
   }
 
+  /** Returns where shared parts of prompts are kept. */
+  PromptHomes homes() {
+    return homes;
+  }
+
   /** Returns the servers with room for the request; those not tried before if there are any. */
   List<Candidate> find(RequestState request, long nowNanos) {
     List<ServerState> fresh = new ArrayList<>();
     List<ServerState> tried = new ArrayList<>(0);
     for (ServerState server : fleet.usable(request, nowNanos)) {
+      server.load.expire(nowNanos, configuration.maximumReportAgeNanos());
       if (hasRoom(server, nowNanos)) {
         (request.tried.contains(server.server.id()) ? tried : fresh).add(server);
       }
     }
-    List<Candidate> candidates = withMemory(fresh, request);
-    return candidates.isEmpty() ? withMemory(tried, request) : candidates;
+    PromptHomes.Holders holders =
+        homes.holders(request, fleet.serving(request), configuration.replicaChoice(), nowNanos);
+    List<Candidate> candidates = withMemory(fresh, request, holders);
+    return candidates.isEmpty() ? withMemory(tried, request, holders) : candidates;
   }
 
   /** Returns whether some server could hold the request if it were idle. */
@@ -70,14 +79,15 @@
         && load.running() < server.runningLimit.limit();
   }
 
-  private List<Candidate> withMemory(List<ServerState> servers, RequestState request) {
+  private List<Candidate> withMemory(
+      List<ServerState> servers, RequestState request, PromptHomes.Holders holders) {
     List<Candidate> candidates = new ArrayList<>(servers.size());
     if (servers.isEmpty()) {
       return candidates;
     }
     int[] matched = fleet.prefixes().match(request.prefix);
     for (ServerState server : servers) {
-      Candidate candidate = candidate(server, request, matched);
+      Candidate candidate = candidate(server, request, matched, holders);
       if (!limitsByCapacity || hasMemory(server.load, candidate.pieces())) {
         candidates.add(candidate);
       }
@@ -85,13 +95,16 @@
     return candidates;
   }
 
-  private Candidate candidate(ServerState server, RequestState request, int[] matched) {
+  private Candidate candidate(
+      ServerState server, RequestState request, int[] matched, PromptHomes.Holders holders) {
     if (request.work.kind() == WorkKind.SERVICE_CALL) {
       return new Candidate(server, 0, 0);
     }
     LoadReport report = server.load.report();
     int slot = fleet.prefixes().slot(server.server.id());
-    int cached = report == null || slot < 0 ? 0 : matched[slot] * report.pieceTokens();
+    int listed = report == null || slot < 0 ? 0 : matched[slot] * report.pieceTokens();
+    int cached =
+        holders.holds(server) ? Math.max(listed, request.work.terms().sharedTokens()) : listed;
     int prefill = Math.max(1, request.promptTokens() - cached);
     int pieces = server.load.piecesFor(prefill + request.remainingOutputTokens());
     return new Candidate(server, prefill, pieces);
--- a/policy/src/main/java/org/teaseltrestle/policy/EngineRole.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/EngineRole.java
@@ -5,6 +5,8 @@
   PREFILL,
   DECODE,
   MIXED,
+  /** Reads prompts for other engines and runs no request of its own. */
+  PREFILL_ONLY,
   /** In a role change or loading a model: takes no work. */
   CHANGING
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/PlanLimits.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PlanLimits.java
@@ -24,6 +24,22 @@
     int maximumRunning,
     CheapCapacity cheapCapacity) {
 
+  /** Most of any limit of an account that has none; finite, since shares multiply it. */
+  private static final double UNLIMITED = 1e12;
+
+  /** Returns the limits of an account that is bounded by capacity and fairness only. */
+  public static PlanLimits unlimited(ClientAccount account) {
+    return new PlanLimits(
+        account,
+        1,
+        0,
+        UNLIMITED,
+        UNLIMITED,
+        UNLIMITED,
+        Integer.MAX_VALUE,
+        CheapCapacity.ALLOWED);
+  }
+
   /** Whether cheap capacity may be used. */
   public enum CheapCapacity {
     ALLOWED,
--- a/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
@@ -92,6 +92,29 @@
     return values.spillCostNanos;
   }
 
+  /**
+   * Returns the retries that all instances together may save up, 0 if each instance saves up its
+   * own.
+   */
+  public double sharedRetryReserve() {
+    return values.sharedRetryReserve;
+  }
+
+  /** Returns the resumptions of answers by which the retry budget may be overdrawn. */
+  public double resumeOverdraft() {
+    return values.resumeOverdraft;
+  }
+
+  /** Returns the age in nanoseconds at which a load report says nothing any more. */
+  public long maximumReportAgeNanos() {
+    return values.maximumReportAgeNanos;
+  }
+
+  /** Returns what accounts without a plan may use. */
+  public Unplanned unplanned() {
+    return values.unplanned;
+  }
+
   /** Returns the limits of requests on routes that are open to all. */
   public PlanLimits openRouteLimits() {
     return values.openRouteLimits;
@@ -104,7 +127,17 @@
     /** The lowest load by the last report. Baseline. */
     LEAST_LOAD,
     /** By estimated cost, from corrected load, cached prefixes, domain and role. */
-    ADAPTIVE
+    ADAPTIVE,
+    /** By estimated cost; prompts that share a part go to the same engine as long as it pays. */
+    AFFINITY
+  }
+
+  /** What accounts without a plan may use. */
+  public enum Unplanned {
+    /** Nothing: their requests are refused. */
+    REFUSED,
+    /** Everything, bounded by capacity and fairness only. */
+    UNLIMITED
   }
 
   /** Order in which waiting requests are dispatched. */
@@ -150,6 +183,10 @@
     private double initialPrefillTokensPerSecond = 8_000;
     private long betweenTokensNanos = 41_000_000L;
     private long spillCostNanos = 30_000_000L;
+    private double sharedRetryReserve;
+    private double resumeOverdraft = 256; // answers that a vanishing failure domain leaves at once
+    private long maximumReportAgeNanos = Long.MAX_VALUE;
+    private Unplanned unplanned = Unplanned.REFUSED;
     private PlanLimits openRouteLimits =
         new PlanLimits(
             WorkRequest.OPEN_ROUTE_ACCOUNT,
@@ -253,6 +290,30 @@
       return this;
     }
 
+    /** Sets the retries that all instances together may save up. */
+    public Builder sharedRetryReserve(double value) {
+      sharedRetryReserve = value;
+      return this;
+    }
+
+    /** Sets the resumptions of answers by which the retry budget may be overdrawn. */
+    public Builder resumeOverdraft(double value) {
+      resumeOverdraft = value;
+      return this;
+    }
+
+    /** Sets the age at which a load report says nothing any more. */
+    public Builder maximumReportAgeNanos(long value) {
+      maximumReportAgeNanos = value;
+      return this;
+    }
+
+    /** Sets what accounts without a plan may use. */
+    public Builder unplanned(Unplanned value) {
+      unplanned = value;
+      return this;
+    }
+
     /** Sets the limits of requests on routes that are open to all. */
     public Builder openRouteLimits(PlanLimits value) {
       openRouteLimits = value;
@@ -277,6 +338,10 @@
       copy.initialPrefillTokensPerSecond = initialPrefillTokensPerSecond;
       copy.betweenTokensNanos = betweenTokensNanos;
       copy.spillCostNanos = spillCostNanos;
+      copy.sharedRetryReserve = sharedRetryReserve;
+      copy.resumeOverdraft = resumeOverdraft;
+      copy.maximumReportAgeNanos = maximumReportAgeNanos;
+      copy.unplanned = unplanned;
       copy.openRouteLimits = openRouteLimits;
       return new PolicyConfiguration(copy);
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -29,6 +29,9 @@
   /** Attempts that count against the most attempts of a request. */
   int countedAttempts;
 
+  /** Attempts that may have run. */
+  int possibleRuns;
+
   /** Backend server of the running attempt. */
   @Nullable ServerState server;
 
@@ -83,6 +86,12 @@
     return work.promptTokens() + outputTokens;
   }
 
+  /** Returns the urgency, 0 first. */
+  int priority() {
+    int own = work.terms().priority();
+    return own >= 0 ? own : limits.priority();
+  }
+
   int remainingOutputTokens() {
     return Math.max(1, work.expectedOutputTokens() - outputTokens);
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
@@ -14,18 +14,36 @@
 
   private static final double INITIAL = 10;
 
-  private static final double OVERDRAFT = 256;
+  /** Share of the common reserve before the number of instances is known. */
+  private static final double CAUTIOUS_SHARE = 1.0 / 64;
 
   private final double ratio;
-  private double available = INITIAL;
+  private final double overdraft;
+  private final double sharedReserve;
+  private double maximum;
+  private double available;
 
-  RetryBudget(double ratio) {
-    this.ratio = ratio;
+  RetryBudget(PolicyConfiguration configuration) {
+    ratio = configuration.retryRatio();
+    overdraft = configuration.resumeOverdraft();
+    sharedReserve = configuration.sharedRetryReserve();
+    maximum = sharedReserve > 0 ? reserve(CAUTIOUS_SHARE) : MAXIMUM;
+    available = Math.min(INITIAL, maximum);
+  }
+
+  /** Takes over this instance's part of the common reserve. */
+  void share(double share) {
+    if (sharedReserve > 0) {
+      double changed = reserve(share);
+      // A reserve that grows is granted at once, or a fleet would start without any.
+      available = Math.min(changed, available + Math.max(0, changed - maximum));
+      maximum = changed;
+    }
   }
 
   /** Counts a first attempt. */
   void earn() {
-    available = Math.min(MAXIMUM, available + ratio);
+    available = Math.min(maximum, available + ratio);
   }
 
   /** Takes one retry out of the budget if it holds one. */
@@ -35,7 +53,11 @@
 
   /** Takes one resumption; may overdraw the budget. */
   boolean takeResume() {
-    return take(1 - OVERDRAFT);
+    return take(1 - overdraft);
+  }
+
+  private double reserve(double share) {
+    return Math.max(1, sharedReserve * share);
   }
 
   private boolean take(double least) {
--- a/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
@@ -18,6 +18,8 @@
   enum RetryAction {
     /** Another attempt, within the retry budget. */
     RETRY,
+    /** Another attempt outside the budget: nothing was sent, so it adds no load. */
+    RETRY_UNSENT,
     /** Another attempt outside the budget: a planned change must not end requests. */
     RETRY_UNCOUNTED,
     /** Another attempt that continues at the first missing token. */
@@ -30,7 +32,8 @@
   static RetryAction action(FailureKind failure, Repeatable repeatable, Progress progress) {
     return switch (failure) {
       case REFUSED_LEAVING -> RetryAction.RETRY_UNCOUNTED;
-      case CONNECT_FAILED, REFUSED_BUSY -> RetryAction.RETRY;
+      case CONNECT_FAILED -> RetryAction.RETRY_UNSENT;
+      case REFUSED_BUSY -> RetryAction.RETRY;
       case LOST_BEFORE_ANSWER, LOST_DURING_ANSWER, TIMED_OUT, SERVER_ERROR, ANSWER_MISMATCH ->
           afterPossibleRun(repeatable, progress);
       case CANCELLED -> RetryAction.END;
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerLoad.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerLoad.java
@@ -22,13 +22,18 @@
       return false;
     }
     report = newReport;
-    runningCorrection = 0;
-    promptCorrection = 0;
-    piecesCorrection = 0;
-    own.forEach(this::add);
+    recount();
     return true;
   }
 
+  /** Forgets a report that is too old to say anything; own work still counts. */
+  void expire(long nowNanos, long maximumAgeNanos) {
+    if (report != null && nowNanos - report.measuredAtNanos() > maximumAgeNanos) {
+      report = null;
+      recount();
+    }
+  }
+
   void dispatched(RequestState request) {
     own.add(request);
     add(request);
@@ -99,6 +104,13 @@
     return pieceTokens <= 0 ? 0 : (tokens + pieceTokens - 1) / pieceTokens;
   }
 
+  private void recount() {
+    runningCorrection = 0;
+    promptCorrection = 0;
+    piecesCorrection = 0;
+    own.forEach(this::add);
+  }
+
   private void add(RequestState request) {
     boolean since = report == null || request.dispatchedAtNanos > report.measuredAtNanos();
     if (since) {
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -1,10 +1,13 @@
 package org.teaseltrestle.policy;
 
+import org.teaseltrestle.policy.fleet.Rendezvous;
+
 /** What this instance knows of one backend server. */
 final class ServerState {
 
   final ServerLoad load = new ServerLoad();
   final ServerHealth health = new ServerHealth();
+  final long idHash;
   final EngineSpeed speed;
   final RunningLimit runningLimit;
   BackendServer server;
@@ -20,6 +23,7 @@
 
   ServerState(BackendServer server, PolicyConfiguration configuration) {
     this.server = server;
+    this.idHash = Rendezvous.hash(server.id().value());
     this.speed = new EngineSpeed(configuration.initialPrefillTokensPerSecond());
     this.runningLimit =
         new RunningLimit(
@@ -31,7 +35,9 @@
     return listed
         && server.state() == BackendServer.State.LIVE
         && nowNanos >= leavingUntilNanos
-        && load.role() != EngineRole.CHANGING;
+        && load.role() != EngineRole.CHANGING
+        && server.role() != EngineRole.CHANGING
+        && server.role() != EngineRole.PREFILL_ONLY;
   }
 
   /** Returns whether this server may run the request without harm if it vanishes. */
--- a/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
@@ -20,6 +20,7 @@
  * @param prefixHashes hash chain of the prompt's pieces, in hexadecimal; empty for a service call
  * @param firstTokenDeadlineNanos monotonic time by which the first token (or the answer) is due
  * @param sampleBits random bits that spread equal choices of several entry instances
+ * @param terms what its route adds to the terms of its account's plan
  */
 public record WorkRequest(
     RequestId request,
@@ -32,7 +33,8 @@
     int expectedOutputTokens,
     List<String> prefixHashes,
     long firstTokenDeadlineNanos,
-    long sampleBits) {
+    long sampleBits,
+    WorkTerms terms) {
 
   /** Account of requests on routes that are open to all; their limits are a setting. */
   public static final ClientAccount OPEN_ROUTE_ACCOUNT = new ClientAccount("::open-routes");
@@ -42,6 +44,34 @@
     prefixHashes = List.copyOf(prefixHashes);
   }
 
+  /** Creates a request without terms of its own. */
+  public WorkRequest(
+      RequestId request,
+      ClientAccount account,
+      ItemName item,
+      PoolId pool,
+      WorkKind kind,
+      Repeatable repeatable,
+      int promptTokens,
+      int expectedOutputTokens,
+      List<String> prefixHashes,
+      long firstTokenDeadlineNanos,
+      long sampleBits) {
+    this(
+        request,
+        account,
+        item,
+        pool,
+        kind,
+        repeatable,
+        promptTokens,
+        expectedOutputTokens,
+        prefixHashes,
+        firstTokenDeadlineNanos,
+        sampleBits,
+        WorkTerms.NONE);
+  }
+
   /** Returns the work in tokens: prompt and expected answer, and at least 1. */
   public int workTokens() {
     return Math.max(1, promptTokens + expectedOutputTokens);
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/Rendezvous.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/Rendezvous.java
@@ -1,7 +1,7 @@
 package org.teaseltrestle.policy.fleet;
 
 /** Scores of rendezvous hashing: equal on every instance, and independent for each pair. */
-final class Rendezvous {
+public final class Rendezvous {
 
   // FNV-1a, followed by the finalizer of SplitMix64, since FNV alone mixes the last bytes weakly.
   private static final long OFFSET = 0xCBF29CE484222325L;
@@ -10,7 +10,7 @@
   private Rendezvous() {}
 
   /** Returns the hash of one identifier. */
-  static long hash(String value) {
+  public static long hash(String value) {
     long hash = OFFSET;
     for (int i = 0; i < value.length(); i++) {
       hash = (hash ^ value.charAt(i)) * PRIME;
@@ -19,7 +19,7 @@
   }
 
   /** Returns the score of a pair of hashed identifiers. */
-  static long score(long left, long right) {
+  public static long score(long left, long right) {
     return mix(left * 31 + right);
   }
 
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/RoleController.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/RoleController.java
@@ -195,7 +195,7 @@
 
     static int rank(EngineRole role) {
       return switch (role) {
-        case PREFILL -> 1;
+        case PREFILL, PREFILL_ONLY -> 1;
         case DECODE -> -1;
         case MIXED, CHANGING -> 0;
       };
@@ -212,7 +212,8 @@
       Map<EngineRole, Integer> counts = new HashMap<>();
       engines.forEach(engine -> counts.merge(engine.role(), 1, Integer::sum));
       return new Counts(
-          counts.getOrDefault(EngineRole.PREFILL, 0),
+          counts.getOrDefault(EngineRole.PREFILL, 0)
+              + counts.getOrDefault(EngineRole.PREFILL_ONLY, 0),
           counts.getOrDefault(EngineRole.DECODE, 0),
           counts.getOrDefault(EngineRole.MIXED, 0),
           counts.getOrDefault(EngineRole.CHANGING, 0));
@@ -232,7 +233,7 @@
 
     private Counts add(EngineRole role, int count) {
       return switch (role) {
-        case PREFILL -> new Counts(prefill + count, decode, mixed, changing);
+        case PREFILL, PREFILL_ONLY -> new Counts(prefill + count, decode, mixed, changing);
         case DECODE -> new Counts(prefill, decode + count, mixed, changing);
         case MIXED -> new Counts(prefill, decode, mixed + count, changing);
         case CHANGING -> new Counts(prefill, decode, mixed, changing + count);
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -34,8 +34,8 @@
   private static final EventLog LOG = EventLog.of(NettyPeerTransport.class);
   private static final int LENGTH_BYTES = 4;
   private static final int NETWORK_THREADS = 2;
-  private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
-  private static final int PROBE_INTERVAL_MILLISECONDS = 1_000;
+  private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
+  private static final int PROBE_INTERVAL_MILLISECONDS = 300;
   private static final int EXPIRY_INTERVAL_MILLISECONDS = 20;
 
   private final TransportConfiguration configuration;
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -25,8 +25,11 @@
 
   private static final EventLog LOG = EventLog.of(PeerChannelHandler.class);
 
-  /** Silent reads after which a connection is closed; one probe is sent for each. */
-  private static final int MAXIMUM_SILENT_INTERVALS = 5;
+  /**
+   * Silent intervals after which a connection is closed; one probe is sent for each. A connection
+   * that went silent is replaced within two seconds, before an election is over.
+   */
+  private static final int MAXIMUM_SILENT_INTERVALS = 4;
 
   private final Map<String, MessageHandler> handlers;
   private final PendingCalls calls;
--- a/wire/src/main/java/org/teaseltrestle/wire/Command.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Command.java
@@ -72,6 +72,7 @@
     USAGE_REPORTED(25),
     CLAIM_IDEMPOTENCY(26),
     RECORD_OUTCOME(27),
+    PUBLISH_CONFIGURATION(28),
     CHANGE_NOT_SET(0);
     private final int value;
     private ChangeCase(int value) {
@@ -107,6 +108,7 @@
         case 25: return USAGE_REPORTED;
         case 26: return CLAIM_IDEMPOTENCY;
         case 27: return RECORD_OUTCOME;
+        case 28: return PUBLISH_CONFIGURATION;
         case 0: return CHANGE_NOT_SET;
         default: return null;
       }
@@ -742,6 +744,37 @@
     return org.teaseltrestle.wire.RecordOutcome.getDefaultInstance();
   }
 
+  public static final int PUBLISH_CONFIGURATION_FIELD_NUMBER = 28;
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   * @return Whether the publishConfiguration field is set.
+   */
+  @java.lang.Override
+  public boolean hasPublishConfiguration() {
+    return changeCase_ == 28;
+  }
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   * @return The publishConfiguration.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PublishConfiguration getPublishConfiguration() {
+    if (changeCase_ == 28) {
+       return (org.teaseltrestle.wire.PublishConfiguration) change_;
+    }
+    return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+  }
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PublishConfigurationOrBuilder getPublishConfigurationOrBuilder() {
+    if (changeCase_ == 28) {
+       return (org.teaseltrestle.wire.PublishConfiguration) change_;
+    }
+    return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -816,6 +849,9 @@
     if (changeCase_ == 27) {
       output.writeMessage(27, (org.teaseltrestle.wire.RecordOutcome) change_);
     }
+    if (changeCase_ == 28) {
+      output.writeMessage(28, (org.teaseltrestle.wire.PublishConfiguration) change_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -904,6 +940,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(27, (org.teaseltrestle.wire.RecordOutcome) change_);
     }
+    if (changeCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.teaseltrestle.wire.PublishConfiguration) change_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -997,6 +1037,10 @@
         if (!getRecordOutcome()
             .equals(other.getRecordOutcome())) return false;
         break;
+      case 28:
+        if (!getPublishConfiguration()
+            .equals(other.getPublishConfiguration())) return false;
+        break;
       case 0:
       default:
     }
@@ -1089,6 +1133,10 @@
         hash = (37 * hash) + RECORD_OUTCOME_FIELD_NUMBER;
         hash = (53 * hash) + getRecordOutcome().hashCode();
         break;
+      case 28:
+        hash = (37 * hash) + PUBLISH_CONFIGURATION_FIELD_NUMBER;
+        hash = (53 * hash) + getPublishConfiguration().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1283,6 +1331,9 @@
       if (recordOutcomeBuilder_ != null) {
         recordOutcomeBuilder_.clear();
       }
+      if (publishConfigurationBuilder_ != null) {
+        publishConfigurationBuilder_.clear();
+      }
       changeCase_ = 0;
       change_ = null;
       return this;
@@ -1402,6 +1453,10 @@
           recordOutcomeBuilder_ != null) {
         result.change_ = recordOutcomeBuilder_.build();
       }
+      if (changeCase_ == 28 &&
+          publishConfigurationBuilder_ != null) {
+        result.change_ = publishConfigurationBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1497,6 +1552,10 @@
           mergeRecordOutcome(other.getRecordOutcome());
           break;
         }
+        case PUBLISH_CONFIGURATION: {
+          mergePublishConfiguration(other.getPublishConfiguration());
+          break;
+        }
         case CHANGE_NOT_SET: {
           break;
         }
@@ -1663,6 +1722,13 @@
               changeCase_ = 27;
               break;
             } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetPublishConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              changeCase_ = 28;
+              break;
+            } // case 226
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4387,6 +4453,148 @@
       return recordOutcomeBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder> publishConfigurationBuilder_;
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     * @return Whether the publishConfiguration field is set.
+     */
+    @java.lang.Override
+    public boolean hasPublishConfiguration() {
+      return changeCase_ == 28;
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     * @return The publishConfiguration.
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.PublishConfiguration getPublishConfiguration() {
+      if (publishConfigurationBuilder_ == null) {
+        if (changeCase_ == 28) {
+          return (org.teaseltrestle.wire.PublishConfiguration) change_;
+        }
+        return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+      } else {
+        if (changeCase_ == 28) {
+          return publishConfigurationBuilder_.getMessage();
+        }
+        return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    public Builder setPublishConfiguration(org.teaseltrestle.wire.PublishConfiguration value) {
+      if (publishConfigurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        change_ = value;
+        onChanged();
+      } else {
+        publishConfigurationBuilder_.setMessage(value);
+      }
+      changeCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    public Builder setPublishConfiguration(
+        org.teaseltrestle.wire.PublishConfiguration.Builder builderForValue) {
+      if (publishConfigurationBuilder_ == null) {
+        change_ = builderForValue.build();
+        onChanged();
+      } else {
+        publishConfigurationBuilder_.setMessage(builderForValue.build());
+      }
+      changeCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    public Builder mergePublishConfiguration(org.teaseltrestle.wire.PublishConfiguration value) {
+      if (publishConfigurationBuilder_ == null) {
+        if (changeCase_ == 28 &&
+            change_ != org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance()) {
+          change_ = org.teaseltrestle.wire.PublishConfiguration.newBuilder((org.teaseltrestle.wire.PublishConfiguration) change_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          change_ = value;
+        }
+        onChanged();
+      } else {
+        if (changeCase_ == 28) {
+          publishConfigurationBuilder_.mergeFrom(value);
+        } else {
+          publishConfigurationBuilder_.setMessage(value);
+        }
+      }
+      changeCase_ = 28;
+      return this;
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    public Builder clearPublishConfiguration() {
+      if (publishConfigurationBuilder_ == null) {
+        if (changeCase_ == 28) {
+          changeCase_ = 0;
+          change_ = null;
+          onChanged();
+        }
+      } else {
+        if (changeCase_ == 28) {
+          changeCase_ = 0;
+          change_ = null;
+        }
+        publishConfigurationBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    public org.teaseltrestle.wire.PublishConfiguration.Builder getPublishConfigurationBuilder() {
+      return internalGetPublishConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.PublishConfigurationOrBuilder getPublishConfigurationOrBuilder() {
+      if ((changeCase_ == 28) && (publishConfigurationBuilder_ != null)) {
+        return publishConfigurationBuilder_.getMessageOrBuilder();
+      } else {
+        if (changeCase_ == 28) {
+          return (org.teaseltrestle.wire.PublishConfiguration) change_;
+        }
+        return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder> 
+        internalGetPublishConfigurationFieldBuilder() {
+      if (publishConfigurationBuilder_ == null) {
+        if (!(changeCase_ == 28)) {
+          change_ = org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
+        }
+        publishConfigurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder>(
+                (org.teaseltrestle.wire.PublishConfiguration) change_,
+                getParentForChildren(),
+                isClean());
+        change_ = null;
+      }
+      changeCase_ = 28;
+      onChanged();
+      return publishConfigurationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.Command)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
@@ -310,5 +310,20 @@
    */
   org.teaseltrestle.wire.RecordOutcomeOrBuilder getRecordOutcomeOrBuilder();
 
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   * @return Whether the publishConfiguration field is set.
+   */
+  boolean hasPublishConfiguration();
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   * @return The publishConfiguration.
+   */
+  org.teaseltrestle.wire.PublishConfiguration getPublishConfiguration();
+  /**
+   * <code>.trestle.PublishConfiguration publish_configuration = 28;</code>
+   */
+  org.teaseltrestle.wire.PublishConfigurationOrBuilder getPublishConfigurationOrBuilder();
+
   org.teaseltrestle.wire.Command.ChangeCase getChangeCase();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -161,6 +161,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_RecordOutcome_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_PublishConfiguration_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_PublishConfiguration_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -170,7 +175,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rcontrol.proto\022\007trestle\"\375\007\n\007Command\022\022\n\n" +
+      "\n\rcontrol.proto\022\007trestle\"\275\010\n\007Command\022\022\n\n" +
       "request_id\030\001 \001(\t\022\032\n\022proposed_at_millis\030\002" +
       " \001(\003\022.\n\rreplace_lists\030\n \001(\0132\025.trestle.Re" +
       "placeListsH\000\022&\n\tissue_key\030\013 \001(\0132\021.trestl" +
@@ -195,85 +200,88 @@
       "H\000\0220\n\016usage_reported\030\031 \001(\0132\026.trestle.Usa" +
       "geReportedH\000\0226\n\021claim_idempotency\030\032 \001(\0132" +
       "\031.trestle.ClaimIdempotencyH\000\0220\n\016record_o" +
-      "utcome\030\033 \001(\0132\026.trestle.RecordOutcomeH\000B\010" +
-      "\n\006change\"\256\002\n\rCommandAnswer\022-\n\006status\030\001 \001" +
-      "(\0162\035.trestle.CommandAnswer.Status\022\017\n\007mes" +
-      "sage\030\002 \001(\t\022\025\n\rapplied_index\030\003 \001(\004\022\026\n\016lis" +
-      "ts_revision\030\004 \001(\004\022)\n\005claim\030\005 \001(\0132\032.trest" +
-      "le.IdempotencyRecord\022\026\n\016fencing_number\030\006" +
-      " \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast_sequence\030\010" +
-      " \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ACCEP" +
-      "TED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECTED\020\003\"g\n\014Rep" +
-      "laceLists\022\025\n\rbase_revision\030\001 \001(\004\022\025\n\racco" +
-      "unts_json\030\002 \001(\t\022\022\n\nplans_json\030\003 \001(\t\022\025\n\ro" +
-      "perator_name\030\004 \001(\t\"\225\001\n\tKeyRecord\022\016\n\006key_" +
-      "id\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\014\n\004salt\030\003 \001(\014\022" +
-      "\023\n\013secret_hash\030\004 \001(\014\022\030\n\020issued_at_millis" +
-      "\030\005 \001(\003\022\033\n\023withdrawn_at_millis\030\006 \001(\003\022\r\n\005l" +
-      "abel\030\007 \001(\t\"+\n\010IssueKey\022\037\n\003key\030\001 \001(\0132\022.tr" +
-      "estle.KeyRecord\"\035\n\013WithdrawKey\022\016\n\006key_id" +
-      "\030\001 \001(\t\"}\n\016InstanceRecord\022\020\n\010instance\030\001 \001" +
-      "(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001" +
-      "(\t\022\024\n\014peer_address\030\004 \001(\t\022\014\n\004boot\030\005 \001(\006\022\r" +
-      "\n\005voter\030\006 \001(\010\"=\n\020RegisterInstance\022)\n\010ins" +
-      "tance\030\001 \001(\0132\027.trestle.InstanceRecord\"2\n\016" +
-      "RetireInstance\022\020\n\010instance\030\001 \001(\t\022\016\n\006reas" +
-      "on\030\002 \001(\t\">\n\016ClaimAuthority\022\014\n\004term\030\001 \001(\004" +
-      "\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013Eng" +
-      "ineOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016backend_se" +
-      "rver\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004\022\014\n\004ki" +
-      "nd\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\022\r\n\005model\030\006 \001(\t\022\026\n" +
-      "\016owner_instance\030\007 \001(\t\022\022\n\nowner_boot\030\010 \001(" +
-      "\006\022\017\n\007settled\030\t \001(\010\022\016\n\006result\030\n \001(\t\"O\n\020Pl" +
-      "aceEngineOrder\022#\n\005order\030\001 \001(\0132\024.trestle." +
-      "EngineOrder\022\026\n\016authority_term\030\002 \001(\004\"M\n\021S" +
-      "ettleEngineOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n\006re" +
-      "sult\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\221\001\n\027T" +
-      "ransferEngineOwnership\022\026\n\016backend_server" +
-      "\030\001 \001(\t\022\025\n\rfrom_instance\030\002 \001(\t\022\021\n\tfrom_bo" +
-      "ot\030\003 \001(\006\022\023\n\013to_instance\030\004 \001(\t\022\017\n\007to_boot" +
-      "\030\005 \001(\006\022\016\n\006reason\030\006 \001(\t\"\262\001\n\rPlatformOrder" +
-      "\022\020\n\010order_id\030\001 \001(\t\022\026\n\016fencing_number\030\002 \001" +
-      "(\004\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 \001(\t" +
-      "\022\020\n\010capacity\030\005 \001(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007rel" +
-      "ease\030\007 \001(\t\022\017\n\007settled\030\010 \001(\010\022\016\n\006result\030\t " +
-      "\001(\t\"S\n\022PlacePlatformOrder\022%\n\005order\030\001 \001(\013" +
-      "2\026.trestle.PlatformOrder\022\026\n\016authority_te" +
-      "rm\030\002 \001(\004\"O\n\023SettlePlatformOrder\022\020\n\010order" +
-      "_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016authority_t" +
-      "erm\030\003 \001(\004\"\275\001\n\023BackendServerRecord\022\n\n\002id\030" +
-      "\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\026\n\016failure_domain\030\003 " +
-      "\001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010ca" +
-      "pacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007 \001(\010\022\016\n\006" +
-      "models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(" +
-      "\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132\034.trestl" +
-      "e.BackendServerRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016a" +
-      "uthority_term\030\003 \001(\004\"2\n\nPlanChange\022\026\n\016bac" +
-      "kend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013Usag" +
-      "eFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025" +
-      "\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_tokens\030\004" +
-      " \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_requests\030" +
-      "\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance\030\001 \001(\t\022\014" +
-      "\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 \001(\004\022\025\n\r" +
-      "last_sequence\030\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007f" +
-      "igures\030\006 \003(\0132\024.trestle.UsageFigure\":\n\020Cl" +
-      "oseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026\n\016author" +
-      "ity_term\030\002 \001(\004\"7\n\rUsageReported\022\016\n\006windo" +
-      "w\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"\361\002\n\021Idem" +
-      "potencyRecord\022\017\n\007account\030\001 \001(\t\022\017\n\007servic" +
-      "e\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016requ" +
-      "est_digest\030\004 \001(\014\022\027\n\017runner_instance\030\005 \001(" +
-      "\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claimed_at_mil" +
-      "lis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trestle.Idemp" +
-      "otencyRecord.State\022\023\n\013http_status\030\t \001(\r\022" +
-      "\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005S" +
-      "tate\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCO" +
-      "MPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RU" +
-      "N\020\004\"=\n\020ClaimIdempotency\022)\n\005claim\030\001 \001(\0132\032" +
-      ".trestle.IdempotencyRecord\"V\n\rRecordOutc" +
-      "ome\022+\n\007outcome\030\001 \001(\0132\032.trestle.Idempoten" +
-      "cyRecord\022\030\n\020claim_request_id\030\002 \001(\tB\032\n\026or" +
-      "g.teaseltrestle.wireP\001b\006proto3"
+      "utcome\030\033 \001(\0132\026.trestle.RecordOutcomeH\000\022>" +
+      "\n\025publish_configuration\030\034 \001(\0132\035.trestle." +
+      "PublishConfigurationH\000B\010\n\006change\"\256\002\n\rCom" +
+      "mandAnswer\022-\n\006status\030\001 \001(\0162\035.trestle.Com" +
+      "mandAnswer.Status\022\017\n\007message\030\002 \001(\t\022\025\n\rap" +
+      "plied_index\030\003 \001(\004\022\026\n\016lists_revision\030\004 \001(" +
+      "\004\022)\n\005claim\030\005 \001(\0132\032.trestle.IdempotencyRe" +
+      "cord\022\026\n\016fencing_number\030\006 \001(\004\022\017\n\007subject\030" +
+      "\007 \001(\t\022\025\n\rlast_sequence\030\010 \001(\004\"C\n\006Status\022\017" +
+      "\n\013UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLIC" +
+      "T\020\002\022\014\n\010REJECTED\020\003\"g\n\014ReplaceLists\022\025\n\rbas" +
+      "e_revision\030\001 \001(\004\022\025\n\raccounts_json\030\002 \001(\t\022" +
+      "\022\n\nplans_json\030\003 \001(\t\022\025\n\roperator_name\030\004 \001" +
+      "(\t\"\225\001\n\tKeyRecord\022\016\n\006key_id\030\001 \001(\t\022\017\n\007acco" +
+      "unt\030\002 \001(\t\022\014\n\004salt\030\003 \001(\014\022\023\n\013secret_hash\030\004" +
+      " \001(\014\022\030\n\020issued_at_millis\030\005 \001(\003\022\033\n\023withdr" +
+      "awn_at_millis\030\006 \001(\003\022\r\n\005label\030\007 \001(\t\"+\n\010Is" +
+      "sueKey\022\037\n\003key\030\001 \001(\0132\022.trestle.KeyRecord\"" +
+      "\035\n\013WithdrawKey\022\016\n\006key_id\030\001 \001(\t\"}\n\016Instan" +
+      "ceRecord\022\020\n\010instance\030\001 \001(\t\022\026\n\016failure_do" +
+      "main\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\024\n\014peer_addre" +
+      "ss\030\004 \001(\t\022\014\n\004boot\030\005 \001(\006\022\r\n\005voter\030\006 \001(\010\"=\n" +
+      "\020RegisterInstance\022)\n\010instance\030\001 \001(\0132\027.tr" +
+      "estle.InstanceRecord\"2\n\016RetireInstance\022\020" +
+      "\n\010instance\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\">\n\016Clai" +
+      "mAuthority\022\014\n\004term\030\001 \001(\004\022\020\n\010instance\030\002 \001" +
+      "(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013EngineOrder\022\020\n\010orde" +
+      "r_id\030\001 \001(\t\022\026\n\016backend_server\030\002 \001(\t\022\026\n\016fe" +
+      "ncing_number\030\003 \001(\004\022\014\n\004kind\030\004 \001(\t\022\014\n\004role" +
+      "\030\005 \001(\t\022\r\n\005model\030\006 \001(\t\022\026\n\016owner_instance\030" +
+      "\007 \001(\t\022\022\n\nowner_boot\030\010 \001(\006\022\017\n\007settled\030\t \001" +
+      "(\010\022\016\n\006result\030\n \001(\t\"O\n\020PlaceEngineOrder\022#" +
+      "\n\005order\030\001 \001(\0132\024.trestle.EngineOrder\022\026\n\016a" +
+      "uthority_term\030\002 \001(\004\"M\n\021SettleEngineOrder" +
+      "\022\020\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016au" +
+      "thority_term\030\003 \001(\004\"\221\001\n\027TransferEngineOwn" +
+      "ership\022\026\n\016backend_server\030\001 \001(\t\022\025\n\rfrom_i" +
+      "nstance\030\002 \001(\t\022\021\n\tfrom_boot\030\003 \001(\006\022\023\n\013to_i" +
+      "nstance\030\004 \001(\t\022\017\n\007to_boot\030\005 \001(\006\022\016\n\006reason" +
+      "\030\006 \001(\t\"\262\001\n\rPlatformOrder\022\020\n\010order_id\030\001 \001" +
+      "(\t\022\026\n\016fencing_number\030\002 \001(\004\022\014\n\004pool\030\003 \001(\t" +
+      "\022\026\n\016failure_domain\030\004 \001(\t\022\020\n\010capacity\030\005 \001" +
+      "(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007release\030\007 \001(\t\022\017\n\007se" +
+      "ttled\030\010 \001(\010\022\016\n\006result\030\t \001(\t\"S\n\022PlacePlat" +
+      "formOrder\022%\n\005order\030\001 \001(\0132\026.trestle.Platf" +
+      "ormOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n\023Sett" +
+      "lePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n\006res" +
+      "ult\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275\001\n\023Ba" +
+      "ckendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 " +
+      "\001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007address\030\004" +
+      " \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016" +
+      "checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005" +
+      "state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014ObserveFlee" +
+      "t\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendServerR" +
+      "ecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_term\030\003 " +
+      "\001(\004\"2\n\nPlanChange\022\026\n\016backend_server\030\001 \001(" +
+      "\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007accou" +
+      "nt\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_tokens\030" +
+      "\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010requests" +
+      "\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nUsageB" +
+      "atch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016" +
+      "first_sequence\030\003 \001(\004\022\025\n\rlast_sequence\030\004 " +
+      "\001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(\0132\024.t" +
+      "restle.UsageFigure\":\n\020CloseUsageWindow\022\016" +
+      "\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"7" +
+      "\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016autho" +
+      "rity_term\030\002 \001(\004\"\361\002\n\021IdempotencyRecord\022\017\n" +
+      "\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017idemp" +
+      "otency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014" +
+      "\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner_boot" +
+      "\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/\n\005sta" +
+      "te\030\010 \001(\0162 .trestle.IdempotencyRecord.Sta" +
+      "te\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_type\030" +
+      "\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNSPECIF" +
+      "IED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUT" +
+      "COME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020ClaimIdem" +
+      "potency\022)\n\005claim\030\001 \001(\0132\032.trestle.Idempot" +
+      "encyRecord\"V\n\rRecordOutcome\022+\n\007outcome\030\001" +
+      " \001(\0132\032.trestle.IdempotencyRecord\022\030\n\020clai" +
+      "m_request_id\030\002 \001(\t\"9\n\024PublishConfigurati" +
+      "on\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014B\032\n" +
+      "\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -284,7 +292,7 @@
     internal_static_trestle_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_Command_descriptor,
-        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "Change", });
+        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "Change", });
     internal_static_trestle_CommandAnswer_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_trestle_CommandAnswer_fieldAccessorTable = new
@@ -441,6 +449,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RecordOutcome_descriptor,
         new java.lang.String[] { "Outcome", "ClaimRequestId", });
+    internal_static_trestle_PublishConfiguration_descriptor =
+      getDescriptor().getMessageTypes().get(27);
+    internal_static_trestle_PublishConfiguration_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_PublishConfiguration_descriptor,
+        new java.lang.String[] { "Version", "Document", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -873,6 +873,44 @@
     return claims_.get(index);
   }
 
+  public static final int SERVING_CONFIGURATION_FIELD_NUMBER = 24;
+  private org.teaseltrestle.wire.PublishConfiguration servingConfiguration_;
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   * @return Whether the servingConfiguration field is set.
+   */
+  @java.lang.Override
+  public boolean hasServingConfiguration() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   * @return The servingConfiguration.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PublishConfiguration getServingConfiguration() {
+    return servingConfiguration_ == null ? org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance() : servingConfiguration_;
+  }
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.PublishConfigurationOrBuilder getServingConfigurationOrBuilder() {
+    return servingConfiguration_ == null ? org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance() : servingConfiguration_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -956,6 +994,9 @@
     for (int i = 0; i < claims_.size(); i++) {
       output.writeMessage(23, claims_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(24, getServingConfiguration());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1055,6 +1096,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(23, claims_.get(i));
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, getServingConfiguration());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1119,6 +1164,11 @@
         .equals(other.getUsageSourcesList())) return false;
     if (!getClaimsList()
         .equals(other.getClaimsList())) return false;
+    if (hasServingConfiguration() != other.hasServingConfiguration()) return false;
+    if (hasServingConfiguration()) {
+      if (!getServingConfiguration()
+          .equals(other.getServingConfiguration())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1212,6 +1262,10 @@
       hash = (37 * hash) + CLAIMS_FIELD_NUMBER;
       hash = (53 * hash) + getClaimsList().hashCode();
     }
+    if (hasServingConfiguration()) {
+      hash = (37 * hash) + SERVING_CONFIGURATION_FIELD_NUMBER;
+      hash = (53 * hash) + getServingConfiguration().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1362,6 +1416,7 @@
         internalGetUsageWindowsFieldBuilder();
         internalGetUsageSourcesFieldBuilder();
         internalGetClaimsFieldBuilder();
+        internalGetServingConfigurationFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1479,6 +1534,11 @@
         claimsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00400000);
+      servingConfiguration_ = null;
+      if (servingConfigurationBuilder_ != null) {
+        servingConfigurationBuilder_.dispose();
+        servingConfigurationBuilder_ = null;
+      }
       return this;
     }
 
@@ -1673,6 +1733,12 @@
       if (((from_bitField0_ & 0x00080000) != 0)) {
         result.usageAnyClosed_ = usageAnyClosed_;
       }
+      if (((from_bitField0_ & 0x00800000) != 0)) {
+        result.servingConfiguration_ = servingConfigurationBuilder_ == null
+            ? servingConfiguration_
+            : servingConfigurationBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -2083,6 +2149,9 @@
           }
         }
       }
+      if (other.hasServingConfiguration()) {
+        mergeServingConfiguration(other.getServingConfiguration());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2338,6 +2407,13 @@
               }
               break;
             } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetServingConfigurationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00800000;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6400,6 +6476,163 @@
       return claimsBuilder_;
     }
 
+    private org.teaseltrestle.wire.PublishConfiguration servingConfiguration_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder> servingConfigurationBuilder_;
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     * @return Whether the servingConfiguration field is set.
+     */
+    public boolean hasServingConfiguration() {
+      return ((bitField0_ & 0x00800000) != 0);
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     * @return The servingConfiguration.
+     */
+    public org.teaseltrestle.wire.PublishConfiguration getServingConfiguration() {
+      if (servingConfigurationBuilder_ == null) {
+        return servingConfiguration_ == null ? org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance() : servingConfiguration_;
+      } else {
+        return servingConfigurationBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public Builder setServingConfiguration(org.teaseltrestle.wire.PublishConfiguration value) {
+      if (servingConfigurationBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        servingConfiguration_ = value;
+      } else {
+        servingConfigurationBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public Builder setServingConfiguration(
+        org.teaseltrestle.wire.PublishConfiguration.Builder builderForValue) {
+      if (servingConfigurationBuilder_ == null) {
+        servingConfiguration_ = builderForValue.build();
+      } else {
+        servingConfigurationBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public Builder mergeServingConfiguration(org.teaseltrestle.wire.PublishConfiguration value) {
+      if (servingConfigurationBuilder_ == null) {
+        if (((bitField0_ & 0x00800000) != 0) &&
+          servingConfiguration_ != null &&
+          servingConfiguration_ != org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance()) {
+          getServingConfigurationBuilder().mergeFrom(value);
+        } else {
+          servingConfiguration_ = value;
+        }
+      } else {
+        servingConfigurationBuilder_.mergeFrom(value);
+      }
+      if (servingConfiguration_ != null) {
+        bitField0_ |= 0x00800000;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public Builder clearServingConfiguration() {
+      bitField0_ = (bitField0_ & ~0x00800000);
+      servingConfiguration_ = null;
+      if (servingConfigurationBuilder_ != null) {
+        servingConfigurationBuilder_.dispose();
+        servingConfigurationBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public org.teaseltrestle.wire.PublishConfiguration.Builder getServingConfigurationBuilder() {
+      bitField0_ |= 0x00800000;
+      onChanged();
+      return internalGetServingConfigurationFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    public org.teaseltrestle.wire.PublishConfigurationOrBuilder getServingConfigurationOrBuilder() {
+      if (servingConfigurationBuilder_ != null) {
+        return servingConfigurationBuilder_.getMessageOrBuilder();
+      } else {
+        return servingConfiguration_ == null ?
+            org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance() : servingConfiguration_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent before the first accepted one.
+     * </pre>
+     *
+     * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder> 
+        internalGetServingConfigurationFieldBuilder() {
+      if (servingConfigurationBuilder_ == null) {
+        servingConfigurationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.PublishConfiguration, org.teaseltrestle.wire.PublishConfiguration.Builder, org.teaseltrestle.wire.PublishConfigurationOrBuilder>(
+                getServingConfiguration(),
+                getParentForChildren(),
+                isClean());
+        servingConfiguration_ = null;
+      }
+      return servingConfigurationBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -484,4 +484,31 @@
    */
   org.teaseltrestle.wire.ClaimSnapshotOrBuilder getClaimsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   * @return Whether the servingConfiguration field is set.
+   */
+  boolean hasServingConfiguration();
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   * @return The servingConfiguration.
+   */
+  org.teaseltrestle.wire.PublishConfiguration getServingConfiguration();
+  /**
+   * <pre>
+   * Absent before the first accepted one.
+   * </pre>
+   *
+   * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
+   */
+  org.teaseltrestle.wire.PublishConfigurationOrBuilder getServingConfigurationOrBuilder();
 }
