--- a/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
@@ -25,6 +25,12 @@
    */
   AnswerVerdict judge(int status, String callerId, Function<String, @Nullable String> header);
 
+  /** Returns the handle in an engine's answer to a reading of a prompt, or null if it has none. */
+  @Nullable String promptMemory(byte[] answer);
+
+  /** Returns the target by which a prompt's memory that nobody took is given back. */
+  String releaseTarget(String memory);
+
   /** Returns the load that an answer reports, or null if it reports none. */
   @Nullable ReportedLoad load(Function<String, @Nullable String> header);
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -19,7 +19,9 @@
   ADMISSION_EVENT_LOST(5013, "admission ring stayed full; end of an attempt was not delivered"),
   ROUTED_ENDED(5014, "routed request ended"),
   ROUTED_REFUSED(5015, "routed request was refused"),
-  ATTEMPT_SENT(5016, "attempt was sent to a backend server");
+  ATTEMPT_SENT(5016, "attempt was sent to a backend server"),
+  PROMPT_READ(5017, "helper ended the reading of a prompt"),
+  MEMORY_RELEASED(5018, "memory of a prompt that was not taken was given back");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedInterface.java
@@ -201,9 +201,11 @@
             cancels ? RequestMailbox.OnCallerLeft.CANCEL : RequestMailbox.OnCallerLeft.FINISH);
     String outcome = "failed";
     RequestLife life = new RequestLife(context, caller, work, mailbox);
-    RoutedRun run = new RoutedRun(context, setup, deadlines, id, request, life, response);
-    try (life;
-        CallerWatch watch = CallerWatch.start(http, mailbox::callerLeft)) {
+    CallerWatch watch = CallerWatch.start(http, mailbox::callerLeft);
+    RoutedRun run =
+        new RoutedRun(
+            context, setup, deadlines, id, request, life, response, () -> close(watch));
+    try (life) {
       run.run();
       outcome = "answered";
     } catch (CallerGoneException e) {
@@ -213,10 +215,17 @@
       outcome = e.refusal().wireName();
       throw e;
     } finally {
+      close(watch);
       ended(id, request, run, outcome);
     }
   }
 
+  private static void close(@Nullable CallerWatch watch) {
+    if (watch != null) {
+      watch.close();
+    }
+  }
+
   private void ended(RequestId id, RoutedRequest request, RoutedRun run, String outcome) {
     metrics.ended(context.clock().nowNanos() - request.arrivedAtNanos(), run.firstByteNanos());
     LOG.info(
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -9,21 +9,16 @@
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
 import org.teaseltrestle.model.serving.ServingRoute;
-import org.teaseltrestle.node.port.AnswerVerdict;
 import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.CompletedAnswer;
 import org.teaseltrestle.node.port.HeaderField;
 import org.teaseltrestle.node.port.OutgoingTerms;
 import org.teaseltrestle.node.port.RelayedCall;
-import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.ServiceAnswer;
 import org.teaseltrestle.policy.AdmissionAction;
-import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
-import org.teaseltrestle.policy.EngineRole;
 import org.teaseltrestle.policy.FailureKind;
-import org.teaseltrestle.policy.LoadReport;
 
 /**
  * Runs one routed request. Streams are passed on event by event; other answers up to a bound are
@@ -44,12 +39,14 @@
   private final RoutedRequest request;
   private final RequestLife life;
   private final CallerResponse response;
+  private final Runnable beforeEnd;
   private @Nullable ServiceOutcome errorAnswer;
   private @Nullable String lastEvent;
   private int attempts;
   private boolean begun;
   private long firstByteNanos;
 
+  /** Creates a run; {@code beforeEnd} is called before the answer ends. */
   RoutedRun(
       RelayContext context,
       RoutedSetup setup,
@@ -57,7 +54,8 @@
       RequestId id,
       RoutedRequest request,
       RequestLife life,
-      CallerResponse response) {
+      CallerResponse response,
+      Runnable beforeEnd) {
     this.context = context;
     this.setup = setup;
     this.deadlines = deadlines;
@@ -65,6 +63,7 @@
     this.request = request;
     this.life = life;
     this.response = response;
+    this.beforeEnd = beforeEnd;
     this.lastEvent = request.incoming().lastEvent();
   }
 
@@ -115,6 +114,12 @@
     if (!bodyless) {
       response.write(outcome.body(), outcome.body().length);
     }
+    finish();
+  }
+
+  /** Ends the answer; the caller's connection is watched no more, since its next request follows. */
+  private void finish() {
+    beforeEnd.run();
     response.finish();
   }
 
@@ -148,8 +153,8 @@
 
     private final AdmissionAction.Dispatch dispatch;
     private final AttemptHandle handle = new AttemptHandle();
-    private final long startNanos = context.clock().nowNanos();
     private final EventSplitter splitter = new EventSplitter();
+    private long startNanos = context.clock().nowNanos();
     private long firstNanos;
     private int passedEvents;
 
@@ -177,10 +182,14 @@
 
     private boolean exchange() {
       BackendServer server = life.begin(dispatch, handle);
-      try (ServiceAnswer answer = open(server)) {
-        Function<String, @Nullable String> header = header(answer.headers());
-        noteLoad(server, header);
-        check(setup.codec().judge(answer.status(), request.incoming().callerId(), header));
+      PromptReading reading = reading();
+      OutgoingTerms.Work work = reading == null ? new OutgoingTerms.Whole() : reading.read();
+      startNanos = context.clock().nowNanos();
+      try (ServiceAnswer answer = openOrRelease(server, work, reading)) {
+        Function<String, @Nullable String> header = Verdicts.lookup(answer.headers());
+        Verdicts.noteLoad(context, setup, server, header);
+        Verdicts.check(
+            setup.codec().judge(answer.status(), request.incoming().callerId(), header));
         firstNanos = Math.max(1, context.clock().nowNanos() - startNanos);
         if (request.route().kind() == ServingRoute.Kind.STREAM && answer.status() == OK) {
           passEvents(answer);
@@ -189,17 +198,40 @@
         }
       }
       life.succeeded(dispatch, Math.max(1, passedEvents), firstNanos);
-      response.finish();
+      finish();
       return true;
     }
 
-    private ServiceAnswer open(BackendServer server) {
+    /** Returns the reading of the prompt by a helper, or null if the attempt has none. */
+    private @Nullable PromptReading reading() {
+      if (dispatch.helper() == null) {
+        return null;
+      }
+      BackendServer helper = context.directory().find(dispatch.helper());
+      return helper == null
+          ? null
+          : new PromptReading(context, setup, deadlines, id, request, dispatch, helper, handle);
+    }
+
+    private ServiceAnswer openOrRelease(
+        BackendServer server, OutgoingTerms.Work work, @Nullable PromptReading reading) {
+      try {
+        return open(server, work);
+      } catch (AttemptFailure failure) {
+        if (reading != null && work instanceof OutgoingTerms.FromMemory source) {
+          reading.release(source);
+        }
+        throw failure;
+      }
+    }
+
+    private ServiceAnswer open(BackendServer server, OutgoingTerms.Work work) {
       attempts++;
       long left = request.deadlineNanos() - context.clock().nowNanos();
       long leftMillis = Math.max(1, left / 1_000_000);
       OutgoingTerms terms =
           new OutgoingTerms(
-              server.id(), request.account(), leftMillis, dispatch.priority(), lastEvent);
+              server.id(), request.account(), leftMillis, dispatch.priority(), lastEvent, work);
       LOG.info(
           RelayEvent.ATTEMPT_SENT,
           "request",
@@ -208,6 +240,8 @@
           dispatch.attempt(),
           "server",
           server.id(),
+          "work",
+          work,
           "leftMillis",
           leftMillis);
       return setup
@@ -222,44 +256,6 @@
                   handle));
     }
 
-    private void check(AnswerVerdict verdict) {
-      switch (verdict) {
-        case ANSWER -> {
-          return;
-        }
-        case NOT_RUN_BUSY ->
-            throw new AttemptFailure(FailureKind.REFUSED_BUSY, "backend server is full");
-        case NOT_RUN_MISDIRECTED ->
-            throw new AttemptFailure(FailureKind.REFUSED_LEAVING, "address has a new owner");
-        case UNPROVEN_REFUSAL ->
-            throw new AttemptFailure(
-                FailureKind.SERVER_ERROR, "backend server refused what it may have run");
-        case FOREIGN ->
-            throw new AttemptFailure(
-                FailureKind.ANSWER_MISMATCH, "answer does not belong to the request");
-      }
-    }
-
-    private void noteLoad(BackendServer server, Function<String, @Nullable String> header) {
-      ReportedLoad load = setup.codec().load(header);
-      if (load != null) {
-        context
-            .admission()
-            .offer(
-                new AdmissionEvent.LoadReported(
-                    new LoadReport(
-                        server.id(),
-                        context.clock().nowNanos(),
-                        load.running(),
-                        load.waiting(),
-                        0,
-                        0,
-                        0,
-                        0,
-                        EngineRole.MIXED)));
-      }
-    }
-
     private void passEvents(ServiceAnswer answer) {
       byte[] buffer = new byte[BUFFER_BYTES];
       int count = answer.read(buffer);
@@ -335,7 +331,7 @@
         count = answer.read(buffer);
       }
       life.succeeded(dispatch, 0, firstNanos);
-      response.finish();
+      finish();
     }
 
     private void failed(AttemptFailure failure) {
@@ -349,15 +345,4 @@
       }
     }
   }
-
-  private static Function<String, @Nullable String> header(List<HeaderField> fields) {
-    return name -> {
-      for (HeaderField field : fields) {
-        if (field.name().equalsIgnoreCase(name)) {
-          return field.value();
-        }
-      }
-      return null;
-    };
-  }
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
@@ -14,9 +14,21 @@
    *
    * @param attempt attempt number, from 1
    * @param priority priority passed to an engine, 0 is the highest
+   * @param helper engine that reads the prompt for the other one, null if there is none
    */
-  record Dispatch(RequestId request, int attempt, BackendServerId server, int priority)
-      implements AdmissionAction {}
+  record Dispatch(
+      RequestId request,
+      int attempt,
+      BackendServerId server,
+      int priority,
+      @Nullable BackendServerId helper)
+      implements AdmissionAction {
+
+    /** Creates a dispatch to a backend server that reads the prompt itself. */
+    public Dispatch(RequestId request, int attempt, BackendServerId server, int priority) {
+      this(request, attempt, server, priority, null);
+    }
+  }
 
   /**
    * Ends the request with a refusal.
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -42,6 +42,8 @@
   private final CandidateFinder finder;
   private final ReplicaChooser chooser;
   private final DeadlineCheck deadlines;
+  private final CostModel costs;
+  private final PrefillHelpers helpers;
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
   private long nextSequence;
 
@@ -53,7 +55,8 @@
     this.waiting =
         new WaitingRequests(
             configuration.queueing() == Queueing.FAIR ? FairQueue::new : FirstComeQueue::new);
-    CostModel costs = new CostModel(configuration);
+    this.costs = new CostModel(configuration);
+    this.helpers = new PrefillHelpers(configuration, fleet, costs);
     this.finder = new CandidateFinder(configuration, fleet);
     this.chooser = chooser(configuration.replicaChoice(), costs);
     this.deadlines = new DeadlineCheck(configuration, costs);
@@ -74,6 +77,8 @@
       finish(finished, nowNanos, actions);
     } else if (event instanceof AdmissionEvent.TokensReceived received) {
       receive(received);
+    } else if (event instanceof AdmissionEvent.PrefillEnded ended) {
+      prefillEnded(ended, nowNanos);
     } else if (event instanceof AdmissionEvent.CallerLeft left) {
       leave(left.request(), actions);
     } else {
@@ -182,6 +187,7 @@
     }
     ServerState server = request.server;
     request.server = null;
+    helpers.ended(request, FailureKind.CANCELLED, 0, nowNanos);
     server.load.ended(request);
     server.learn(request, event.outcome(), nowNanos);
     FailureKind failure = event.outcome().failure();
@@ -254,6 +260,13 @@
     }
   }
 
+  private void prefillEnded(AdmissionEvent.PrefillEnded event, long nowNanos) {
+    RequestState request = requests.get(event.request());
+    if (request != null && request.attempt == event.attempt()) {
+      helpers.ended(request, event.failure(), event.nanos(), nowNanos);
+    }
+  }
+
   private void leave(RequestId id, List<AdmissionAction> actions) {
     RequestState request = requests.get(id);
     if (request == null || request.phase == Phase.CANCELLING) {
@@ -320,6 +333,16 @@
       long nowNanos,
       List<AdmissionAction> actions) {
     Candidate choice = chooser.choose(request, candidates);
+    PrefillHelpers.Helper helper = helpers.best(request, nowNanos);
+    if (helper != null) {
+      Candidate helped = chooser.choose(request, withoutPrompt(candidates));
+      double helpedNanos = helper.nanos() + costs.cost(request, helped);
+      if (helpedNanos < costs.cost(request, choice)
+          && !deadlines.missedAt(request, helped, nowNanos + (long) helper.nanos())) {
+        dispatch(request, helped, helper, nowNanos, actions);
+        return;
+      }
+    }
     if (deadlines.missedAt(request, choice, nowNanos)) {
       choice = deadlines.fastest(request, candidates);
       if (deadlines.missedAt(request, choice, nowNanos)) {
@@ -327,11 +350,24 @@
         return;
       }
     }
-    dispatch(request, choice, nowNanos, actions);
+    dispatch(request, choice, null, nowNanos, actions);
+  }
+
+  /** Returns the candidates with one prompt token left, which an engine always computes itself. */
+  private static List<Candidate> withoutPrompt(List<Candidate> candidates) {
+    List<Candidate> helped = new ArrayList<>(candidates.size());
+    for (Candidate candidate : candidates) {
+      helped.add(new Candidate(candidate.server(), 1, candidate.pieces()));
+    }
+    return helped;
   }
 
   private void dispatch(
-      RequestState request, Candidate choice, long nowNanos, List<AdmissionAction> actions) {
+      RequestState request,
+      Candidate choice,
+      PrefillHelpers.@Nullable Helper helper,
+      long nowNanos,
+      List<AdmissionAction> actions) {
     waiting.take(request, nowNanos);
     ServerState server = choice.server();
     request.phase = Phase.RUNNING;
@@ -344,10 +380,18 @@
     request.reservedPieces = choice.pieces();
     server.load.dispatched(request);
     finder.homes().sent(request, server, nowNanos);
+    request.helperTokens = 0;
+    if (helper != null) {
+      helpers.asked(request, helper, nowNanos);
+    }
     server.health.dispatched();
     actions.add(
         new AdmissionAction.Dispatch(
-            request.id(), request.attempt, server.server.id(), request.priority()));
+            request.id(),
+            request.attempt,
+            server.server.id(),
+            request.priority(),
+            helper == null ? null : helper.server().server.id()));
   }
 
   private void refuseWaiting(
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.RequestId;
@@ -22,6 +23,16 @@
       RequestId request, int attempt, BackendServerId server, AttemptOutcome outcome)
       implements AdmissionEvent {}
 
+  /**
+   * The helper of a running attempt has ended its reading of the prompt.
+   *
+   * @param failure null if the other engine can take the prompt's memory
+   * @param nanos time that it took, in nanoseconds
+   */
+  record PrefillEnded(
+      RequestId request, int attempt, @Nullable FailureKind failure, long nanos)
+      implements AdmissionEvent {}
+
   /** One more output token of a running attempt, batched by the relay. */
   record TokensReceived(RequestId request, int count) implements AdmissionEvent {}
 
--- a/policy/src/main/java/org/teaseltrestle/policy/EngineSpeed.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/EngineSpeed.java
@@ -6,6 +6,9 @@
   /** Weight that older measurements keep. */
   private static final double KEPT = 0.9;
 
+  /** Part of each measurement that does not depend on the prompt: connection and first step. */
+  private static final long FIXED_NANOS = 6_000_000L;
+
   /** Weight of the assumed prefill rate, in tokens; a few prompts outweigh it. */
   private static final double ASSUMED_TOKENS = 2_000;
 
@@ -43,7 +46,7 @@
    */
   void prefilled(int tokens, long nanos) {
     prefillTokens = prefillTokens * KEPT + tokens;
-    prefillNanos = prefillNanos * KEPT + nanos;
+    prefillNanos = prefillNanos * KEPT + Math.max(nanos / 2, nanos - FIXED_NANOS);
   }
 
   /** Notes the time between tokens of one answer. */
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -46,6 +46,9 @@
       ServerState state = servers.computeIfAbsent(server.id(), id -> newState(server));
       state.server = server;
       state.listed = true;
+      if (server.role() != EngineRole.MIXED) {
+        state.speed.inRole(server.role());
+      }
     }
     servers.values().forEach(state -> state.listed = listed.contains(state.server.id()));
     servers.values().removeIf(state -> !state.listed && state.load.ownRunning() == 0);
@@ -120,7 +123,8 @@
   void report(LoadReport report) {
     ServerState state = servers.get(report.server());
     if (state != null && state.load.reported(report)) {
-      state.speed.inRole(report.role());
+      boolean listedRole = report.role() == EngineRole.MIXED;
+      state.speed.inRole(listedRole ? state.server.role() : report.role());
       state.busyUntilNanos = Long.MIN_VALUE;
     }
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/PromptHomes.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptHomes.java
@@ -44,9 +44,30 @@
     }
   }
 
-  /** Returns the engines that hold the shared part of a request's prompt. */
+  /** Returns the engines that run requests and hold the shared part of a request's prompt. */
   Holders holders(
       RequestState request, List<ServerState> serving, ReplicaChoice choice, long nowNanos) {
+    return holders(request, serving, choice, ServerState::acceptsWork, nowNanos);
+  }
+
+  /** Returns the engines that only read prompts and hold the shared part of a request's prompt. */
+  Holders helpers(
+      RequestState request, List<ServerState> serving, ReplicaChoice choice, long nowNanos) {
+    return holders(request, serving, choice, ServerState::mayHelp, nowNanos);
+  }
+
+  /** Which engines may be the home of a prompt. */
+  @FunctionalInterface
+  private interface Eligible {
+    boolean test(ServerState server, long nowNanos);
+  }
+
+  private Holders holders(
+      RequestState request,
+      List<ServerState> serving,
+      ReplicaChoice choice,
+      Eligible eligible,
+      long nowNanos) {
     long affinity = request.work.terms().affinity();
     if (affinity == 0 || choice != ReplicaChoice.AFFINITY) {
       return Holders.NOBODY;
@@ -54,7 +75,7 @@
     Sent last = sent.get(affinity);
     boolean known = last != null && nowNanos - last.atNanos() < REMEMBERED_NANOS;
     return new Holders(
-        home(affinity, serving, nowNanos), known && last != null ? last.server() : null);
+        home(affinity, serving, eligible, nowNanos), known && last != null ? last.server() : null);
   }
 
   /** Notes that a request was sent to an engine, which reads the shared part then. */
@@ -66,12 +87,12 @@
   }
 
   private static @Nullable BackendServerId home(
-      long affinity, List<ServerState> serving, long nowNanos) {
+      long affinity, List<ServerState> serving, Eligible eligible, long nowNanos) {
     ServerState home = null;
     long best = 0;
     for (ServerState server : serving) {
       long score = Rendezvous.score(affinity, server.idHash);
-      if (server.acceptsWork(nowNanos)
+      if (eligible.test(server, nowNanos)
           && (home == null || Long.compareUnsigned(score, best) > 0)) {
         home = server;
         best = score;
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -35,6 +35,15 @@
   /** Backend server of the running attempt. */
   @Nullable ServerState server;
 
+  /** Engine that reads the prompt of the running attempt for its server. */
+  @Nullable ServerState helper;
+
+  /** Prompt tokens that the helper has to read. */
+  int helperTokens;
+
+  /** Prompt tokens of other requests that were ahead of them at the helper. */
+  int helperAheadTokens;
+
   long dispatchedAtNanos;
 
   /** Prompt tokens to prefill in the running attempt, less the cached prefix. */
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerLoad.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerLoad.java
@@ -15,6 +15,7 @@
   private int runningCorrection;
   private int promptCorrection;
   private int piecesCorrection;
+  private int helpingTokens;
 
   /** Takes over a report unless a newer measurement is known; returns whether it did. */
   boolean reported(LoadReport newReport) {
@@ -39,6 +40,16 @@
     add(request);
   }
 
+  /** Counts prompt tokens that are read here for a request that runs elsewhere. */
+  void helps(int tokens) {
+    helpingTokens += tokens;
+  }
+
+  /** Ends the reading of prompt tokens for a request that runs elsewhere. */
+  void helped(int tokens) {
+    helpingTokens -= tokens;
+  }
+
   /** Notes the first token: the prompt is no longer queued. */
   void firstToken(RequestState request) {
     promptCorrection -= request.countedPrompt;
@@ -84,7 +95,8 @@
 
   /** Returns the estimated number of prompt tokens that wait for their prefill. */
   int queuedPromptTokens() {
-    return Math.max(0, (report == null ? 0 : report.queuedPromptTokens()) + promptCorrection);
+    int reported = report == null ? 0 : report.queuedPromptTokens();
+    return Math.max(0, reported + promptCorrection) + helpingTokens;
   }
 
   /** Returns the pieces of cache memory, 0 if unknown or if there are none. */
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -40,6 +40,16 @@
         && server.role() != EngineRole.PREFILL_ONLY;
   }
 
+  /** Returns whether prompts may be sent here to be read for other engines. */
+  boolean mayHelp(long nowNanos) {
+    return listed
+        && server.state() == BackendServer.State.LIVE
+        && server.role() == EngineRole.PREFILL_ONLY
+        && nowNanos >= leavingUntilNanos
+        && nowNanos >= busyUntilNanos
+        && health.state(nowNanos) == ServerHealth.State.CLOSED;
+  }
+
   /** Returns whether this server may run the request without harm if it vanishes. */
   boolean allows(RequestState request) {
     return server.capacity() == BackendServer.Capacity.REGULAR
@@ -50,8 +60,10 @@
   /** Learns the server's speed from the end of an attempt. */
   void learn(RequestState request, AttemptOutcome outcome, long nowNanos) {
     if (outcome.firstTokenNanos() > 0 && outcome.outputTokens() > 0) {
-      speed.prefilled(
-          request.prefillTokens + request.prefillAheadTokens, outcome.firstTokenNanos());
+      if (request.helperTokens == 0) {
+        speed.prefilled(
+            request.prefillTokens + request.prefillAheadTokens, outcome.firstTokenNanos());
+      }
       long decodeNanos = nowNanos - request.dispatchedAtNanos - outcome.firstTokenNanos();
       if (outcome.outputTokens() > 1 && decodeNanos > 0) {
         int gaps = outcome.outputTokens() - 1;
