Order roles and cheap engines for the serving configuration

Change: StagePlanner, CheapFleetPlanner and their orders; reading a prompt where answers run counts the answers that it stops; fewer wake-ups of idle duties.

--- a/control/src/main/java/org/teaseltrestle/control/PlatformOrdersArea.java
+++ b/control/src/main/java/org/teaseltrestle/control/PlatformOrdersArea.java
@@ -32,7 +32,7 @@
     if (refusal.isPresent()) {
       return refusal.get();
     }
-    if (order.getRelease().isEmpty() == (order.getCount() == 0)) {
+    if (!order.getWantedInAll() && order.getRelease().isEmpty() == (order.getCount() == 0)) {
       return Answers.rejected(id, "an order either buys backend servers or releases one");
     }
     Optional<PlatformOrder> sameRelease = openRelease(order.getRelease());
@@ -90,6 +90,7 @@
         && known.getFailureDomain().equals(order.getFailureDomain())
         && known.getCapacity().equals(order.getCapacity())
         && known.getCount() == order.getCount()
+        && known.getWantedInAll() == order.getWantedInAll()
         && known.getRelease().equals(order.getRelease());
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -35,7 +35,7 @@
 
   private static final EventLog LOG = EventLog.of(FleetDuty.class);
   private static final int RING_CAPACITY = 1_024;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
   /** The complete fleet is repeated so that a report dropped at a full ring is made up for. */
   private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(1);
--- a/node/src/main/java/org/teaseltrestle/node/orders/FleetControl.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/FleetControl.java
@@ -37,7 +37,7 @@
  * A change that a command has just been proposed for is not proposed again before its answer can be
  * seen in the state.
  */
-public final class FleetControl {
+public final class FleetControl implements FleetDecisions {
 
   private static final EventLog LOG = EventLog.of(FleetControl.class);
   private static final long DECISION_NANOS = 1_000_000_000L;
@@ -68,8 +68,8 @@
     this.nextDecisionNanos = nowNanos;
   }
 
-  /** Returns the commands that place the orders decided now. */
-  List<Command.Builder> decide(ControlView view, OrderBookPolicy orderBook, long nowNanos) {
+  @Override
+  public List<Command.Builder> decide(ControlView view, OrderBookPolicy orderBook, long nowNanos) {
     // A decision is taken only on a state that shows the orders of the last one.
     if (nowNanos - nextDecisionNanos < 0 || view.appliedIndex() <= decidedAtIndex) {
       return List.of();
@@ -134,7 +134,7 @@
     return commands;
   }
 
-  private static Command.Builder placeRole(
+  static Command.Builder placeRole(
       BackendServerRecord engine, EngineRole role, ControlView view, OrderBookPolicy orderBook) {
     EngineOrder.Builder order =
         EngineOrder.newBuilder()
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/orders/FleetDecisions.java
@@ -0,0 +1,18 @@
+package org.teaseltrestle.node.orders;
+
+import java.util.List;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.leader.OrderBookPolicy;
+import org.teaseltrestle.wire.Command;
+
+/** Decides on the leader which orders to engines and to the platform are placed. */
+@FunctionalInterface
+public interface FleetDecisions {
+
+  /**
+   * Returns the commands that place the orders decided now.
+   *
+   * @param nowNanos monotonic time in nanoseconds
+   */
+  List<Command.Builder> decide(ControlView view, OrderBookPolicy orderBook, long nowNanos);
+}
--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -48,7 +48,7 @@
   private final PlaneAuthority authority;
   private final OrderBookPolicy orderBook;
   private final UsageReporter usageReporter;
-  private final FleetControl fleetControl;
+  private final FleetDecisions fleetControl;
   private final CommandProposer proposer;
   private final DutyThread<Runnable> duty;
   private final ExecutorService calls;
@@ -69,7 +69,7 @@
       long usageWindowSeconds,
       ControlPlane control,
       OutwardPorts ports,
-      FleetControl fleetControl,
+      FleetDecisions fleetControl,
       MonotonicClock clock,
       WallClock wallClock) {
     this.instance = instance;
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/orders/ServedFleetControl.java
@@ -0,0 +1,210 @@
+package org.teaseltrestle.node.orders;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.leader.OrderBookPolicy;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.serving.ScalingRange;
+import org.teaseltrestle.model.serving.ServedPool;
+import org.teaseltrestle.model.serving.ServingConfiguration;
+import org.teaseltrestle.policy.BackendServer.Capacity;
+import org.teaseltrestle.policy.EngineRole;
+import org.teaseltrestle.policy.fleet.CheapFleetPlanner;
+import org.teaseltrestle.policy.fleet.StagePlanner;
+import org.teaseltrestle.wire.BackendServerRecord;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.PlacePlatformOrder;
+import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.PoolDemand;
+
+/** Decides on roles and numbers of the engines that the serving configuration names. */
+public final class ServedFleetControl implements FleetDecisions {
+
+  private static final EventLog LOG = EventLog.of(ServedFleetControl.class);
+  private static final long DECISION_NANOS = 500_000_000L;
+
+  private final Supplier<@Nullable ServingConfiguration> serving;
+  private final Supplier<List<PoolDemand>> demand;
+  private final EngineRates rates;
+  private final Map<PoolId, Planners> planners = new HashMap<>();
+  private long term;
+  private long nextDecisionNanos;
+  private long nextOrder;
+
+  private record Planners(StagePlanner stages, CheapFleetPlanner fleet) {}
+
+  /**
+   * Creates the decisions.
+   *
+   * @param serving serving configuration in force, null if none is known
+   * @param demand demand by pool over all nodes
+   * @param rates what one engine does if it does nothing else
+   * @param nowNanos now
+   */
+  public ServedFleetControl(
+      Supplier<@Nullable ServingConfiguration> serving,
+      Supplier<List<PoolDemand>> demand,
+      EngineRates rates,
+      long nowNanos) {
+    this.serving = serving;
+    this.demand = demand;
+    this.rates = rates;
+    this.nextDecisionNanos = nowNanos;
+  }
+
+  @Override
+  public List<Command.Builder> decide(
+      ControlView view, OrderBookPolicy orderBook, long nowNanos) {
+    ServingConfiguration configuration = serving.get();
+    if (nowNanos - nextDecisionNanos < 0 || configuration == null) {
+      return List.of();
+    }
+    nextDecisionNanos = nowNanos + DECISION_NANOS;
+    if (term != view.authority().getTerm()) {
+      // What an earlier authority ordered is seen in the fleet, not remembered.
+      term = view.authority().getTerm();
+      planners.clear();
+    }
+    List<Command.Builder> commands = new ArrayList<>();
+    for (ServedPool pool : configuration.pools()) {
+      if (pool.engine() != null) {
+        decide(pool, view, orderBook, nowNanos, commands);
+      }
+    }
+    return commands;
+  }
+
+  private void decide(
+      ServedPool pool,
+      ControlView view,
+      OrderBookPolicy orderBook,
+      long nowNanos,
+      List<Command.Builder> commands) {
+    Planners pair =
+        planners.computeIfAbsent(
+            pool.pool(), id -> new Planners(new StagePlanner(), new CheapFleetPlanner()));
+    List<BackendServerRecord> engines =
+        view.backendServers().stream()
+            .filter(server -> server.getPool().equals(pool.pool().value()))
+            .filter(server -> server.getState().equals("live"))
+            .toList();
+    ScalingRange range = pool.scaling();
+    if (range != null) {
+      orderServers(pool.pool(), range, engines, pair.fleet(), view, nowNanos, commands);
+    }
+    orderStages(pool.pool(), engines, pair.stages(), view, orderBook, nowNanos, commands);
+  }
+
+  private void orderServers(
+      PoolId pool,
+      ScalingRange range,
+      List<BackendServerRecord> engines,
+      CheapFleetPlanner planner,
+      ControlView view,
+      long nowNanos,
+      List<Command.Builder> commands) {
+    Map<FailureDomain, CheapFleetPlanner.Present> present = new HashMap<>();
+    for (FailureDomain domain : range.priceByDomain().keySet()) {
+      present.put(domain, present(domain, engines));
+    }
+    CheapFleetPlanner.Range bounds =
+        new CheapFleetPlanner.Range(
+            range.minimumServers(), range.maximumServers(), range.cheapPrice());
+    for (CheapFleetPlanner.Wanted wanted : planner.decide(bounds, present, nowNanos)) {
+      LOG.info(OrdersEvent.SPENDING_DECIDED, "pool", pool, "decision", wanted);
+      commands.add(place(pool, wanted, view));
+    }
+  }
+
+  private static CheapFleetPlanner.Present present(
+      FailureDomain domain, List<BackendServerRecord> engines) {
+    int regular = 0;
+    int cheap = 0;
+    for (BackendServerRecord engine : engines) {
+      if (engine.getFailureDomain().equals(domain.value())) {
+        if (engine.getCapacity().equals("cheap")) {
+          cheap++;
+        } else {
+          regular++;
+        }
+      }
+    }
+    return new CheapFleetPlanner.Present(regular, cheap);
+  }
+
+  private Command.Builder place(
+      PoolId pool, CheapFleetPlanner.Wanted wanted, ControlView view) {
+    String id = "wanted/" + pool + "/" + view.authority().getTerm() + "/" + nextOrder++;
+    return Command.newBuilder()
+        .setPlacePlatformOrder(
+            PlacePlatformOrder.newBuilder()
+                .setOrder(
+                    PlatformOrder.newBuilder()
+                        .setOrderId(id)
+                        .setPool(pool.value())
+                        .setFailureDomain(wanted.domain().value())
+                        .setCapacity(wanted.capacity() == Capacity.CHEAP ? "cheap" : "regular")
+                        .setCount(wanted.count())
+                        .setWantedInAll(true))
+                .setAuthorityTerm(view.authority().getTerm()));
+  }
+
+  private void orderStages(
+      PoolId pool,
+      List<BackendServerRecord> servers,
+      StagePlanner planner,
+      ControlView view,
+      OrderBookPolicy orderBook,
+      long nowNanos,
+      List<Command.Builder> commands) {
+    Map<BackendServerId, BackendServerRecord> byId = new HashMap<>();
+    List<StagePlanner.Engine> engines = new ArrayList<>();
+    for (BackendServerRecord server : servers) {
+      EngineRole role = role(server);
+      if (role != null) {
+        BackendServerId id = new BackendServerId(server.getId());
+        byId.put(id, server);
+        engines.add(
+            new StagePlanner.Engine(id, new FailureDomain(server.getFailureDomain()), role));
+      }
+    }
+    for (StagePlanner.Change change : planner.decide(demandFor(pool), engines, nowNanos)) {
+      BackendServerRecord engine = byId.get(change.engine());
+      boolean open =
+          view.openEngineOrders().stream()
+              .anyMatch(order -> order.getBackendServer().equals(change.engine().value()));
+      if (engine != null && !open) {
+        LOG.info(
+            OrdersEvent.ROLE_CHANGE_DECIDED, "engine", change.engine(), "role", change.role());
+        commands.add(FleetControl.placeRole(engine, change.role(), view, orderBook));
+      }
+    }
+  }
+
+  private StagePlanner.Demand demandFor(PoolId pool) {
+    for (PoolDemand asked : demand.get()) {
+      if (asked.getPool().equals(pool.value())) {
+        return new StagePlanner.Demand(
+            asked.getPrefillTokensPerSecond() / rates.prefillTokensPerSecond(),
+            asked.getDecodeTokensPerSecond() / rates.decodeTokensPerSecond());
+      }
+    }
+    return new StagePlanner.Demand(0, 0);
+  }
+
+  private static @Nullable EngineRole role(BackendServerRecord server) {
+    return switch (server.getRole()) {
+      case "prefill_only" -> EngineRole.PREFILL_ONLY;
+      case "decode" -> EngineRole.DECODE;
+      default -> null;
+    };
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -24,7 +24,7 @@
 public final class AdmissionDuty implements AutoCloseable {
 
   private static final int RING_CAPACITY = 8_192;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
   private static final long ROOM_WAIT_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long ROOM_POLL_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
--- a/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/DemandMeter.java
@@ -81,7 +81,8 @@
       accounts.computeIfAbsent(work.account(), key -> new Rate()).add(tokens, nowNanos);
       if (work.kind() == WorkKind.MODEL_COMPLETION) {
         PoolRates rates = pools.computeIfAbsent(work.pool(), key -> new PoolRates());
-        rates.prefill.add(work.promptTokens(), nowNanos);
+        int unshared = Math.max(0, work.promptTokens() - work.terms().sharedTokens());
+        rates.prefill.add(unshared, nowNanos);
         rates.decode.add(work.expectedOutputTokens(), nowNanos);
         rates.cheap.add(mayRunCheap(work) ? tokens : 0, nowNanos);
       }
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -46,7 +46,7 @@
   private static final EventLog LOG = EventLog.of(UsageService.class);
   private static final int RING_CAPACITY = 8_192;
   private static final int COPY_KIND = 1;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long COPY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long PARTNER_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final long COMMIT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
--- a/policy/src/main/java/org/teaseltrestle/policy/CostModel.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CostModel.java
@@ -10,6 +10,15 @@
   /** Delay that one running request adds to the others of its batch. */
   private static final double RUNNING_NANOS = 2e6;
 
+  /**
+   * Part of a prompt's reading that counts once more for each running answer, which stands still
+   * meanwhile.
+   */
+  private static final double DISTURBANCE = 0.25;
+
+  /** Running answers beyond this number make a disturbance no worse. */
+  private static final int MAXIMUM_DISTURBED = 16;
+
   /** Delay until a request that waits inside the server starts. */
   private static final double WAITING_NANOS = 50e6;
 
@@ -36,6 +45,10 @@
   double cost(RequestState request, Candidate candidate) {
     ServerState server = candidate.server();
     double cost = firstTokenNanos(request, candidate);
+    if (server.server.role() == EngineRole.DECODE) {
+      int disturbed = Math.min(MAXIMUM_DISTURBED, server.load.running());
+      cost += DISTURBANCE * disturbed * server.speed.prefillNanos(candidate.prefillTokens());
+    }
     cost += server.load.running() * RUNNING_NANOS + server.load.waiting() * WAITING_NANOS;
     cost += DECODE_WEIGHT * request.work.expectedOutputTokens() * server.speed.tokenNanos();
     int total = server.load.totalPieces();
--- a/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PolicyConfiguration.java
@@ -115,6 +115,11 @@
     return values.unplanned;
   }
 
+  /** Returns what may run on cheap capacity. */
+  public CheapWork cheapWork() {
+    return values.cheapWork;
+  }
+
   /** Returns the limits of requests on routes that are open to all. */
   public PlanLimits openRouteLimits() {
     return values.openRouteLimits;
@@ -132,6 +137,14 @@
     AFFINITY
   }
 
+  /** What may run on cheap capacity. */
+  public enum CheapWork {
+    /** Only what can be run again elsewhere: cheap servers vanish without notice. */
+    REPEATABLE,
+    /** Everything: notice is longer than almost all answers. */
+    ALL
+  }
+
   /** What accounts without a plan may use. */
   public enum Unplanned {
     /** Nothing: their requests are refused. */
@@ -187,6 +200,7 @@
     private double resumeOverdraft = 256; // answers that a vanishing failure domain leaves at once
     private long maximumReportAgeNanos = Long.MAX_VALUE;
     private Unplanned unplanned = Unplanned.REFUSED;
+    private CheapWork cheapWork = CheapWork.REPEATABLE;
     private PlanLimits openRouteLimits =
         new PlanLimits(
             WorkRequest.OPEN_ROUTE_ACCOUNT,
@@ -314,6 +328,12 @@
       return this;
     }
 
+    /** Sets what may run on cheap capacity. */
+    public Builder cheapWork(CheapWork value) {
+      cheapWork = value;
+      return this;
+    }
+
     /** Sets the limits of requests on routes that are open to all. */
     public Builder openRouteLimits(PlanLimits value) {
       openRouteLimits = value;
@@ -342,6 +362,7 @@
       copy.resumeOverdraft = resumeOverdraft;
       copy.maximumReportAgeNanos = maximumReportAgeNanos;
       copy.unplanned = unplanned;
+      copy.cheapWork = cheapWork;
       copy.openRouteLimits = openRouteLimits;
       return new PolicyConfiguration(copy);
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -10,6 +10,7 @@
   final long idHash;
   final EngineSpeed speed;
   final RunningLimit runningLimit;
+  private final PolicyConfiguration.CheapWork cheapWork;
   BackendServer server;
 
   /** Monotonic time until which a server that refused as busy gets nothing. */
@@ -23,6 +24,7 @@
 
   ServerState(BackendServer server, PolicyConfiguration configuration) {
     this.server = server;
+    this.cheapWork = configuration.cheapWork();
     this.idHash = Rendezvous.hash(server.id().value());
     this.speed = new EngineSpeed(configuration.initialPrefillTokensPerSecond());
     this.runningLimit =
@@ -53,6 +55,7 @@
   /** Returns whether this server may run the request without harm if it vanishes. */
   boolean allows(RequestState request) {
     return server.capacity() == BackendServer.Capacity.REGULAR
+        || cheapWork == PolicyConfiguration.CheapWork.ALL
         || (request.work.repeatable() == WorkRequest.Repeatable.IDEMPOTENT
             && request.limits.cheapCapacity() == PlanLimits.CheapCapacity.ALLOWED);
   }
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -36,7 +36,7 @@
   private static final int NETWORK_THREADS = 2;
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
   private static final int PROBE_INTERVAL_MILLISECONDS = 300;
-  private static final int EXPIRY_INTERVAL_MILLISECONDS = 20;
+  private static final int EXPIRY_INTERVAL_MILLISECONDS = 100;
 
   private final TransportConfiguration configuration;
   private final MonotonicClock clock;
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -239,49 +239,50 @@
       "ership\022\026\n\016backend_server\030\001 \001(\t\022\025\n\rfrom_i" +
       "nstance\030\002 \001(\t\022\021\n\tfrom_boot\030\003 \001(\006\022\023\n\013to_i" +
       "nstance\030\004 \001(\t\022\017\n\007to_boot\030\005 \001(\006\022\016\n\006reason" +
-      "\030\006 \001(\t\"\262\001\n\rPlatformOrder\022\020\n\010order_id\030\001 \001" +
+      "\030\006 \001(\t\"\311\001\n\rPlatformOrder\022\020\n\010order_id\030\001 \001" +
       "(\t\022\026\n\016fencing_number\030\002 \001(\004\022\014\n\004pool\030\003 \001(\t" +
       "\022\026\n\016failure_domain\030\004 \001(\t\022\020\n\010capacity\030\005 \001" +
       "(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007release\030\007 \001(\t\022\017\n\007se" +
-      "ttled\030\010 \001(\010\022\016\n\006result\030\t \001(\t\"S\n\022PlacePlat" +
-      "formOrder\022%\n\005order\030\001 \001(\0132\026.trestle.Platf" +
-      "ormOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n\023Sett" +
-      "lePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n\006res" +
-      "ult\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275\001\n\023Ba" +
-      "ckendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 " +
-      "\001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007address\030\004" +
-      " \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016" +
-      "checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005" +
-      "state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014ObserveFlee" +
-      "t\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendServerR" +
-      "ecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_term\030\003 " +
-      "\001(\004\"2\n\nPlanChange\022\026\n\016backend_server\030\001 \001(" +
-      "\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007accou" +
-      "nt\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_tokens\030" +
-      "\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010requests" +
-      "\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nUsageB" +
-      "atch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016" +
-      "first_sequence\030\003 \001(\004\022\025\n\rlast_sequence\030\004 " +
-      "\001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(\0132\024.t" +
-      "restle.UsageFigure\":\n\020CloseUsageWindow\022\016" +
-      "\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"7" +
-      "\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016autho" +
-      "rity_term\030\002 \001(\004\"\361\002\n\021IdempotencyRecord\022\017\n" +
-      "\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017idemp" +
-      "otency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001(\014" +
-      "\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner_boot" +
-      "\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/\n\005sta" +
-      "te\030\010 \001(\0162 .trestle.IdempotencyRecord.Sta" +
-      "te\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_type\030" +
-      "\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNSPECIF" +
-      "IED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUT" +
-      "COME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020ClaimIdem" +
-      "potency\022)\n\005claim\030\001 \001(\0132\032.trestle.Idempot" +
-      "encyRecord\"V\n\rRecordOutcome\022+\n\007outcome\030\001" +
-      " \001(\0132\032.trestle.IdempotencyRecord\022\030\n\020clai" +
-      "m_request_id\030\002 \001(\t\"9\n\024PublishConfigurati" +
-      "on\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014B\032\n" +
-      "\026org.teaseltrestle.wireP\001b\006proto3"
+      "ttled\030\010 \001(\010\022\016\n\006result\030\t \001(\t\022\025\n\rwanted_in" +
+      "_all\030\n \001(\010\"S\n\022PlacePlatformOrder\022%\n\005orde" +
+      "r\030\001 \001(\0132\026.trestle.PlatformOrder\022\026\n\016autho" +
+      "rity_term\030\002 \001(\004\"O\n\023SettlePlatformOrder\022\020" +
+      "\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016auth" +
+      "ority_term\030\003 \001(\004\"\275\001\n\023BackendServerRecord" +
+      "\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\026\n\016failure_do" +
+      "main\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001(" +
+      "\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007 " +
+      "\001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004ro" +
+      "le\030\n \001(\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132\034" +
+      ".trestle.BackendServerRecord\022\014\n\004gone\030\002 \003" +
+      "(\t\022\026\n\016authority_term\030\003 \001(\004\"2\n\nPlanChange" +
+      "\022\026\n\016backend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203" +
+      "\001\n\013UsageFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item\030" +
+      "\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_t" +
+      "okens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_re" +
+      "quests\030\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance\030" +
+      "\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 " +
+      "\001(\004\022\025\n\rlast_sequence\030\004 \001(\004\022\016\n\006window\030\005 \001" +
+      "(\004\022%\n\007figures\030\006 \003(\0132\024.trestle.UsageFigur" +
+      "e\":\n\020CloseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026\n" +
+      "\016authority_term\030\002 \001(\004\"7\n\rUsageReported\022\016" +
+      "\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"\361" +
+      "\002\n\021IdempotencyRecord\022\017\n\007account\030\001 \001(\t\022\017\n" +
+      "\007service\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022" +
+      "\026\n\016request_digest\030\004 \001(\014\022\027\n\017runner_instan" +
+      "ce\030\005 \001(\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claimed" +
+      "_at_millis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trestl" +
+      "e.IdempotencyRecord.State\022\023\n\013http_status" +
+      "\030\t \001(\r\022\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 \001" +
+      "(\014\"V\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020" +
+      "\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n" +
+      "\007NOT_RUN\020\004\"=\n\020ClaimIdempotency\022)\n\005claim\030" +
+      "\001 \001(\0132\032.trestle.IdempotencyRecord\"V\n\rRec" +
+      "ordOutcome\022+\n\007outcome\030\001 \001(\0132\032.trestle.Id" +
+      "empotencyRecord\022\030\n\020claim_request_id\030\002 \001(" +
+      "\t\"9\n\024PublishConfiguration\022\017\n\007version\030\001 \001" +
+      "(\004\022\020\n\010document\030\002 \001(\014B\032\n\026org.teaseltrestl" +
+      "e.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -376,7 +377,7 @@
     internal_static_trestle_PlatformOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PlatformOrder_descriptor,
-        new java.lang.String[] { "OrderId", "FencingNumber", "Pool", "FailureDomain", "Capacity", "Count", "Release", "Settled", "Result", });
+        new java.lang.String[] { "OrderId", "FencingNumber", "Pool", "FailureDomain", "Capacity", "Count", "Release", "Settled", "Result", "WantedInAll", });
     internal_static_trestle_PlacePlatformOrder_descriptor =
       getDescriptor().getMessageTypes().get(15);
     internal_static_trestle_PlacePlatformOrder_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/PlatformOrder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/PlatformOrder.java
@@ -332,6 +332,21 @@
     }
   }
 
+  public static final int WANTED_IN_ALL_FIELD_NUMBER = 10;
+  private boolean wantedInAll_ = false;
+  /**
+   * <pre>
+   * Whether count is the number that is wanted in all, in place of a number to buy.
+   * </pre>
+   *
+   * <code>bool wanted_in_all = 10;</code>
+   * @return The wantedInAll.
+   */
+  @java.lang.Override
+  public boolean getWantedInAll() {
+    return wantedInAll_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -373,6 +388,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(result_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 9, result_);
     }
+    if (wantedInAll_ != false) {
+      output.writeBool(10, wantedInAll_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -412,6 +430,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(result_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(9, result_);
     }
+    if (wantedInAll_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(10, wantedInAll_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -445,6 +467,8 @@
         != other.getSettled()) return false;
     if (!getResult()
         .equals(other.getResult())) return false;
+    if (getWantedInAll()
+        != other.getWantedInAll()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -476,6 +500,9 @@
         getSettled());
     hash = (37 * hash) + RESULT_FIELD_NUMBER;
     hash = (53 * hash) + getResult().hashCode();
+    hash = (37 * hash) + WANTED_IN_ALL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWantedInAll());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -616,6 +643,7 @@
       release_ = "";
       settled_ = false;
       result_ = "";
+      wantedInAll_ = false;
       return this;
     }
 
@@ -676,6 +704,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.result_ = result_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.wantedInAll_ = wantedInAll_;
+      }
     }
 
     @java.lang.Override
@@ -729,6 +760,9 @@
         bitField0_ |= 0x00000100;
         onChanged();
       }
+      if (other.getWantedInAll() != false) {
+        setWantedInAll(other.getWantedInAll());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -800,6 +834,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 80: {
+              wantedInAll_ = input.readBool();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1385,6 +1424,50 @@
       return this;
     }
 
+    private boolean wantedInAll_ ;
+    /**
+     * <pre>
+     * Whether count is the number that is wanted in all, in place of a number to buy.
+     * </pre>
+     *
+     * <code>bool wanted_in_all = 10;</code>
+     * @return The wantedInAll.
+     */
+    @java.lang.Override
+    public boolean getWantedInAll() {
+      return wantedInAll_;
+    }
+    /**
+     * <pre>
+     * Whether count is the number that is wanted in all, in place of a number to buy.
+     * </pre>
+     *
+     * <code>bool wanted_in_all = 10;</code>
+     * @param value The wantedInAll to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWantedInAll(boolean value) {
+
+      wantedInAll_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether count is the number that is wanted in all, in place of a number to buy.
+     * </pre>
+     *
+     * <code>bool wanted_in_all = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWantedInAll() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      wantedInAll_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.PlatformOrder)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/PlatformOrderOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/PlatformOrderOrBuilder.java
@@ -115,4 +115,14 @@
    */
   com.google.protobuf.ByteString
       getResultBytes();
+
+  /**
+   * <pre>
+   * Whether count is the number that is wanted in all, in place of a number to buy.
+   * </pre>
+   *
+   * <code>bool wanted_in_all = 10;</code>
+   * @return The wantedInAll.
+   */
+  boolean getWantedInAll();
 }
