Back off from engines that refuse, and exchange engines before traffic

Cause: an engine in a role change refused with a load of 0 and so drew all requests, since the report ended its time without work; a refusal for the wrong stage was taken for another owner of the address and shut the engine out for 30 s; engines were exchanged while the first requests came. Change: growing back-off, load taken from answers only, the refusal's own server id decides; cheap engines and the return of regular ones are ordered together before traffic.

--- a/node/src/main/java/org/teaseltrestle/node/orders/ServedFleetControl.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/ServedFleetControl.java
@@ -118,7 +118,13 @@
     CheapFleetPlanner.Range bounds =
         new CheapFleetPlanner.Range(
             range.minimumServers(), range.maximumServers(), range.cheapPrice());
-    for (CheapFleetPlanner.Wanted wanted : planner.decide(bounds, present, nowNanos)) {
+    StagePlanner.Demand asked = demandFor(pool);
+    CheapFleetPlanner.Traffic traffic =
+        asked.prefillEngines() > 0
+            ? CheapFleetPlanner.Traffic.SOME
+            : CheapFleetPlanner.Traffic.NONE;
+    for (CheapFleetPlanner.Wanted wanted :
+        planner.decide(bounds, present, traffic, nowNanos)) {
       LOG.info(OrdersEvent.SPENDING_DECIDED, "pool", pool, "decision", wanted);
       commands.add(place(pool, wanted, view));
     }
--- a/node/src/main/java/org/teaseltrestle/node/port/AnswerVerdict.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/AnswerVerdict.java
@@ -4,7 +4,7 @@
 public enum AnswerVerdict {
   /** It is the answer to this request. */
   ANSWER,
-  /** The request did not run, because the backend server is full. */
+  /** The request did not run, because the backend server is full or has another role now. */
   NOT_RUN_BUSY,
   /** The request did not run, because another backend server has the address. */
   NOT_RUN_MISDIRECTED,
--- a/node/src/main/java/org/teaseltrestle/node/port/OutgoingTerms.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/OutgoingTerms.java
@@ -26,7 +26,13 @@
   public sealed interface Work {}
 
   /** Runs the whole request. */
-  public record Whole() implements Work {}
+  public record Whole() implements Work {
+
+    @Override
+    public String toString() {
+      return "whole";
+    }
+  }
 
   /** Reads the prompt and keeps its memory for another engine. */
   public record PromptOnly() implements Work {}
--- a/node/src/main/java/org/teaseltrestle/node/port/ReportedLoad.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/ReportedLoad.java
@@ -7,4 +7,10 @@
  * @param waiting requests waiting
  * @param slots requests that it runs at once
  */
-public record ReportedLoad(int running, int waiting, int slots) {}
+public record ReportedLoad(int running, int waiting, int slots) {
+
+  @Override
+  public String toString() {
+    return running + "+" + waiting + "/" + slots;
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.BackendServerId;
 
 /** Reads and writes the header fields by which requests of routes and their answers are described. */
 public interface RequestCodec {
@@ -21,9 +22,14 @@
    * Judges an answer by its header.
    *
    * @param callerId identifier that the caller gave
+   * @param asked backend server that was asked
    * @param header returns the first value of a header field of the answer, or null
    */
-  AnswerVerdict judge(int status, String callerId, Function<String, @Nullable String> header);
+  AnswerVerdict judge(
+      int status,
+      String callerId,
+      BackendServerId asked,
+      Function<String, @Nullable String> header);
 
   /** Returns the handle in an engine's answer to a reading of a prompt, or null if it has none. */
   @Nullable String promptMemory(byte[] answer);
--- a/node/src/main/java/org/teaseltrestle/node/relay/PromptReading.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptReading.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.OutgoingTerms;
 import org.teaseltrestle.node.port.RelayedCall;
+import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.ServiceAnswer;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionEvent;
@@ -41,6 +42,7 @@
   private final BackendServer helper;
   private final AttemptHandle attempt;
   private final AttemptHandle handle = new AttemptHandle();
+  private @Nullable ReportedLoad load;
 
   PromptReading(
       RelayContext context,
@@ -137,10 +139,12 @@
 
   private String memory(ServiceAnswer answer) {
     Function<String, @Nullable String> header = Verdicts.lookup(answer.headers());
-    Verdicts.noteLoad(context, setup, helper, header);
+    load = Verdicts.noteLoad(context, setup, helper, answer.status(), header);
     if (answer.status() != OK) {
       Verdicts.check(
-          setup.codec().judge(answer.status(), request.incoming().callerId(), header));
+          setup
+              .codec()
+              .judge(answer.status(), request.incoming().callerId(), helper.id(), header));
       throw new AttemptFailure(
           FailureKind.SERVER_ERROR, "helper answered " + answer.status(), answer.status());
     }
@@ -172,6 +176,8 @@
         helper.id(),
         "failure",
         failure,
+        "load",
+        load,
         "millis",
         TimeUnit.NANOSECONDS.toMillis(nanos));
     context
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -21,7 +21,8 @@
   ROUTED_REFUSED(5015, "routed request was refused"),
   ATTEMPT_SENT(5016, "attempt was sent to a backend server"),
   PROMPT_READ(5017, "helper ended the reading of a prompt"),
-  MEMORY_RELEASED(5018, "memory of a prompt that was not taken was given back");
+  MEMORY_RELEASED(5018, "memory of a prompt that was not taken was given back"),
+  ATTEMPT_ANSWERED(5019, "backend server began its answer to an attempt");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -15,6 +15,7 @@
 import org.teaseltrestle.node.port.HeaderField;
 import org.teaseltrestle.node.port.OutgoingTerms;
 import org.teaseltrestle.node.port.RelayedCall;
+import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.ServiceAnswer;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.BackendServer;
@@ -31,6 +32,7 @@
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
+  private static final long NANOS_PER_MILLISECOND = 1_000_000;
 
   private final RelayContext context;
   private final RoutedSetup setup;
@@ -187,9 +189,25 @@
       startNanos = context.clock().nowNanos();
       try (ServiceAnswer answer = openOrRelease(server, work, reading)) {
         Function<String, @Nullable String> header = Verdicts.lookup(answer.headers());
-        Verdicts.noteLoad(context, setup, server, header);
+        ReportedLoad load = Verdicts.noteLoad(context, setup, server, answer.status(), header);
+        LOG.info(
+            RelayEvent.ATTEMPT_ANSWERED,
+            "request",
+            id,
+            "attempt",
+            dispatch.attempt(),
+            "server",
+            server.id(),
+            "status",
+            answer.status(),
+            "load",
+            load,
+            "millis",
+            (context.clock().nowNanos() - startNanos) / NANOS_PER_MILLISECOND);
         Verdicts.check(
-            setup.codec().judge(answer.status(), request.incoming().callerId(), header));
+            setup
+                .codec()
+                .judge(answer.status(), request.incoming().callerId(), server.id(), header));
         firstNanos = Math.max(1, context.clock().nowNanos() - startNanos);
         if (request.route().kind() == ServingRoute.Kind.STREAM && answer.status() == OK) {
           passEvents(answer);
@@ -228,7 +246,7 @@
     private ServiceAnswer open(BackendServer server, OutgoingTerms.Work work) {
       attempts++;
       long left = request.deadlineNanos() - context.clock().nowNanos();
-      long leftMillis = Math.max(1, left / 1_000_000);
+      long leftMillis = Math.max(1, left / NANOS_PER_MILLISECOND);
       OutgoingTerms terms =
           new OutgoingTerms(
               server.id(), request.account(), leftMillis, dispatch.priority(), lastEvent, work);
--- a/node/src/main/java/org/teaseltrestle/node/relay/Verdicts.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/Verdicts.java
@@ -16,6 +16,8 @@
 /** What follows from the header of a backend server's answer. */
 final class Verdicts {
 
+  private static final int FIRST_ERROR = 400;
+
   private Verdicts() {}
 
   /**
@@ -41,14 +43,16 @@
     }
   }
 
-  /** Hands the load that an answer reports to the admission duty. */
-  static void noteLoad(
+  /** Hands the load that an answer reports, if any, to the admission duty and returns it. */
+  static @Nullable ReportedLoad noteLoad(
       RelayContext context,
       RoutedSetup setup,
       BackendServer server,
+      int status,
       Function<String, @Nullable String> header) {
     ReportedLoad load = setup.codec().load(header);
-    if (load != null) {
+    // A server that refuses while it changes its role reports that it is idle.
+    if (load != null && status < FIRST_ERROR) {
       context
           .admission()
           .offer(
@@ -64,6 +68,7 @@
                       0,
                       EngineRole.MIXED)));
     }
+    return load;
   }
 
   /** Returns a look-up of the first value of a header field, whatever the case of its name. */
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -22,6 +22,9 @@
   /** Time without new work after a refusal as busy, unless a load report comes earlier. */
   private static final long BUSY_NANOS = 100_000_000L;
 
+  /** Refusals in a row after which that time no longer doubles: an engine may be changing. */
+  private static final int MAXIMUM_BUSY_DOUBLINGS = 3;
+
   /** Part of a pool that failures which overload can cause may eject. */
   private static final double MAXIMUM_EJECTED = 0.5;
 
@@ -101,12 +104,16 @@
   /** Notes the end of an attempt for the breaker; ejects a server that fails too often. */
   void observe(
       ServerState state, RequestState request, @Nullable FailureKind failure, long nowNanos) {
+    if (failure != FailureKind.REFUSED_BUSY && failure != FailureKind.CANCELLED) {
+      state.busyInRow = 0;
+    }
     if (failure == null) {
       state.health.succeeded();
     } else if (!ServerHealth.counts(failure)) {
       state.health.endedWithoutVerdict();
       if (failure == FailureKind.REFUSED_BUSY) {
-        state.busyUntilNanos = nowNanos + BUSY_NANOS;
+        int doublings = Math.min(MAXIMUM_BUSY_DOUBLINGS, state.busyInRow++);
+        state.busyUntilNanos = nowNanos + (BUSY_NANOS << doublings);
       } else if (failure == FailureKind.REFUSED_LEAVING) {
         markLeaving(state.server.id(), nowNanos);
       }
@@ -125,7 +132,10 @@
     if (state != null && state.load.reported(report)) {
       boolean listedRole = report.role() == EngineRole.MIXED;
       state.speed.inRole(listedRole ? state.server.role() : report.role());
-      state.busyUntilNanos = Long.MIN_VALUE;
+      if (state.busyInRow <= 1) {
+        // A server that goes on refusing knows better than its load.
+        state.busyUntilNanos = Long.MIN_VALUE;
+      }
     }
   }
 
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -16,6 +16,9 @@
   /** Monotonic time until which a server that refused as busy gets nothing. */
   long busyUntilNanos = Long.MIN_VALUE;
 
+  /** Refusals as busy since the last attempt that ran. */
+  int busyInRow;
+
   /** Monotonic time until which the server counts as leaving, whatever the fleet list says. */
   long leavingUntilNanos = Long.MIN_VALUE;
 
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/CheapFleetPlanner.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/CheapFleetPlanner.java
@@ -47,29 +47,53 @@
    */
   public record Present(int regular, int cheap) {}
 
+  /** Whether requests would miss engines that are exchanged. */
+  public enum Traffic {
+    NONE,
+    SOME
+  }
+
   /** Order of a number of engines. */
   public record Wanted(FailureDomain domain, Capacity capacity, int count) {}
 
   /** Returns the numbers to order now. */
   public List<Wanted> decide(
-      Range range, Map<FailureDomain, Present> present, long nowNanos) {
+      Range range, Map<FailureDomain, Present> present, Traffic traffic, long nowNanos) {
     List<Wanted> orders = new ArrayList<>();
     if (range.cheapPrice() > MAXIMUM_CHEAP_PRICE) {
       return orders;
     }
-    present.forEach((domain, now) -> decide(range, domain, now, nowNanos, orders));
+    present.forEach((domain, now) -> decide(range, domain, now, traffic, nowNanos, orders));
     return orders;
   }
 
   private void decide(
-      Range range, FailureDomain domain, Present now, long nowNanos, List<Wanted> orders) {
-    boolean replaced = now.cheap() >= Math.max(range.minimumServers(), now.regular());
+      Range range,
+      FailureDomain domain,
+      Present now,
+      Traffic traffic,
+      long nowNanos,
+      List<Wanted> orders) {
+    Ordered cheap = ordered.get(new Subject(domain, Capacity.CHEAP));
+    boolean comes =
+        traffic == Traffic.NONE && cheap != null && nowNanos - cheap.atNanos() < REPEAT_NANOS;
+    boolean replaced = comes || now.cheap() >= Math.max(range.minimumServers(), now.regular());
     if (now.regular() > 0 && replaced) {
       order(new Wanted(domain, Capacity.REGULAR, 0), now.regular(), nowNanos, orders);
-      return;
     }
-    int cheap = Math.max(0, range.maximumServers() - now.regular());
-    order(new Wanted(domain, Capacity.CHEAP, cheap), now.cheap(), nowNanos, orders);
+    if (cheap != null && now.cheap() == 0 && now.regular() == 0 && !comes) {
+      // Cheap engines are not to be had: regular ones stand in until they are.
+      int standIn = Math.max(1, range.minimumServers());
+      order(new Wanted(domain, Capacity.REGULAR, standIn), now.regular(), nowNanos, orders);
+    }
+    boolean givenBack = isOrdered(new Wanted(domain, Capacity.REGULAR, 0));
+    int wanted = range.maximumServers() - (givenBack ? 0 : now.regular());
+    order(new Wanted(domain, Capacity.CHEAP, Math.max(0, wanted)), now.cheap(), nowNanos, orders);
+  }
+
+  private boolean isOrdered(Wanted wanted) {
+    Ordered last = ordered.get(new Subject(wanted.domain(), wanted.capacity()));
+    return last != null && last.count() == wanted.count();
   }
 
   /** Orders a number unless it is there, or was ordered a short time ago. */
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/StagePlanner.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/StagePlanner.java
@@ -24,11 +24,13 @@
   private static final double INITIAL_PREFILL_PART = 0.6;
 
   /** Time for which a wanted number must be off before an engine changes. */
-  private static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(4);
+  private static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(8);
 
   /** Time until an ordered change shows in the list: the change itself and the list's lag. */
   private static final long PENDING_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+  private static final int ENGINES_PER_TOLERATED = 8;
+
   /** Utilization of generating engines that is aimed at, compared with that of the others. */
   private static final double DECODE_HEADROOM = 1.5;
 
@@ -73,8 +75,8 @@
     }
     int readers = (int) engines.stream().filter(StagePlanner::reads).count();
     int off = wanted(demand, engines.size()) - readers;
-    // One engine more or less is within the error of the measured demand.
-    int tolerated = demand.isMeasured() ? 1 : 0;
+    // The error of the measured demand; each change takes an engine away and empties its cache.
+    int tolerated = demand.isMeasured() ? 1 + engines.size() / ENGINES_PER_TOLERATED : 0;
     if (Math.abs(off) <= tolerated) {
       offSinceNanos = Long.MAX_VALUE;
       return List.of();
