--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -4,8 +4,10 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.NotRun;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
 
@@ -17,6 +19,9 @@
 
   private static final EventLog LOG = EventLog.of(CallerRouter.class);
 
+  /** Another instance takes the request at once. */
+  private static final Duration ELSEWHERE_AT_ONCE = Duration.ofMillis(50);
+
   private final RelayContext context;
   private final RelayThreads threads;
   private final CallerInterface callers;
@@ -44,21 +49,40 @@
   private void dispatch(HttpServerExchange exchange, String path) {
     RequestId request = callers.identify(exchange);
     context.counters().request();
+    if (drain.isRefusing()) {
+      refuseAtOnce(
+          exchange,
+          request,
+          new RefusalException(
+              RefusalCode.SHUTTING_DOWN,
+              NotRun.CERTAIN,
+              "this instance is stopping",
+              ELSEWHERE_AT_ONCE));
+      return;
+    }
     drain.begin();
     if (!threads.execute(exchange, () -> relayCounted(exchange, request, path))) {
       drain.end();
-      RefusalException refusal =
+      refuseAtOnce(
+          exchange,
+          request,
           new RefusalException(
-              RefusalCode.QUEUE_FULL, "this instance has too many requests under way");
-      context.counters().refusal(refusal.refusal());
-      refusalHeaders(exchange, refusal, request);
-      exchange.setPersistent(false);
-      exchange.setStatusCode(callers.status(refusal));
-      exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-      exchange.getResponseSender().send(ByteBuffer.wrap(RefusalAnswer.body(refusal, request)));
+              RefusalCode.QUEUE_FULL, "this instance has too many requests under way"));
     }
   }
 
+  /** Refuses without a relay thread. */
+  private void refuseAtOnce(
+      HttpServerExchange exchange, RequestId request, RefusalException refusal) {
+    context.counters().refusal(refusal.refusal());
+    LOG.info(RelayEvent.ROUTED_REFUSED, "request", request, "code", refusal.refusal().wireName());
+    refusalHeaders(exchange, refusal, request);
+    exchange.setPersistent(false);
+    exchange.setStatusCode(callers.status(refusal));
+    exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+    exchange.getResponseSender().send(ByteBuffer.wrap(RefusalAnswer.body(refusal, request)));
+  }
+
   /**
    * Runs on a relay thread. The request counts until its answer has left this process; a caller
    * that never sends the rest of a refused body does not hold up a stop.
--- a/node/src/main/java/org/teaseltrestle/node/relay/Drain.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/Drain.java
@@ -11,6 +11,7 @@
   private final Condition ended = lock.newCondition();
   private int running;
   private volatile boolean draining;
+  private volatile boolean refusing;
 
   void begin() {
     lock.lock();
@@ -40,6 +41,15 @@
     return draining;
   }
 
+  /** Takes no more requests: one that comes later on a kept connection might not end in time. */
+  void refuseNew() {
+    refusing = true;
+  }
+
+  boolean isRefusing() {
+    return refusing;
+  }
+
   /** Waits for the end of all requests, or until the time is over; returns how many still run. */
   int await(long timeoutNanos) throws InterruptedException {
     long left = timeoutNanos;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -144,6 +144,9 @@
     try {
       Drain.pause(settings.shutdownDelay().toNanos());
       stopListening();
+      if (settings.drainBound() != null) {
+        drain.refuseNew();
+      }
       Duration bound = settings.drainBound();
       int left = drain.await(bound == null ? Long.MAX_VALUE : bound.toNanos());
       if (left > 0) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -38,7 +38,7 @@
   private static final EventLog LOG = EventLog.of(ReplicaService.class);
   private static final int RING_CAPACITY = 4_096;
   private static final int MAXIMUM_PENDING_ACTIONS = 1_024;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
   private final ControlPlaneSettings settings;
   private final ControlPlaneContext context;
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -260,6 +260,45 @@
       }
     }
 
+    /**
+     * Guards against a request that comes late on a kept connection and is cut by the end of the
+     * process: seen on a day with a rolling restart, seven seconds after the stop was asked for.
+     */
+    @Test
+    public void lateRequestOnKeptConnectionIsRefused() throws Exception {
+      CompletableFuture<Boolean> goOn = new CompletableFuture<>();
+      StandIn.Behaviour pausing =
+          (request, output) -> {
+            String id = request.header("X-Request-Id");
+            StandIn.startStream(output, id);
+            StandIn.event(output, StandIn.token(id, 0, 1));
+            goOn.join();
+            StandIn.endStream(output);
+            return true;
+          };
+      RelaySettings.Builder settings =
+          RelaySettings.builder().drainBound(Duration.ofSeconds(10));
+      try (StandIn engine = new StandIn(pausing);
+          RelayHarness relay = new RelayHarness(settings).with("models", engine);
+          Socket kept = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
+        final CompletableFuture<HttpResponse<String>> call =
+            relay.sendAsync(relay.chatRequest(RelayHarness.CHAT_STREAM));
+        RelayHarness.await(() -> engine.received.size() == 1);
+        int port = relay.relay.port();
+        CompletableFuture<Void> stop = CompletableFuture.runAsync(relay.relay::shutdown);
+        RelayHarness.await(() -> refusesConnections(port));
+        String late = "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n";
+        kept.getOutputStream().write(late.getBytes(StandardCharsets.UTF_8));
+        String answer =
+            new String(kept.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.contains("shutting_down"), answer);
+        goOn.complete(true);
+        call.join();
+        stop.join();
+      }
+    }
+
     private static HttpResponse<String> ready(RelayHarness relay) {
       String address = "http://127.0.0.1:" + relay.relay.port() + "/health/ready";
       return relay.send(HttpRequest.newBuilder(URI.create(address)));
