--- a/consensus/src/test/java/org/teaseltrestle/consensus/RaftCoreTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/RaftCoreTest.java
@@ -25,6 +25,14 @@
       }
       System.out.println("raft schedules: " + FIRST_SEED + " to " + (seed - 1));
     }
+
+    /** Guards against a group that loses entries because it removed a silent voter. */
+    @Test
+    public void keepsAllPromisesWithOpenMembership() {
+      for (long seed = FIRST_SEED; seed < FIRST_SEED + DEFAULT_SEEDS; seed++) {
+        run(seed, RandomSchedule.Variant.OPEN_MEMBERSHIP);
+      }
+    }
   }
 
   /** Guards against a checker that would not notice a missing mechanism. */
--- a/consensus/src/test/java/org/teaseltrestle/consensus/RandomSchedule.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/RandomSchedule.java
@@ -28,6 +28,8 @@
   /** Mechanism that a schedule leaves out, to show that the checker notices. */
   enum Variant {
     COMPLETE,
+    /** Complete, in a group that any replica may join and that goes on without silent voters. */
+    OPEN_MEMBERSHIP,
     VOTE_NOT_PERSISTED,
     EMPTY_DISK_KEEPS_IDENTITY,
     ANSWER_BEFORE_SYNC,
@@ -69,6 +71,10 @@
             .snapshotChunkBytes(random.nextBoolean() ? 64 : 1 << 20)
             .retainedEntries(8)
             .maximumInFlight(16)
+            .membership(
+                variant == Variant.OPEN_MEMBERSHIP
+                    ? RaftSettings.Membership.OPEN
+                    : RaftSettings.Membership.INITIAL_VOTERS)
             .build();
     double drift = variant == Variant.CLOCK_DRIFT_BEYOND_BOUND ? 0.9 : 0.02;
     for (InstanceId instance : settings.initialVoters()) {
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -17,6 +17,7 @@
 import org.teaseltrestle.wire.PlacePlatformOrder;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.PublishConfiguration;
 import org.teaseltrestle.wire.RecordOutcome;
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.ReplaceLists;
@@ -64,6 +65,15 @@
         .build();
   }
 
+  static Command publish(String requestId, long version, String document) {
+    return command(requestId)
+        .setPublishConfiguration(
+            PublishConfiguration.newBuilder()
+                .setVersion(version)
+                .setDocument(ByteString.copyFromUtf8(document)))
+        .build();
+  }
+
   static Command issue(String requestId, KeyRecord key) {
     return command(requestId).setIssueKey(IssueKey.newBuilder().setKey(key)).build();
   }
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -49,6 +49,23 @@
     }
   }
 
+  /** Serving configuration. */
+  public static class Serving extends StateFixture {
+
+    /** Guards against a configuration that reverts, or changes under the number it has. */
+    @Test
+    public void highestVersionStays() {
+      expect(Status.ACCEPTED, Commands.publish("p1", 7, "seven"));
+      expect(Status.ACCEPTED, Commands.publish("p2", 5, "five"));
+      expect(Status.ACCEPTED, Commands.publish("p3", 7, "another seven"));
+      assertEquals(state.view().servingDocument().document().toStringUtf8(), "seven");
+      expect(Status.ACCEPTED, Commands.publish("p4", 12, "twelve"));
+      ControlState restored = ControlState.restore(state.snapshot());
+      assertEquals(restored.view().servingDocument().version(), 12);
+      assertEquals(restored.view().servingDocument().document().toStringUtf8(), "twelve");
+    }
+  }
+
   /** Lists and request ids. */
   public static class Lists extends StateFixture {
 
--- a/model/src/main/java/org/teaseltrestle/model/serving/CallerLimits.java
+++ b/model/src/main/java/org/teaseltrestle/model/serving/CallerLimits.java
@@ -9,7 +9,10 @@
  * @param idleTimeoutMillis time for which a connection may be idle
  */
 public record CallerLimits(
-    int maximumHeaderBytes, int maximumBodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
+    int maximumHeaderBytes,
+    int maximumBodyBytes,
+    long headerTimeoutMillis,
+    long idleTimeoutMillis) {
 
   /** Limits of a configuration that states none. */
   public static final CallerLimits DEFAULT =
--- a/model/src/main/java/org/teaseltrestle/model/serving/ServingRoute.java
+++ b/model/src/main/java/org/teaseltrestle/model/serving/ServingRoute.java
@@ -17,8 +17,8 @@
  * @param priority urgency, 0 first
  * @param longestWaitMillis time after which a request without an answer is ended
  * @param targetMillis time within which an answer, or the first event of a stream, is on time
- * @param longestPauseMillis pause between two events of a stream that is still on time; 0 if none is
- *     stated
+ * @param longestPauseMillis pause between two events of a stream that is still on time; 0 if none
+ *     is stated
  * @param shares pools that serve the route
  */
 public record ServingRoute(
--- a/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
@@ -45,7 +45,9 @@
 
   private FailureKind kindOf(IOException cause) {
     if (!byteMayHaveLeft) {
-      return handle.isCancelled() && !handle.isExpired() ? FailureKind.CANCELLED : FailureKind.CONNECT_FAILED;
+      return handle.isCancelled() && !handle.isExpired()
+          ? FailureKind.CANCELLED
+          : FailureKind.CONNECT_FAILED;
     }
     if (handle.isExpired()) {
       return FailureKind.TIMED_OUT;
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpRelayedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpRelayedClient.java
@@ -68,7 +68,9 @@
         .build();
   }
 
-  /** Refuses a target that OkHttp would change: the backend server must see what the caller sent. */
+  /**
+   * Refuses a target that OkHttp would change: the backend server must see what the caller sent.
+   */
   private static HttpUrl url(RelayedCall call) {
     HttpUrl url = BackendAddress.url(call.address(), call.target());
     String query = url.encodedQuery();
@@ -89,7 +91,9 @@
     return bodyless ? null : new OneShotBody(call.body());
   }
 
-  /** Answer whose body ends by its length, by its last chunk, or with a connection closed cleanly. */
+  /**
+   * Answer whose body ends by its length, by its last chunk, or with a connection closed cleanly.
+   */
   private static final class Answer implements ServiceAnswer {
 
     private final Response response;
--- a/node/src/main/java/org/teaseltrestle/node/backend/PromptSockets.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/PromptSockets.java
@@ -32,8 +32,8 @@
   }
 
   @Override
-  public Socket createSocket(
-      InetAddress address, int port, InetAddress localAddress, int localPort) throws IOException {
+  public Socket createSocket(InetAddress address, int port, InetAddress localAddress, int localPort)
+      throws IOException {
     return prompt(new Socket(address, port, localAddress, localPort));
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/fleet/CommittedInstances.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/CommittedInstances.java
@@ -17,7 +17,10 @@
 
   private static final EventLog LOG = EventLog.of(CommittedInstances.class);
 
-  /** Age of the last lease grant at which the committed fleet may be behind; grants come each second. */
+  /**
+   * Age of the last lease grant at which the committed fleet may be behind; grants come each
+   * second.
+   */
   private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
   /** Time between two own reads; every instance may read, and the platform's rate is limited. */
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -135,7 +135,8 @@
     }
     if (settings.polls().contains(FleetSettings.Poll.CACHE)
         && server.isEngine()
-        && !server.cacheRunning && nowNanos - server.nextCacheNanos >= 0) {
+        && !server.cacheRunning
+        && nowNanos - server.nextCacheNanos >= 0) {
       server.nextCacheNanos = nowNanos + settings.cacheInterval().toNanos();
       server.cacheRunning = poller.readCache(server.entry, server.cache);
     }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
@@ -20,7 +20,6 @@
   /** Shortest ejection after a lost connection; the next load report after it ends it. */
   private static final long EJECTION_NANOS = TimeUnit.SECONDS.toNanos(1);
 
-
   private final Map<BackendServerId, Long> leavingUntil = new HashMap<>();
   private final Map<BackendServerId, Long> lostAt = new HashMap<>();
   private final long longestEjectionNanos;
--- a/node/src/main/java/org/teaseltrestle/node/orders/ServedFleetControl.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/ServedFleetControl.java
@@ -61,8 +61,7 @@
   }
 
   @Override
-  public List<Command.Builder> decide(
-      ControlView view, OrderBookPolicy orderBook, long nowNanos) {
+  public List<Command.Builder> decide(ControlView view, OrderBookPolicy orderBook, long nowNanos) {
     ServingConfiguration configuration = serving.get();
     if (nowNanos - nextDecisionNanos < 0 || configuration == null) {
       return List.of();
@@ -123,8 +122,7 @@
         asked.prefillEngines() > 0
             ? CheapFleetPlanner.Traffic.SOME
             : CheapFleetPlanner.Traffic.NONE;
-    for (CheapFleetPlanner.Wanted wanted :
-        planner.decide(bounds, present, traffic, nowNanos)) {
+    for (CheapFleetPlanner.Wanted wanted : planner.decide(bounds, present, traffic, nowNanos)) {
       LOG.info(OrdersEvent.SPENDING_DECIDED, "pool", pool, "decision", wanted);
       commands.add(place(pool, wanted, view));
     }
@@ -146,8 +144,7 @@
     return new CheapFleetPlanner.Present(regular, cheap);
   }
 
-  private Command.Builder place(
-      PoolId pool, CheapFleetPlanner.Wanted wanted, ControlView view) {
+  private Command.Builder place(PoolId pool, CheapFleetPlanner.Wanted wanted, ControlView view) {
     String id = "wanted/" + pool + "/" + view.authority().getTerm() + "/" + nextOrder++;
     return Command.newBuilder()
         .setPlacePlatformOrder(
@@ -188,8 +185,7 @@
           view.openEngineOrders().stream()
               .anyMatch(order -> order.getBackendServer().equals(change.engine().value()));
       if (engine != null && !open) {
-        LOG.info(
-            OrdersEvent.ROLE_CHANGE_DECIDED, "engine", change.engine(), "role", change.role());
+        LOG.info(OrdersEvent.ROLE_CHANGE_DECIDED, "engine", change.engine(), "role", change.role());
         commands.add(FleetControl.placeRole(engine, change.role(), view, orderBook));
       }
     }
--- a/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
@@ -5,7 +5,9 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 
-/** Reads and writes the header fields by which requests of routes and their answers are described. */
+/**
+ * Reads and writes the header fields by which requests of routes and their answers are described.
+ */
 public interface RequestCodec {
 
   /**
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -27,8 +27,7 @@
   private final CallerInterface callers;
   private final Drain drain;
 
-  CallerRouter(
-      RelayContext context, RelayThreads threads, CallerInterface callers, Drain drain) {
+  CallerRouter(RelayContext context, RelayThreads threads, CallerInterface callers, Drain drain) {
     this.context = context;
     this.threads = threads;
     this.callers = callers;
--- a/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
@@ -69,7 +69,6 @@
   }
 
   private static boolean startsWithId(byte[] bytes, int from, int to) {
-    return to - from >= ID.length
-        && Arrays.equals(bytes, from, from + ID.length, ID, 0, ID.length);
+    return to - from >= ID.length && Arrays.equals(bytes, from, from + ID.length, ID, 0, ID.length);
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/PromptReading.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptReading.java
@@ -142,9 +142,7 @@
     load = Verdicts.noteLoad(context, setup, helper, answer.status(), header);
     if (answer.status() != OK) {
       Verdicts.check(
-          setup
-              .codec()
-              .judge(answer.status(), request.incoming().callerId(), helper.id(), header));
+          setup.codec().judge(answer.status(), request.incoming().callerId(), helper.id(), header));
       throw new AttemptFailure(
           FailureKind.SERVER_ERROR, "helper answered " + answer.status(), answer.status());
     }
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedInterface.java
@@ -71,7 +71,7 @@
   public void serve(HttpServerExchange http, RequestId id, String path, CallerResponse response) {
     long arrivedAtNanos = context.clock().nowNanos();
     try {
-      serve(http, id, path, response, arrivedAtNanos);
+      admit(http, id, path, response, arrivedAtNanos);
     } catch (RefusalException e) {
       LOG.info(
           RelayEvent.ROUTED_REFUSED,
@@ -122,7 +122,7 @@
     deadlines.close();
   }
 
-  private void serve(
+  private void admit(
       HttpServerExchange http,
       RequestId id,
       String path,
@@ -171,8 +171,7 @@
     ServedAccount account = configuration.accountOf(key);
     if (account == null) {
       throw new RefusalException(
-          RefusalCode.KEY_UNKNOWN,
-          "the key is not known in version " + configuration.version());
+          RefusalCode.KEY_UNKNOWN, "the key is not known in version " + configuration.version());
     }
     return account;
   }
@@ -204,7 +203,7 @@
     CallerWatch watch = CallerWatch.start(http, mailbox::callerLeft);
     RoutedRun run =
         new RoutedRun(
-            context, setup, deadlines, id, request, life, response, () -> close(watch));
+            context, setup, deadlines, id, request, life, response, () -> endWatch(watch));
     try (life) {
       run.run();
       outcome = "answered";
@@ -215,12 +214,12 @@
       outcome = e.refusal().wireName();
       throw e;
     } finally {
-      close(watch);
+      endWatch(watch);
       ended(id, request, run, outcome);
     }
   }
 
-  private static void close(@Nullable CallerWatch watch) {
+  private static void endWatch(@Nullable CallerWatch watch) {
     if (watch != null) {
       watch.close();
     }
@@ -262,9 +261,7 @@
         new ItemName(model ? incoming.model() : pool.value()),
         pool,
         model ? WorkRequest.WorkKind.MODEL_COMPLETION : WorkRequest.WorkKind.SERVICE_CALL,
-        route.mayRepeat()
-            ? WorkRequest.Repeatable.IDEMPOTENT
-            : WorkRequest.Repeatable.AT_MOST_ONCE,
+        route.mayRepeat() ? WorkRequest.Repeatable.IDEMPOTENT : WorkRequest.Repeatable.AT_MOST_ONCE,
         incoming.promptTokens(),
         incoming.expectedOutputTokens(),
         List.of(),
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -119,7 +119,9 @@
     finish();
   }
 
-  /** Ends the answer; the caller's connection is watched no more, since its next request follows. */
+  /**
+   * Ends the answer; the caller's connection is watched no more, since its next request follows.
+   */
   private void finish() {
     beforeEnd.run();
     response.finish();
--- a/node/src/main/java/org/teaseltrestle/node/relay/Verdicts.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/Verdicts.java
@@ -37,12 +37,15 @@
       case UNPROVEN_REFUSAL ->
           throw new AttemptFailure(
               FailureKind.SERVER_ERROR, "backend server refused what it may have run");
-      case FOREIGN ->
-          throw new AttemptFailure(
-              FailureKind.ANSWER_MISMATCH, "answer does not belong to the request");
+      case FOREIGN -> throw foreign();
+      default -> throw new IllegalArgumentException(verdict.name());
     }
   }
 
+  private static AttemptFailure foreign() {
+    return new AttemptFailure(FailureKind.ANSWER_MISMATCH, "answer does not belong to the request");
+  }
+
   /** Hands the load that an answer reports, if any, to the admission duty and returns it. */
   static @Nullable ReportedLoad noteLoad(
       RelayContext context,
--- a/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
@@ -93,7 +93,7 @@
     /** Guards against new work for servers that leave by list, by drain or by their own word. */
     @Test
     public void everySignOfLeavingCounts() {
-      ServerMarks marks = new ServerMarks();
+      ServerMarks marks = new ServerMarks(10_000_000_000L);
       marks.leaving(new BackendServerId("c"), 0);
       List<ListedServer> listed =
           List.of(
@@ -110,7 +110,7 @@
     /** Guards against ejections that empty a pool, and ejections without end. */
     @Test
     public void ejectionNeverEmptiesThePool() {
-      ServerMarks marks = new ServerMarks();
+      ServerMarks marks = new ServerMarks(10_000_000_000L);
       List<ListedServer> listed =
           List.of(engine("a", "x", State.LIVE), engine("b", "x", State.LIVE));
       marks.lost(new BackendServerId("a"), 0);
--- a/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FrontTest.java
@@ -276,8 +276,7 @@
             StandIn.endStream(output);
             return true;
           };
-      RelaySettings.Builder settings =
-          RelaySettings.builder().drainBound(Duration.ofSeconds(10));
+      RelaySettings.Builder settings = RelaySettings.builder().drainBound(Duration.ofSeconds(10));
       try (StandIn engine = new StandIn(pausing);
           RelayHarness relay = new RelayHarness(settings).with("models", engine);
           Socket kept = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
@@ -285,12 +284,11 @@
             relay.sendAsync(relay.chatRequest(RelayHarness.CHAT_STREAM));
         RelayHarness.await(() -> engine.received.size() == 1);
         int port = relay.relay.port();
-        CompletableFuture<Void> stop = CompletableFuture.runAsync(relay.relay::shutdown);
+        final CompletableFuture<Void> stop = CompletableFuture.runAsync(relay.relay::shutdown);
         RelayHarness.await(() -> refusesConnections(port));
         String late = "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n";
         kept.getOutputStream().write(late.getBytes(StandardCharsets.UTF_8));
-        String answer =
-            new String(kept.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String answer = new String(kept.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
         assertTrue(answer.contains("shutting_down"), answer);
         goOn.complete(true);
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
@@ -0,0 +1,372 @@
+package org.teaseltrestle.node.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.serving.CallerLimits;
+import org.teaseltrestle.model.serving.PoolShare;
+import org.teaseltrestle.model.serving.ServedPool;
+import org.teaseltrestle.model.serving.ServingConfiguration;
+import org.teaseltrestle.model.serving.ServingRoute;
+import org.teaseltrestle.node.backend.BackendHttp;
+import org.teaseltrestle.node.backend.HttpEngineClient;
+import org.teaseltrestle.node.backend.HttpRelayedClient;
+import org.teaseltrestle.node.backend.HttpServiceClient;
+import org.teaseltrestle.node.port.AnswerVerdict;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.IncomingRequest;
+import org.teaseltrestle.node.port.OutgoingTerms;
+import org.teaseltrestle.node.port.ReportedLoad;
+import org.teaseltrestle.node.port.RequestCodec;
+import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.serving.ServingView;
+import org.teaseltrestle.policy.AdmissionCore;
+import org.teaseltrestle.policy.AdmissionEvent;
+import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.PolicyConfiguration;
+import org.testng.annotations.Test;
+
+/** Tests of the relay of routed requests in front of stand-ins. */
+public final class RoutedTest {
+
+  private static final String STREAM = "/stream/x";
+  private static final String SINGLE_STREAM = "/single/x";
+  private static final String CALL = "/call/x";
+
+  /** Codec of the tests: few fields with plain names. */
+  private static final class PlainCodec implements RequestCodec {
+
+    @Override
+    public IncomingRequest read(Function<String, @Nullable String> header) {
+      String id = header.apply("X-Request-Id");
+      return new IncomingRequest(
+          id == null ? "" : id,
+          null,
+          10_000,
+          "model",
+          10,
+          10,
+          List.of(),
+          header.apply("Last-Event-Id"));
+    }
+
+    @Override
+    public List<HeaderField> outgoing(List<HeaderField> received, OutgoingTerms terms) {
+      List<HeaderField> fields = new ArrayList<>(received);
+      fields.removeIf(field -> field.name().equalsIgnoreCase("Last-Event-Id"));
+      if (terms.lastEvent() != null) {
+        fields.add(new HeaderField("Last-Event-Id", terms.lastEvent()));
+      }
+      return fields;
+    }
+
+    @Override
+    public AnswerVerdict judge(
+        int status,
+        String callerId,
+        BackendServerId asked,
+        Function<String, @Nullable String> header) {
+      return status == 503 && header.apply("Not-Run") != null
+          ? AnswerVerdict.NOT_RUN_BUSY
+          : AnswerVerdict.ANSWER;
+    }
+
+    @Override
+    public @Nullable String promptMemory(byte[] answer) {
+      return null;
+    }
+
+    @Override
+    public String releaseTarget(String memory) {
+      return "/" + memory;
+    }
+
+    @Override
+    public @Nullable ReportedLoad load(Function<String, @Nullable String> header) {
+      return null;
+    }
+  }
+
+  /** A relay of three routes in front of stand-ins that are called in turn. */
+  private static final class Harness implements AutoCloseable, ServerDirectory {
+
+    private final StubControl control = new StubControl();
+    private final BackendHttp http = new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(5));
+    private final List<BackendServer> servers = new ArrayList<>();
+    private final AdmissionDuty admission;
+    private final RelayService relay;
+    private final HttpClient client =
+        HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    Harness(StandIn... standIns) {
+      for (StandIn standIn : standIns) {
+        servers.add(
+            new BackendServer(
+                new BackendServerId("s" + servers.size()),
+                new PoolId("pool"),
+                new FailureDomain("a"),
+                standIn.address(),
+                Set.of(new ItemName("model")),
+                BackendServer.Capacity.REGULAR,
+                BackendServer.State.LIVE));
+      }
+      PolicyConfiguration policy =
+          PolicyConfiguration.builder()
+              .replicaChoice(PolicyConfiguration.ReplicaChoice.ROUND_ROBIN)
+              .unplanned(PolicyConfiguration.Unplanned.UNLIMITED)
+              .build();
+      MetricRegistry metrics = new MetricRegistry();
+      admission =
+          new AdmissionDuty(
+              new AdmissionCore(policy)::handle, control, MonotonicClock.SYSTEM, metrics);
+      admission.start();
+      admission.offer(new AdmissionEvent.FleetChanged(servers));
+      control.document = ByteString.copyFromUtf8("any");
+      relay =
+          RelayService.builder()
+              .settings(RelaySettings.builder().build())
+              .metrics(metrics)
+              .control(control)
+              .admission(admission)
+              .directory(this)
+              .backends(new HttpEngineClient(http), new HttpServiceClient(http))
+              .usage(new LocalUsageRecorder(metrics))
+              .identity(new InstanceId("entry-1"), 7)
+              .routed(
+                  new RoutedSetup(
+                      new PlainCodec(),
+                      new HttpRelayedClient(http),
+                      new ServingView(control, any -> configuration())))
+              .build();
+      relay.start();
+    }
+
+    private static ServingConfiguration configuration() {
+      return new ServingConfiguration(
+          1,
+          List.of(
+              route(
+                  "/stream/",
+                  ServingRoute.Kind.STREAM,
+                  Set.of(ServingRoute.Feature.RESUMABLE, ServingRoute.Feature.DESCRIBES_PROMPTS)),
+              route(
+                  "/single/",
+                  ServingRoute.Kind.STREAM,
+                  Set.of(ServingRoute.Feature.DESCRIBES_PROMPTS)),
+              route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
+          List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
+          List.of(),
+          CallerLimits.DEFAULT);
+    }
+
+    private static ServingRoute route(
+        String prefix, ServingRoute.Kind kind, Set<ServingRoute.Feature> features) {
+      return new ServingRoute(
+          prefix,
+          "127.0.0.1",
+          prefix,
+          kind,
+          features,
+          2,
+          0,
+          5_000,
+          500,
+          0,
+          List.of(new PoolShare(new PoolId("pool"), 1)));
+    }
+
+    HttpResponse<String> post(String path) {
+      try {
+        return client.send(
+            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.port() + path))
+                .header("X-Request-Id", "id-1")
+                .POST(HttpRequest.BodyPublishers.ofString("body"))
+                .build(),
+            HttpResponse.BodyHandlers.ofString());
+      } catch (java.io.IOException e) {
+        throw new UncheckedIOException(e);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+
+    @Override
+    public @Nullable BackendServer find(BackendServerId server) {
+      return servers.stream().filter(each -> each.id().equals(server)).findFirst().orElse(null);
+    }
+
+    @Override
+    public void reportLeaving(BackendServerId server) {
+      // The tests look at the callers' side only.
+    }
+
+    @Override
+    public void reportLost(BackendServerId server) {
+      // The tests look at the callers' side only.
+    }
+
+    @Override
+    public int pieceTokens(PoolId pool) {
+      return 0;
+    }
+
+    @Override
+    public void close() {
+      relay.close();
+      admission.close();
+      http.close();
+    }
+  }
+
+  /** Sends events from the one that the request asks for; {@code cut} ends in the middle of one. */
+  private static StandIn.Behaviour events(int count, int cutAfter) {
+    return (request, output) -> {
+      StandIn.startStream(output, "id-1");
+      String last = request.header("Last-Event-Id");
+      int first = last == null || last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+      for (int i = first; i <= count; i++) {
+        byte[] event = ("id: " + i + "\ndata: e" + i + "\n\n").getBytes(StandardCharsets.UTF_8);
+        int length = i > cutAfter ? event.length - 3 : event.length;
+        output.write((Integer.toHexString(length) + "\r\n").getBytes(StandardCharsets.UTF_8));
+        output.write(event, 0, length);
+        output.write("\r\n".getBytes(StandardCharsets.UTF_8));
+        output.flush();
+        if (i > cutAfter) {
+          return false;
+        }
+      }
+      output.write("0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+      output.flush();
+      return true;
+    };
+  }
+
+  private static String expected(int count) {
+    StringBuilder text = new StringBuilder();
+    for (int i = 1; i <= count; i++) {
+      text.append("id: ").append(i).append("\ndata: e").append(i).append("\n\n");
+    }
+    return text.toString();
+  }
+
+  /** Streams. */
+  public static final class Streams {
+
+    /** Guards against a gap, a repeated event or a joined half when an engine dies in an event. */
+    @Test
+    public void resumableStreamGoesOnAfterTheLastWholeEvent() throws Exception {
+      try (StandIn dying = new StandIn(events(5, 2));
+          StandIn other = new StandIn(events(5, 5));
+          Harness relay = new Harness(dying, other)) {
+        for (int i = 0; i < 2; i++) {
+          assertEquals(relay.post(STREAM).body(), expected(5));
+        }
+        assertTrue(dying.received.size() >= 1);
+      }
+    }
+
+    /**
+     * Guards against a second run of a stream that may run once, and against a cut that looks
+     * whole.
+     */
+    @Test
+    public void otherStreamEndsWithTheConnection() throws Exception {
+      try (StandIn dying = new StandIn(events(5, 2));
+          Harness relay = new Harness(dying)) {
+        expectThrows(UncheckedIOException.class, () -> relay.post(SINGLE_STREAM));
+        assertEquals(dying.received.size(), 1);
+      }
+    }
+
+    /** Guards against a kept connection on which the next request is never read. */
+    @Test
+    public void connectionServesTheNextRequest() throws Exception {
+      try (StandIn engine = new StandIn(events(3, 3));
+          Harness relay = new Harness(engine)) {
+        for (int i = 0; i < 20; i++) {
+          assertEquals(relay.post(STREAM).body(), expected(3));
+        }
+      }
+    }
+  }
+
+  /** Calls that run once. */
+  public static final class Calls {
+
+    /** Guards against a refusal that ends a call although another server is free. */
+    @Test
+    public void refusedCallGoesElsewhere() throws Exception {
+      try (StandIn full =
+              new StandIn(
+                  (request, output) -> {
+                    StandIn.send(output, 503, "Not-Run: 1\r\n", "");
+                    return true;
+                  });
+          StandIn free =
+              new StandIn(
+                  (request, output) -> {
+                    StandIn.send(output, 200, "Receipt: r\r\n", "done");
+                    return true;
+                  });
+          Harness relay = new Harness(full, free)) {
+        for (int i = 0; i < 3; i++) {
+          HttpResponse<String> answer = relay.post(CALL);
+          assertEquals(answer.body(), "done");
+          assertEquals(answer.headers().firstValue("Receipt").orElse(""), "r");
+        }
+      }
+    }
+
+    /** Guards against a second run after a lost answer, and against a refusal that is not true. */
+    @Test
+    public void lostAnswerIsNotRunAgainNorCalledNotRun() throws Exception {
+      StandIn.Behaviour losing = (request, output) -> false;
+      try (StandIn first = new StandIn(losing);
+          StandIn second = new StandIn(losing);
+          Harness relay = new Harness(first, second)) {
+        HttpResponse<String> answer = relay.post(CALL);
+        assertEquals(answer.statusCode(), 502);
+        assertFalse(answer.body().contains("\"not_run\":true"), answer.body());
+        assertEquals(first.received.size() + second.received.size(), 1);
+      }
+    }
+
+    /** Guards against a server's own error that is replaced by one of the relay. */
+    @Test
+    public void ownErrorOfServerIsPassedOn() throws Exception {
+      try (StandIn failing =
+              new StandIn(
+                  (request, output) -> {
+                    StandIn.send(output, 500, "Receipt: r\r\n", "failed");
+                    return true;
+                  });
+          Harness relay = new Harness(failing)) {
+        HttpResponse<String> answer = relay.post(CALL);
+        assertEquals(answer.statusCode(), 500);
+        assertEquals(answer.body(), "failed");
+      }
+    }
+  }
+}
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
+import com.google.protobuf.ByteString;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -14,6 +15,7 @@
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.control.KeyVerifier;
+import org.teaseltrestle.control.ServingDocument;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.ItemName;
@@ -49,6 +51,7 @@
   volatile boolean reachable = true;
   volatile boolean withdrawn;
   volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
+  volatile ByteString document = ByteString.EMPTY;
   private volatile long index = 1;
 
   synchronized void withdraw() {
@@ -56,6 +59,11 @@
     index++;
   }
 
+  @Override
+  public ServingDocument servingDocument() {
+    return document.isEmpty() ? ServingDocument.NONE : new ServingDocument(1, document);
+  }
+
   @Override
   public CompletableFuture<Long> confirmedIndex() {
     return CompletableFuture.completedFuture(appliedIndex());
--- a/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
@@ -182,7 +182,7 @@
       try (LoopbackCluster cluster = new LoopbackCluster(1)) {
         cluster.startVoters();
         cluster.awaitLeader();
-        for (int i = 1; i <= TreePlacement.FAN_OUT + 1; i++) {
+        for (int i = 1; i <= TreeSettings.DEEP.fanOut() + 1; i++) {
           cluster.startFollower("entry-" + i);
         }
         // Sorted by id, entry-9 is the ninth node of the domain, so the first one is its parent.
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -29,8 +29,7 @@
    * @param failure null if the other engine can take the prompt's memory
    * @param nanos time that it took, in nanoseconds
    */
-  record PrefillEnded(
-      RequestId request, int attempt, @Nullable FailureKind failure, long nanos)
+  record PrefillEnded(RequestId request, int attempt, @Nullable FailureKind failure, long nanos)
       implements AdmissionEvent {}
 
   /** One more output token of a running attempt, batched by the relay. */
--- a/policy/src/main/java/org/teaseltrestle/policy/PlanLimits.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PlanLimits.java
@@ -30,14 +30,7 @@
   /** Returns the limits of an account that is bounded by capacity and fairness only. */
   public static PlanLimits unlimited(ClientAccount account) {
     return new PlanLimits(
-        account,
-        1,
-        0,
-        UNLIMITED,
-        UNLIMITED,
-        UNLIMITED,
-        Integer.MAX_VALUE,
-        CheapCapacity.ALLOWED);
+        account, 1, 0, UNLIMITED, UNLIMITED, UNLIMITED, Integer.MAX_VALUE, CheapCapacity.ALLOWED);
   }
 
   /** Whether cheap capacity may be used. */
--- a/policy/src/main/java/org/teaseltrestle/policy/PrefillHelpers.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PrefillHelpers.java
@@ -40,8 +40,7 @@
       return null;
     }
     PromptHomes.Holders holders =
-        homes.helpers(
-            request, fleet.serving(request), configuration.replicaChoice(), nowNanos);
+        homes.helpers(request, fleet.serving(request), configuration.replicaChoice(), nowNanos);
     Helper best = null;
     for (ServerState server : fleet.serving(request)) {
       if (server.mayHelp(nowNanos)) {
--- a/policy/src/main/java/org/teaseltrestle/policy/PromptHomes.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptHomes.java
@@ -47,13 +47,13 @@
   /** Returns the engines that run requests and hold the shared part of a request's prompt. */
   Holders holders(
       RequestState request, List<ServerState> serving, ReplicaChoice choice, long nowNanos) {
-    return holders(request, serving, choice, ServerState::acceptsWork, nowNanos);
+    return holdersAmong(request, serving, choice, ServerState::acceptsWork, nowNanos);
   }
 
   /** Returns the engines that only read prompts and hold the shared part of a request's prompt. */
   Holders helpers(
       RequestState request, List<ServerState> serving, ReplicaChoice choice, long nowNanos) {
-    return holders(request, serving, choice, ServerState::mayHelp, nowNanos);
+    return holdersAmong(request, serving, choice, ServerState::mayHelp, nowNanos);
   }
 
   /** Which engines may be the home of a prompt. */
@@ -62,7 +62,7 @@
     boolean test(ServerState server, long nowNanos);
   }
 
-  private Holders holders(
+  private Holders holdersAmong(
       RequestState request,
       List<ServerState> serving,
       ReplicaChoice choice,
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/CheapFleetPlanner.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/CheapFleetPlanner.java
@@ -18,7 +18,9 @@
  */
 public final class CheapFleetPlanner {
 
-  /** Price of cheap capacity, as a part of the regular price, above which it is not worth a loss. */
+  /**
+   * Price of cheap capacity, as a part of the regular price, above which it is not worth a loss.
+   */
   private static final double MAXIMUM_CHEAP_PRICE = 0.6;
 
   /** Time between two orders for one domain, longer than an engine takes to be listed. */
@@ -101,9 +103,7 @@
     Subject subject = new Subject(wanted.domain(), wanted.capacity());
     Ordered last = ordered.get(subject);
     boolean recent =
-        last != null
-            && last.count() == wanted.count()
-            && nowNanos - last.atNanos() < REPEAT_NANOS;
+        last != null && last.count() == wanted.count() && nowNanos - last.atNanos() < REPEAT_NANOS;
     if (present != wanted.count() && !recent) {
       ordered.put(subject, new Ordered(wanted.count(), nowNanos));
       orders.add(wanted);
--- a/policy/src/main/java/org/teaseltrestle/policy/fleet/StagePlanner.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/fleet/StagePlanner.java
@@ -69,9 +69,7 @@
     for (Engine engine : listed) {
       Pending changing = pending.get(engine.id());
       engines.add(
-          changing == null
-              ? engine
-              : new Engine(engine.id(), engine.domain(), changing.role()));
+          changing == null ? engine : new Engine(engine.id(), engine.domain(), changing.role()));
     }
     int readers = (int) engines.stream().filter(StagePlanner::reads).count();
     int off = wanted(demand, engines.size()) - readers;
@@ -107,8 +105,7 @@
     return Math.max(1, Math.min(engines - 1, (int) Math.round(part * engines)));
   }
 
-  private List<Change> change(
-      List<Engine> engines, EngineRole role, int count, long nowNanos) {
+  private List<Change> change(List<Engine> engines, EngineRole role, int count, long nowNanos) {
     List<Change> changes = new ArrayList<>();
     List<Engine> current = new ArrayList<>(engines);
     for (int i = 0; i < count; i++) {
--- a/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
@@ -58,7 +58,7 @@
 
     @Test
     public void retriesStayWithinRatioAndResumptionsMayOverdraw() {
-      RetryBudget budget = new RetryBudget(0.1);
+      RetryBudget budget = new RetryBudget(PolicyConfiguration.builder().retryRatio(0.1).build());
       int retries = 0;
       for (int i = 0; i < 10_000; i++) {
         budget.earn();
