See other instances' load on readers, and share equal readers

Cause: of ten engines that read prompts two got a third of all prompts, since every instance took the first of equal estimates and knew its own queue only; readings took 52 ms at the median, 600 ms for one in ten. Tests: PromptLoadTest (equalReadersShareThePrompts, readerThatOthersKeepBusyIsAvoided).

--- a/policy/src/main/java/org/teaseltrestle/policy/PrefillHelpers.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PrefillHelpers.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.policy;
 
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.policy.fleet.Rendezvous;
 
 /**
  * Chooses the engine that reads a prompt for another one. Engines that only read prompts do it
@@ -14,6 +15,9 @@
   /** Moving one token of 164 KB over a link of 1,500 Gbit/s. */
   private static final double MOVE_NANOS_PER_TOKEN = 900;
 
+  /** Part of an estimate by which it is blurred at most; estimates are no better than that. */
+  private static final double BLUR = 0.3;
+
   private final PolicyConfiguration configuration;
   private final Fleet fleet;
   private final CostModel costs;
@@ -42,11 +46,14 @@
     PromptHomes.Holders holders =
         homes.helpers(request, fleet.serving(request), configuration.replicaChoice(), nowNanos);
     Helper best = null;
+    double lowest = 0;
     for (ServerState server : fleet.serving(request)) {
       if (server.mayHelp(nowNanos)) {
-        Helper helper = helper(request, server, holders);
-        if (best == null || helper.nanos() < best.nanos()) {
+        Helper helper = helper(request, server, holders, nowNanos);
+        double cost = helper.nanos() * blur(request, server);
+        if (best == null || cost < lowest) {
           best = helper;
+          lowest = cost;
         }
       }
     }
@@ -71,20 +78,28 @@
     request.helper = null;
     server.load.helped(request.helperTokens);
     if (failure == null) {
-      server.speed.prefilled(request.helperTokens + request.helperAheadTokens, nanos);
+      server.contention.seen(request.helperTokens + request.helperAheadTokens, nanos, nowNanos);
     }
     fleet.observe(server, request, failure, nowNanos);
     fleet.forgetIfGone(server);
   }
 
-  private Helper helper(RequestState request, ServerState server, PromptHomes.Holders holders) {
+  private Helper helper(
+      RequestState request, ServerState server, PromptHomes.Holders holders, long nowNanos) {
     int cached = holders.holds(server) ? request.work.terms().sharedTokens() : 0;
     int tokens = Math.max(1, request.promptTokens() - cached);
     double nanos =
-        server.speed.prefillNanos(server.load.queuedPromptTokens() + tokens)
+        server.contention.readingNanos(server.load.queuedPromptTokens() + tokens)
+            + server.contention.delayNanos(nowNanos)
             + HANDOVER_NANOS
             + MOVE_NANOS_PER_TOKEN * request.promptTokens();
     return new Helper(
         server, tokens, costs.isOwnDomain(server) ? nanos : nanos + configuration.spillCostNanos());
   }
+
+  /** Spreads instances with the same view over engines that seem alike. */
+  private static double blur(RequestState request, ServerState server) {
+    long bits = Rendezvous.score(request.work.sampleBits(), server.idHash);
+    return 1 + BLUR * (bits >>> 1) / Long.MAX_VALUE;
+  }
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -5,10 +5,13 @@
 /** What this instance knows of one backend server. */
 final class ServerState {
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
   final ServerLoad load = new ServerLoad();
   final ServerHealth health = new ServerHealth();
   final long idHash;
   final EngineSpeed speed;
+  final Contention contention;
   final RunningLimit runningLimit;
   private final PolicyConfiguration.CheapWork cheapWork;
   BackendServer server;
@@ -29,6 +32,8 @@
     this.server = server;
     this.cheapWork = configuration.cheapWork();
     this.idHash = Rendezvous.hash(server.id().value());
+    this.contention =
+        new Contention(NANOS_PER_SECOND / configuration.initialPrefillTokensPerSecond());
     this.speed = new EngineSpeed(configuration.initialPrefillTokensPerSecond());
     this.runningLimit =
         new RunningLimit(
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -134,6 +135,58 @@
       assertEquals(dispatch.helper(), new BackendServerId("reader"));
     }
 
+    /**
+     * Guards against instances that all choose the first of several equal readers: two of ten
+     * readers got a third of all prompts.
+     */
+    @Test
+    public void equalReadersShareThePrompts() {
+      Map<BackendServerId, Integer> helpers = new HashMap<>();
+      for (int instance = 0; instance < 400; instance++) {
+        Bench bench =
+            new Bench(
+                configuration().build(),
+                List.of(
+                    engine("r1", EngineRole.PREFILL_ONLY),
+                    engine("r2", EngineRole.PREFILL_ONLY),
+                    engine("r3", EngineRole.PREFILL_ONLY),
+                    engine("r4", EngineRole.PREFILL_ONLY),
+                    engine("decoder", EngineRole.DECODE)),
+                Samples.wide("north", 1, 0));
+        AdmissionAction.Dispatch dispatch =
+            Bench.dispatch(bench.arrive(prompt(bench, instance, 0, Repeatable.AT_MOST_ONCE)));
+        helpers.merge(dispatch.helper(), 1, Integer::sum);
+      }
+      assertTrue(helpers.values().stream().allMatch(count -> count >= 50), "" + helpers);
+    }
+
+    /** Guards against a reader that other instances keep busy, seen only in how long it takes. */
+    @Test
+    public void readerThatOthersKeepBusyIsAvoided() {
+      Bench bench =
+          new Bench(
+              configuration().build(),
+              List.of(
+                  engine("r1", EngineRole.PREFILL_ONLY),
+                  engine("r2", EngineRole.PREFILL_ONLY),
+                  engine("decoder", EngineRole.DECODE)),
+              Samples.wide("north", 1, 0));
+      BackendServerId busy = new BackendServerId("r1");
+      int toBusy = 0;
+      for (int i = 0; i < 40; i++) {
+        AdmissionAction.Dispatch dispatch =
+            Bench.dispatch(bench.arrive(prompt(bench, i, 0, Repeatable.AT_MOST_ONCE)));
+        boolean slow = busy.equals(dispatch.helper());
+        toBusy += slow ? 1 : 0;
+        long nanos = (slow ? 900 : 280) * Samples.MILLISECOND;
+        bench.now += 300 * Samples.MILLISECOND;
+        bench.send(
+            new AdmissionEvent.PrefillEnded(dispatch.request(), dispatch.attempt(), null, nanos));
+        bench.end(dispatch, new AttemptOutcome(null, 100, 50 * Samples.MILLISECOND));
+      }
+      assertTrue(toBusy <= 12, "to the busy one: " + toBusy);
+    }
+
     /** Guards against a second reading elsewhere, which would count as one more attempt. */
     @Test
     public void laterAttemptHasNoHelper() {
