Work the announced fleet out only after a change

Change: the committed records keep their identity while unchanged, and the announcement is computed again only after a new list, mark or planned change. Test: FleetTest.Announcements.

--- a/control/src/main/java/org/teaseltrestle/control/PersistentMap.java
+++ b/control/src/main/java/org/teaseltrestle/control/PersistentMap.java
@@ -21,6 +21,9 @@
 
   private final @Nullable Node<K, V> root;
 
+  /** Made at the first call; two threads may both make it, and either will do. */
+  private @Nullable Collection<V> values;
+
   private PersistentMap(@Nullable Node<K, V> root) {
     this.root = root;
   }
@@ -74,9 +77,17 @@
     return node == null ? Optional.empty() : Optional.of(node.key);
   }
 
-  /** Returns an immutable collection of the values in key order. */
+  /**
+   * Returns an immutable collection of the values in key order. It is the same one for as long as
+   * the map is the same, so readers can tell by identity that nothing has changed.
+   */
   Collection<V> values() {
-    return collection(node -> node.value);
+    Collection<V> made = values;
+    if (made == null) {
+      made = collection(node -> node.value);
+      values = made;
+    }
+    return made;
   }
 
   /** Returns an immutable collection of the entries in key order. */
--- a/node/src/main/java/org/teaseltrestle/node/fleet/CommittedInstances.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/CommittedInstances.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.fleet;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.control.ControlGateway;
@@ -8,6 +9,7 @@
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.node.port.PlatformInstances;
+import org.teaseltrestle.wire.BackendServerRecord;
 
 /**
  * The committed fleet in place of the platform's list, so that the list is read once for all
@@ -31,6 +33,8 @@
   private final MonotonicClock clock;
   private final long keyLeaseNanos;
   private List<ListedServer> read = List.of();
+  private Collection<BackendServerRecord> records = List.of();
+  private List<ListedServer> committed = List.of();
   private long nextReadNanos;
 
   /**
@@ -79,7 +83,13 @@
     }
   }
 
+  /** The records are decoded again only after a change; readers then see the same list again. */
   private List<ListedServer> committed() {
-    return CommittedFleet.of(control.view().backendServers());
+    Collection<BackendServerRecord> current = control.view().backendServers();
+    if (current != records) {
+      committed = List.copyOf(CommittedFleet.of(current));
+      records = current;
+    }
+    return committed;
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -1,7 +1,5 @@
 package org.teaseltrestle.node.fleet;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -47,6 +45,7 @@
   private final FleetPoller poller;
   private final DutyThread<FleetItem> thread;
   private final ServerMarks marks;
+  private final FleetAnnouncement announcement;
   private final Map<BackendServerId, WatchedServer> watched = new HashMap<>();
   private final Map<BackendServerId, BackendServer> known = new ConcurrentHashMap<>();
   private final Map<PoolId, Integer> pieceTokens = new ConcurrentHashMap<>();
@@ -74,6 +73,7 @@
     this.control = control;
     this.clock = clock;
     this.marks = new ServerMarks(settings.longestEjection().toNanos());
+    this.announcement = new FleetAnnouncement(marks);
     this.admission = admission;
     this.thread =
         new DutyThread<>("fleet", RING_CAPACITY, this::handle, this::tick, TICK_NANOS, clock);
@@ -122,7 +122,9 @@
     for (WatchedServer server : watched.values()) {
       poll(server, nowNanos);
     }
-    marks.expire(nowNanos);
+    if (marks.expire(nowNanos)) {
+      announcement.marksChanged();
+    }
     announce(nowNanos);
   }
 
@@ -161,12 +163,16 @@
 
   /** Without any list of the platform since the start, the committed fleet stands in for it. */
   private void takeList(@Nullable List<ListedServer> servers, long nowNanos) {
+    List<ListedServer> before = listed;
     if (servers != null) {
       listEverRead = true;
       listed = servers;
     } else if (!listEverRead) {
       listed = CommittedFleet.of(control.view().backendServers());
     }
+    if (listed.equals(before)) {
+      return;
+    }
     List<ListedServer> subset = Subset.choose(listed, settings);
     Map<BackendServerId, ListedServer> current = new HashMap<>();
     subset.forEach(entry -> current.put(entry.server().id(), entry));
@@ -174,6 +180,7 @@
     current.forEach(
         (id, entry) ->
             watched.computeIfAbsent(id, added -> new WatchedServer(entry, nowNanos)).entry = entry);
+    announcement.use(current.values());
   }
 
   private void takeLoad(FleetItem.LoadRead read, long nowNanos) {
@@ -190,6 +197,7 @@
     }
     if (marks.answered(read.server(), read.begunAtNanos())) {
       LOG.info(FleetEvent.SERVER_RETURNED, "server", read.server());
+      announcement.marksChanged();
     }
     EngineLoad engine = read.engine();
     ServiceLoad service = read.service();
@@ -251,23 +259,21 @@
   private void markLeaving(BackendServerId server, long nowNanos) {
     if (marks.leaving(server, nowNanos)) {
       LOG.info(FleetEvent.SERVER_LEAVING, "server", server);
+      announcement.marksChanged();
     }
   }
 
   private void markLost(BackendServerId server, long nowNanos) {
     if (marks.lost(server, nowNanos)) {
       LOG.info(FleetEvent.SERVER_EJECTED, "server", server);
+      announcement.marksChanged();
     }
   }
 
   /** Hands the complete fleet to the admission duty when it has changed. */
   private void announce(long nowNanos) {
-    List<ListedServer> subset = new ArrayList<>();
-    watched.values().forEach(server -> subset.add(server.entry));
-    subset.sort(Comparator.comparing(entry -> entry.server().id()));
-    List<BackendServer> current =
-        FleetStates.of(subset, marks, control.view().plannedChanges(), nowNanos);
-    boolean changed = !current.equals(announced);
+    List<BackendServer> current = announcement.servers(control.view().plannedChanges(), nowNanos);
+    boolean changed = current != announced;
     if (!changed && nowNanos - nextRepeatNanos < 0) {
       return;
     }
--- a/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/ServerMarks.java
@@ -72,9 +72,10 @@
     return since != null && nowNanos - since < longestEjectionNanos;
   }
 
-  /** Forgets marks that have ended. */
-  void expire(long nowNanos) {
-    leavingUntil.values().removeIf(until -> nowNanos - until >= 0);
-    lostAt.values().removeIf(since -> nowNanos - since >= longestEjectionNanos);
+  /** Forgets marks that have ended; returns whether there were any. */
+  boolean expire(long nowNanos) {
+    boolean returned = leavingUntil.values().removeIf(until -> nowNanos - until >= 0);
+    boolean tried = lostAt.values().removeIf(since -> nowNanos - since >= longestEjectionNanos);
+    return returned || tried;
   }
 }
--- a/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -128,6 +129,58 @@
     }
   }
 
+  /** Announcements to the admission duty. */
+  public static final class Announcements {
+
+    private static final int SERVERS = 300;
+
+    private final ServerMarks marks = new ServerMarks(SECOND);
+    private final FleetAnnouncement announcement = new FleetAnnouncement(marks);
+
+    /** Guards against hundreds of servers that are sorted and compared at every tick. */
+    @Test
+    public void unchangedFleetIsNotWorkedOutAgain() {
+      List<PlanChange> none = List.of();
+      announcement.use(fleet());
+      List<BackendServer> first = announcement.servers(none, 0);
+      assertEquals(first.size(), SERVERS);
+      assertSame(announcement.servers(none, SECOND / 2), first);
+      announcement.use(fleet());
+      assertSame(announcement.servers(none, SECOND / 2), first);
+    }
+
+    /** Guards against a change that is not announced since the last result is kept. */
+    @Test
+    public void everyChangeIsAnnounced() {
+      List<PlanChange> none = List.of();
+      announcement.use(fleet());
+      List<BackendServer> first = announcement.servers(none, 0);
+      assertTrue(marks.lost(new BackendServerId("engine-7"), 0));
+      announcement.marksChanged();
+      assertEquals(leaving(announcement.servers(none, 1)), 1);
+      assertTrue(marks.expire(2 * SECOND));
+      announcement.marksChanged();
+      assertEquals(announcement.servers(none, 2 * SECOND), first);
+      PlanChange drain =
+          PlanChange.newBuilder().setBackendServer("engine-8").setKind("drain").build();
+      assertNotEquals(announcement.servers(List.of(drain), 2 * SECOND), first);
+      announcement.use(fleet().subList(0, 10));
+      assertEquals(announcement.servers(none, 2 * SECOND).size(), 10);
+    }
+
+    private static List<ListedServer> fleet() {
+      List<ListedServer> listed = new ArrayList<>();
+      for (int i = 0; i < SERVERS; i++) {
+        listed.add(engine("engine-" + i, "caerdydd", State.LIVE));
+      }
+      return listed;
+    }
+
+    private static long leaving(List<BackendServer> servers) {
+      return servers.stream().filter(server -> server.state() == State.LEAVING).count();
+    }
+  }
+
   /** Cache views. */
   public static final class Caches {
 
