Send commits to followers in rounds of 40 ms

Cause: each of 84 entry nodes commits its usage every second, and each commit went to each follower as a message of its own: some 7,000 messages a second. Change: rounds at least 40 ms apart; the tick sends what waits. Test: ChildFeedsTest.commitsOfASecondReachTheChildInFewMessages (84 messages before, at most 30 after).

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -33,6 +33,12 @@
   private static final int MAXIMUM_BATCH_BYTES = 1024 * 1024;
   private static final int MAXIMUM_CHILDREN = 256;
 
+  /**
+   * Shortest time between two rounds of commands to the children. Each entry node commits usage
+   * every second; passed on one by one, 84 nodes would mean as many messages a second to each.
+   */
+  private static final long FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
   private final PeerTransport transport;
   private final PeerAddresses addresses;
   private final MonotonicClock clock;
@@ -41,6 +47,8 @@
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
   private ServingLists lists = ServingLists.EMPTY;
+  private long fedIndex;
+  private long nextFeedNanos;
 
   private static final class Child {
     InetSocketAddress address;
@@ -64,6 +72,7 @@
     this.transport = transport;
     this.addresses = addresses;
     this.clock = clock;
+    this.nextFeedNanos = clock.nowNanos();
   }
 
   /** Takes a child's bundle, which also subscribes the child from its applied index. */
@@ -95,9 +104,17 @@
     }
   }
 
-  /** Sends all children what they lack and forgets silent ones. */
+  /**
+   * Sends all children what they lack and forgets silent ones. What comes within the interval after
+   * a round waits for the next call, so this is also called on every tick.
+   */
   void feed(AppliedState state) {
     long now = clock.nowNanos();
+    if (state.appliedIndex() == fedIndex || now - nextFeedNanos < 0) {
+      return;
+    }
+    fedIndex = state.appliedIndex();
+    nextFeedNanos = now + FEED_INTERVAL_NANOS;
     children.values().removeIf(child -> now - child.heardAtNanos > CHILD_SILENCE_NANOS);
     childOfInstance.values().removeIf(child -> !children.containsKey(child));
     children.values().forEach(child -> feedChild(child, state));
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -134,6 +134,7 @@
       sendUp(renewals.bundle(state, nowNanos));
     }
     readiness.tick(state.appliedIndex());
+    children.feed(state);
     status =
         new ControlStatus(
             "following", 0, parents.parent(), List.of(), state.appliedIndex(), inbox.dropped());
@@ -231,8 +232,8 @@
     if (state.appliedIndex() > servedIndex) {
       servedIndex = state.appliedIndex();
       addresses.update(state.view());
-      children.feed(state);
     }
+    children.feed(state);
   }
 
   private long rootAgeMillis() {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -218,8 +218,8 @@
     if (state.appliedIndex() > servedIndex) {
       servedIndex = state.appliedIndex();
       addresses.update(state.view());
-      children.feed(state);
     }
+    children.feed(state);
     publishStatus();
   }
 
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
+import java.util.stream.LongStream;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
@@ -18,42 +20,39 @@
 import org.teaseltrestle.transport.PeerTransport;
 import org.teaseltrestle.wire.AccountDemand;
 import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.CommittedCommands;
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
+import org.teaseltrestle.wire.LoggedCommand;
 import org.teaseltrestle.wire.RenewalBundle;
 import org.teaseltrestle.wire.ReplaceLists;
 import org.testng.annotations.Test;
 
-/** Guards against grants that carry the demand of all accounts to every node each second. */
+/** Tests of what a parent sends to its children. */
 public final class ChildFeedsTest {
 
   private static final int ACCOUNTS = 1_100;
   private static final int BOUND_BYTES = 10_000;
 
+  /** Commits a second of 84 entry nodes that report their usage. */
+  private static final int COMMITS = 84;
+
+  private static final int MOST_MESSAGES = 30;
+  private static final long SECOND_NANOS = 1_000_000_000L;
+
+  /** A change must be everywhere within seconds; a round may wait for a twentieth of one. */
+  private static final long FEED_BOUND_NANOS = 50_000_000L;
+
   private final List<GrantBundle> sent = new ArrayList<>();
+  private final List<CommittedCommands> commands = new ArrayList<>();
   private final AppliedState state = new AppliedState();
 
+  /** Guards against grants that carry the demand of all accounts to every node each second. */
   @Test
   public void childGetsTheDemandItReportedAndThatOfHeavilyUsedLimits() {
     replaceLists();
-    ControlPlaneSettings settings =
-        new ControlPlaneSettings(
-            new InstanceId("parent"),
-            1,
-            new FailureDomain("domain-a"),
-            "region-a",
-            InetSocketAddress.createUnresolved("127.0.0.1", 1),
-            null,
-            0,
-            List.of(),
-            Map.of(),
-            100,
-            1_000,
-            1_000);
-    ChildFeeds feeds =
-        new ChildFeeds(
-            new Recorder(), new PeerAddresses(settings), MonotonicClock.SYSTEM, () -> 0L);
+    ChildFeeds feeds = feeds(MonotonicClock.SYSTEM);
     feeds.onBundle(
         RenewalBundle.newBuilder()
             .setInstance("child")
@@ -83,6 +82,51 @@
     assertTrue(granted.getSerializedSize() < BOUND_BYTES);
   }
 
+  /** Guards against one message to each child for each of the many commits of a large fleet. */
+  @Test
+  public void commitsOfASecondReachTheChildInFewMessages() {
+    long[] now = {0};
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> now[0]);
+    feeds.onBundle(
+        RenewalBundle.newBuilder().setInstance("child").setReplyAddress("127.0.0.1:2").build(),
+        log);
+    int before = commands.size();
+    for (int i = 1; i <= COMMITS; i++) {
+      log.apply(i, ByteString.EMPTY);
+      now[0] += SECOND_NANOS / COMMITS;
+      feeds.feed(log);
+    }
+    now[0] += FEED_BOUND_NANOS;
+    feeds.feed(log);
+    List<CommittedCommands> sentSince = commands.subList(before, commands.size());
+    assertTrue(sentSince.size() <= MOST_MESSAGES, sentSince.size() + " messages");
+    List<Long> indexes =
+        sentSince.stream()
+            .flatMap(message -> message.getCommandsList().stream())
+            .map(LoggedCommand::getIndex)
+            .toList();
+    assertEquals(indexes, LongStream.rangeClosed(1, COMMITS).boxed().toList());
+  }
+
+  private ChildFeeds feeds(MonotonicClock clock) {
+    ControlPlaneSettings settings =
+        new ControlPlaneSettings(
+            new InstanceId("parent"),
+            1,
+            new FailureDomain("domain-a"),
+            "region-a",
+            InetSocketAddress.createUnresolved("127.0.0.1", 1),
+            null,
+            0,
+            List.of(),
+            Map.of(),
+            100,
+            1_000,
+            1_000);
+    return new ChildFeeds(new Recorder(), new PeerAddresses(settings), clock, () -> 0L);
+  }
+
   private void replaceLists() {
     String accounts =
         "{\"accounts\": [{\"account\": \"%s\", \"plan\": \"small\"}]}".formatted(name(5));
@@ -125,6 +169,8 @@
       try {
         if (kind == FollowMessage.GRANTS.kind()) {
           sent.add(GrantBundle.parseFrom(body));
+        } else if (kind == FollowMessage.COMMANDS.kind()) {
+          commands.add(CommittedCommands.parseFrom(body));
         }
         return true;
       } catch (InvalidProtocolBufferException e) {
