Probe idle peer connections every 500 ms in place of 300

Cause: 100 wake-ups in a second of the transport's threads on an idle entry node, most of them probes and their answers.

--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -35,7 +35,10 @@
   private static final int LENGTH_BYTES = 4;
   private static final int NETWORK_THREADS = 2;
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
-  private static final int PROBE_INTERVAL_MILLISECONDS = 300;
+
+  /** Silence after which a probe is sent; on hundreds of idle connections shorter ones add up. */
+  private static final int PROBE_INTERVAL_MILLISECONDS = 500;
+
   private static final int EXPIRY_INTERVAL_MILLISECONDS = 100;
 
   private final TransportConfiguration configuration;
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -29,7 +29,7 @@
    * Silent intervals after which a connection is closed; one probe is sent for each. A connection
    * that went silent is replaced within two seconds, before an election is over.
    */
-  private static final int MAXIMUM_SILENT_INTERVALS = 4;
+  private static final int MAXIMUM_SILENT_INTERVALS = 2;
 
   private final Map<String, MessageHandler> handlers;
   private final PendingCalls calls;
