--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
@@ -5,6 +5,10 @@
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import java.io.UncheckedIOException;
@@ -17,16 +21,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.LoggerFactory;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.model.ItemName;
 import org.teaseltrestle.model.PoolId;
 import org.teaseltrestle.model.serving.CallerLimits;
 import org.teaseltrestle.model.serving.PoolShare;
+import org.teaseltrestle.model.serving.ServedAccount;
 import org.teaseltrestle.model.serving.ServedPool;
 import org.teaseltrestle.model.serving.ServingConfiguration;
 import org.teaseltrestle.model.serving.ServingRoute;
@@ -46,6 +54,8 @@
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.PolicyConfiguration;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Tests of the relay of routed requests in front of stand-ins. */
@@ -63,7 +73,7 @@
       String id = header.apply("X-Request-Id");
       return new IncomingRequest(
           id == null ? "" : id,
-          null,
+          header.apply("Key"),
           10_000,
           "model",
           10,
@@ -121,6 +131,11 @@
         HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     Harness(StandIn... standIns) {
+      this(List.of(), standIns);
+    }
+
+    /** Creates a relay that asks for a key unless there are no accounts. */
+    Harness(List<ServedAccount> accounts, StandIn... standIns) {
       for (StandIn standIn : standIns) {
         servers.add(
             new BackendServer(
@@ -158,12 +173,12 @@
                   new RoutedSetup(
                       new PlainCodec(),
                       new HttpRelayedClient(http),
-                      new ServingView(control, any -> configuration())))
+                      new ServingView(control, any -> configuration(accounts))))
               .build();
       relay.start();
     }
 
-    private static ServingConfiguration configuration() {
+    private static ServingConfiguration configuration(List<ServedAccount> accounts) {
       return new ServingConfiguration(
           1,
           List.of(
@@ -177,7 +192,7 @@
                   Set.of(ServingRoute.Feature.DESCRIBES_PROMPTS)),
               route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
           List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
-          List.of(),
+          accounts,
           CallerLimits.DEFAULT);
     }
 
@@ -198,10 +213,15 @@
     }
 
     HttpResponse<String> post(String path) {
+      return post(path, "id-1", "none");
+    }
+
+    HttpResponse<String> post(String path, String id, String key) {
       try {
         return client.send(
             HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.port() + path))
-                .header("X-Request-Id", "id-1")
+                .header("X-Request-Id", id)
+                .header("Key", key)
                 .POST(HttpRequest.BodyPublishers.ofString("body"))
                 .build(),
             HttpResponse.BodyHandlers.ofString());
@@ -369,4 +389,89 @@
       }
     }
   }
+
+  /** The way from a failed request's id to its cause that the operators' page shows. */
+  public static final class Explanations {
+
+    private static final Duration LOG_LIMIT = Duration.ofSeconds(5);
+
+    private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+    private final Logger root = (Logger) LoggerFactory.getLogger("org.teaseltrestle.node.relay");
+
+    /** Keeps the lines of the relay. */
+    @BeforeMethod
+    public void keepLines() {
+      lines.list = new CopyOnWriteArrayList<>();
+      lines.start();
+      root.setLevel(Level.INFO);
+      root.addAppender(lines);
+    }
+
+    /** Ends what {@link #keepLines} began. */
+    @AfterMethod(alwaysRun = true)
+    public void leaveLines() {
+      root.detachAppender(lines);
+      root.setLevel(null);
+    }
+
+    /** Guards against an early refusal whose line does not say why, or that nothing was sent. */
+    @Test
+    public void requestRefusedEarly() throws Exception {
+      try (Harness relay = new Harness()) {
+        assertEquals(relay.post(CALL, "early-1", "none").statusCode(), 503);
+        assertTrue(awaitLine("early-1", "E5015").contains("notRun=CERTAIN"));
+        assertEquals(linesOf("early-1", "E5016"), List.of());
+      }
+    }
+
+    /** Guards against a cut answer whose lines do not name the server and the failure. */
+    @Test
+    public void requestWhoseEngineDied() throws Exception {
+      try (StandIn dying = new StandIn(events(5, 2));
+          Harness relay = new Harness(dying)) {
+        expectThrows(UncheckedIOException.class, () -> relay.post(SINGLE_STREAM, "cut-1", "none"));
+        assertTrue(awaitLine("cut-1", "E5016").contains("server=s0"));
+        assertTrue(awaitLine("cut-1", "E5019").contains("status=200"));
+        String failed = awaitLine("cut-1", "E5005");
+        assertTrue(failed.contains("kind=LOST_DURING_ANSWER"), failed);
+        assertTrue(awaitLine("cut-1", "E5014").contains("version=1"));
+        assertTrue(awaitLine("cut-1", "E5015").contains("code=answer_cut"));
+      }
+    }
+
+    /** Guards against a refused key without the version of the configuration that lacks it. */
+    @Test
+    public void requestRefusedForItsKey() throws Exception {
+      ServedAccount account = new ServedAccount(new ClientAccount("a"), Set.of("known"), 0);
+      try (StandIn engine = new StandIn(events(3, 3));
+          Harness relay = new Harness(List.of(account), engine)) {
+        assertEquals(relay.post(STREAM, "served-1", "known").statusCode(), 200);
+        assertEquals(relay.post(STREAM, "key-1", "withdrawn").statusCode(), 401);
+        String refused = awaitLine("key-1", "E5015");
+        assertTrue(refused.contains("code=key_unknown"), refused);
+        assertTrue(refused.contains("version 1"), refused);
+        assertFalse(refused.contains("withdrawn"), refused);
+      }
+    }
+
+    private String awaitLine(String id, String event) {
+      long deadlineNanos = System.nanoTime() + LOG_LIMIT.toNanos();
+      while (linesOf(id, event).isEmpty() && System.nanoTime() - deadlineNanos < 0) {
+        Thread.onSpinWait();
+      }
+      List<String> found = linesOf(id, event);
+      assertFalse(found.isEmpty(), "no line " + event + " of request " + id + " in " + all());
+      return found.get(0);
+    }
+
+    private List<String> linesOf(String id, String event) {
+      return all().stream()
+          .filter(line -> line.startsWith(event) && line.contains("request=" + id))
+          .toList();
+    }
+
+    private List<String> all() {
+      return lines.list.stream().map(ILoggingEvent::getFormattedMessage).toList();
+    }
+  }
 }
