--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -161,7 +161,10 @@
     announce(nowNanos);
   }
 
-  /** Without any list of the platform since the start, the committed fleet stands in for it. */
+  /**
+   * Without any list of the platform since the start, the committed fleet stands in for it.
+   * Choosing a subset sorts the whole list, so the same list again changes nothing.
+   */
   private void takeList(@Nullable List<ListedServer> servers, long nowNanos) {
     List<ListedServer> before = listed;
     if (servers != null) {
--- a/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
@@ -154,7 +154,7 @@
     public void everyChangeIsAnnounced() {
       List<PlanChange> none = List.of();
       announcement.use(fleet());
-      List<BackendServer> first = announcement.servers(none, 0);
+      final List<BackendServer> first = announcement.servers(none, 0);
       assertTrue(marks.lost(new BackendServerId("engine-7"), 0));
       announcement.marksChanged();
       assertEquals(leaving(announcement.servers(none, 1)), 1);
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -84,14 +84,14 @@
 
   /** Guards against one message to each child for each of the many commits of a large fleet. */
   @Test
-  public void commitsOfASecondReachTheChildInFewMessages() {
+  public void commitsReachTheChildInFewMessages() {
     long[] now = {0};
     AppliedState log = new AppliedState();
     ChildFeeds feeds = feeds(() -> now[0]);
     feeds.onBundle(
         RenewalBundle.newBuilder().setInstance("child").setReplyAddress("127.0.0.1:2").build(),
         log);
-    int before = commands.size();
+    final int before = commands.size();
     for (int i = 1; i <= COMMITS; i++) {
       log.apply(i, ByteString.EMPTY);
       now[0] += SECOND_NANOS / COMMITS;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/command/SoakCommand.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/command/SoakCommand.java
@@ -71,10 +71,10 @@
       runs.add(executor.submit(() -> play(plan, seed, deadlineNanos)));
     }
     executor.shutdown();
-    return sum(runs);
+    return report(runs);
   }
 
-  private static int sum(List<Future<Integer>> runs) throws InterruptedException {
+  private static int report(List<Future<Integer>> runs) throws InterruptedException {
     int played = 0;
     int failed = 0;
     for (Future<Integer> run : runs) {
--- a/testkit/src/main/java/org/teaseltrestle/testkit/soak/FaultInjector.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/soak/FaultInjector.java
@@ -23,7 +23,11 @@
 final class FaultInjector {
 
   private static final EventLog LOG = EventLog.of(FaultInjector.class);
+
+  /** Begins like a record, with a length that the file does not hold. */
   private static final byte[] TORN_RECORD = {0, 0, 1, 7, 42, 42};
+
+  /** Each way; a hundred times the delay between failure domains of the users. */
   private static final long SLOW_MILLIS = 120;
 
   private final LocalCluster cluster;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakOperators.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakOperators.java
@@ -27,10 +27,16 @@
 final class SoakOperators implements Runnable {
 
   private static final EventLog LOG = EventLog.of(SoakOperators.class);
+
+  /** Several changes then fall into every schedule, which lasts at least ten seconds. */
   private static final long PAUSE_MILLIS = 1_500;
+
   private static final List<String> PLANNED_CHANGES = List.of("drain", "undrain", "replace");
   private static final int CHANGES_BEFORE_WITHDRAWAL = 2;
+
+  /** A key is {@code tt_}, its id of 16 characters and its secret. */
   private static final int KEY_ID_BEGIN = 3;
+
   private static final int KEY_ID_END = 19;
 
   private final Path root;
--- a/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakRun.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakRun.java
@@ -40,16 +40,26 @@
 
   private static final List<String> DOMAINS =
       List.of("caerdydd", "abertawe", "wrecsam", "aberystwyth");
+
+  /** As in the other process tests. */
   private static final int HEAP_MEGABYTES = 128;
+
+  /** Three voters bear the loss of one, five the loss of two. */
   private static final int FEW_VOTERS = 3;
+
   private static final int VOTERS = 5;
   private static final int NODES_FOR_ALL_VOTERS = 8;
+
+  /** Before any fault; many nodes start at once on one machine. */
   private static final Duration START_LIMIT = Duration.ofSeconds(60);
+
+  /** The longest answers run for seconds; the limit of the process tests. */
   private static final Duration STOP_LIMIT = Duration.ofSeconds(40);
 
   /** Design, section 3: a change is in force everywhere within 15 s. */
   private static final Duration RECOVERY = Duration.ofSeconds(15);
 
+  /** Account whose only key is withdrawn while it is in use. */
   private static final String WITHDRAWN = "garden-works";
 
   private final SoakPlan plan;
