Compare planned changes by content

The announcement took an unchanged collection of planned changes for unchanged content; the committed state's collections are immutable, the test's control keeps one list and adds to it. Change: the few changes are copied and compared; ControlView states what holds of the fleet's collection.

--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -42,7 +42,10 @@
   /** Returns the registered instances. */
   Collection<InstanceRecord> instances();
 
-  /** Returns the backend servers in the committed fleet. */
+  /**
+   * Returns the backend servers of the committed fleet; the same collection in every view until one
+   * of them changes.
+   */
   Collection<BackendServerRecord> backendServers();
 
   /** Returns the planned changes in force. */
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetAnnouncement.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetAnnouncement.java
@@ -19,7 +19,7 @@
 
   private final ServerMarks marks;
   private List<ListedServer> subset = List.of();
-  private Collection<PlanChange> plannedChanges = List.of();
+  private List<PlanChange> plannedChanges = List.of();
   private List<BackendServer> servers = List.of();
   private boolean stale = true;
 
@@ -40,9 +40,11 @@
 
   /** Returns the servers with their states, the same list until their states change. */
   List<BackendServer> servers(Collection<PlanChange> currentChanges, long nowNanos) {
-    if (stale || currentChanges != plannedChanges) {
-      List<BackendServer> current = FleetStates.of(subset, marks, currentChanges, nowNanos);
-      plannedChanges = currentChanges;
+    // Compared by content: there are few changes, and a caller may keep one growing collection.
+    List<PlanChange> changes = List.copyOf(currentChanges);
+    if (stale || !changes.equals(plannedChanges)) {
+      List<BackendServer> current = FleetStates.of(subset, marks, changes, nowNanos);
+      plannedChanges = changes;
       stale = false;
       if (!current.equals(servers)) {
         servers = List.copyOf(current);
