--- a/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakTraffic.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/soak/SoakTraffic.java
@@ -24,7 +24,7 @@
   /** Length of a slice, in seconds; also the time between two checks. */
   static final int SLICE_SECONDS = 5;
 
-  /** Loads of the co-op; only the heavy one and the quickly changing one lead to orders. */
+  /** Loads of the co-op, by seed: heavy, usual and quickly changing. */
   private static final List<String> CO_OP_LOADS = List.of("overload", "coop", "flapping");
 
   private final LocalCluster cluster;
