--- a/integration/src/test/java/org/teaseltrestle/integration/faults/SoakTest.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/SoakTest.java
@@ -16,7 +16,7 @@
   private static final int NODES = 4;
   private static final int FAULT_SECONDS = 10;
 
-  /** Returns the seeds: one of each kind of connection, and each that has ever failed. */
+  /** Returns the seeds: a first one, and each that has ever shown a broken promise. */
   @DataProvider
   public static Object[][] seeds() {
     return new Object[][] {{1L}};
