Refuse late requests before the caller port closes, and wait for their responses

A request that started between the end of the last one and the close of the service was interrupted, and the response of a refusal on the I/O thread was not waited for. These are the accepted requests that operators of similar systems saw cut off during a planned stop. Change: the order is refuse, stop listening, drain. Responses of refusals are awaited for 500 ms at most.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -52,7 +52,7 @@
   private void dispatch(HttpServerExchange exchange, String path) {
     RequestId request = callerInterface.identify(exchange);
     context.counters().requestReceived();
-    if (drain.isRefusing()) {
+    if (!drain.tryStart()) {
       refuseOnIoThread(
           exchange,
           request,
@@ -63,7 +63,6 @@
               RETRY_ELSEWHERE_DELAY));
       return;
     }
-    drain.requestStarted();
     if (!threads.execute(exchange, () -> relayTracked(exchange, request, path))) {
       drain.requestEnded();
       refuseOnIoThread(
@@ -80,6 +79,12 @@
     context.counters().requestRefused(refusal.refusalCode());
     LOG.info(
         RelayEvent.ROUTED_REFUSED, "request", request, "code", refusal.refusalCode().wireName());
+    drain.refusalStarted();
+    exchange.addExchangeCompleteListener(
+        (ended, next) -> {
+          drain.refusalEnded();
+          next.proceed();
+        });
     refusalHeaders(exchange, refusal, request);
     exchange.setPersistent(false);
     exchange.setStatusCode(callerInterface.status(refusal));
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.EventLog;
@@ -35,6 +36,9 @@
   private static final int IDLE_CONNECTION_MILLISECONDS = 60_000;
   private static final int HEADER_TIMEOUT_MILLISECONDS = 10_000;
 
+  /** Longest wait at a shutdown for callers to read the responses of refused requests. */
+  private static final long REFUSAL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final RelaySettings settings;
   private final RelayThreadPool threads;
   private final BackgroundCancellations cancellations;
@@ -145,15 +149,17 @@
     LOG.info(RelayEvent.RELAY_DRAINING);
     try {
       DrainTracker.pause(settings.shutdownDelay().toNanos());
-      stopListening();
-      if (settings.drainTimeout() != null) {
+      Duration timeout = settings.drainTimeout();
+      if (timeout != null) {
+        // Before the port closes: a request on an open connection may arrive at the same time.
         drain.refuseNew();
       }
-      Duration timeout = settings.drainTimeout();
+      stopListening();
       int remaining = drain.awaitIdle(timeout == null ? Long.MAX_VALUE : timeout.toNanos());
       if (remaining > 0) {
         LOG.warn(RelayEvent.DRAIN_BOUND_REACHED, "requests", remaining);
       }
+      drain.awaitRefusals(REFUSAL_TIMEOUT_NANOS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
