Reserve the test kit's ports across processes

Cause: a test kit chose a port some time before a node opened it. Change: a port is reserved by a lock on a file that ends with the process; a reserved port is not tried by others.

--- a/testkit/src/main/java/org/teaseltrestle/testkit/fakes/Addresses.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/fakes/Addresses.java
@@ -4,10 +4,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
@@ -18,7 +17,9 @@
   private static final int LOWEST_PORT = 12_000;
   private static final int END_PORT = 32_000;
   private static final int MAXIMUM_ATTEMPTS = 10_000;
-  private static final Set<Integer> ASSIGNED_PORTS = ConcurrentHashMap.newKeySet();
+  private static final PortReservations RESERVATIONS =
+      new PortReservations(
+          Path.of(System.getProperty("java.io.tmpdir"), "teaseltrestle-testkit-ports"));
 
   private Addresses() {}
 
@@ -37,16 +38,20 @@
   }
 
   /**
-   * Returns distinct unused loopback addresses, none of which this process has returned before.
-   * Their ports are below the ephemeral range: a port of that range may be taken by an outgoing
-   * connection before the server opens it.
+   * Returns distinct unused loopback addresses, none of which this or another running test kit has
+   * returned before. Their ports are below the ephemeral range: a port of that range may be taken
+   * by an outgoing connection before the server opens it.
    */
   public static List<String> unusedLoopback(int count) {
     List<String> addresses = new ArrayList<>();
     for (int attempt = 0; attempt < MAXIMUM_ATTEMPTS && addresses.size() < count; attempt++) {
       int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, END_PORT);
-      if (!ASSIGNED_PORTS.contains(port) && isUnused(port) && ASSIGNED_PORTS.add(port)) {
-        addresses.add("127.0.0.1:" + port);
+      if (RESERVATIONS.reserve(port)) {
+        if (isUnused(port)) {
+          addresses.add("127.0.0.1:" + port);
+        } else {
+          RESERVATIONS.release(port);
+        }
       }
     }
     if (addresses.size() < count) {
