Let duties wake when something is due, and feed usage to followers once a second

Counted by strace on one idle entry node: 1,022 system calls a second, of them 97 by the admission duty (20 ms ticks), 53 by the follower, 50 by the fleet duty, 20 by the usage duty; the compiler thread reads the container's memory files for each compiled method. Each usage batch of an entry node, one a second, woke every other entry node. Change: DutyThread takes a schedule; the duties of an entry node tick seldom while nothing waits. The committed fleet is not read while it is known to be the same. Commands about usage wait up to one second for the other followers; all others go out in 40 ms rounds as before. Usage is committed every two seconds. Tests: KernelTest, ChildFeedsTest (usage of 84 nodes; a change among it is not delayed).

--- a/control/src/main/java/org/teaseltrestle/control/usage/UsageCopies.java
+++ b/control/src/main/java/org/teaseltrestle/control/usage/UsageCopies.java
@@ -16,7 +16,7 @@
  */
 public final class UsageCopies {
 
-  // An origin commits every second; after five missed commits it is considered failed.
+  // An origin commits every two seconds; after two missed commits it is considered failed.
   private static final long TAKEOVER_NANOS = TimeUnit.SECONDS.toNanos(5);
 
   private final Map<Origin, HeldRecords> recordsByOrigin = new HashMap<>();
--- a/kernel/src/main/java/org/teaseltrestle/kernel/BoundedRing.java
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/BoundedRing.java
@@ -43,6 +43,8 @@
     if (queue.isEmpty()) {
       LockSupport.parkNanos(this, timeoutNanos);
     }
+    // Producers need not wake a consumer that is running.
+    consumer = null;
   }
 
   /** Returns the number of queued items, which may be stale. */
--- a/kernel/src/main/java/org/teaseltrestle/kernel/DutyThread.java
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/DutyThread.java
@@ -20,13 +20,26 @@
   private final BoundedRing<T> ring;
   private final Consumer<T> handler;
   private final LongConsumer tick;
-  private final long tickIntervalNanos;
+  private final TickSchedule schedule;
   private final MonotonicClock clock;
   private final Thread thread;
   private volatile boolean stopped;
 
+  /** Decides when a duty has something to do although nothing was queued. */
+  @FunctionalInterface
+  public interface TickSchedule {
+
+    /**
+     * Returns the monotonic time of the next tick, in nanoseconds. Called on the duty's thread
+     * after each batch of items and each tick, so it must be cheap.
+     *
+     * @param lastTickNanos monotonic time of the last tick
+     */
+    long nextTickNanos(long lastTickNanos);
+  }
+
   /**
-   * Creates a duty; {@link #start()} starts its thread.
+   * Creates a duty that ticks at a fixed interval; {@link #start()} starts its thread.
    *
    * @param tick called with the current monotonic time in nanoseconds
    * @param tickIntervalNanos time between two ticks, in nanoseconds
@@ -38,11 +51,32 @@
       LongConsumer tick,
       long tickIntervalNanos,
       MonotonicClock clock) {
+    this(
+        name,
+        ringCapacity,
+        handler,
+        tick,
+        (TickSchedule) lastTickNanos -> lastTickNanos + tickIntervalNanos,
+        clock);
+  }
+
+  /**
+   * Creates a duty that ticks when its schedule says; {@link #start()} starts its thread.
+   *
+   * @param tick called with the current monotonic time in nanoseconds
+   */
+  public DutyThread(
+      String name,
+      int ringCapacity,
+      Consumer<T> handler,
+      LongConsumer tick,
+      TickSchedule schedule,
+      MonotonicClock clock) {
     this.name = name;
     this.ring = new BoundedRing<>(ringCapacity);
     this.handler = handler;
     this.tick = tick;
-    this.tickIntervalNanos = tickIntervalNanos;
+    this.schedule = schedule;
     this.clock = clock;
     this.thread = new Thread(this::run, "duty-" + name);
     this.thread.setDaemon(true);
@@ -79,7 +113,8 @@
   }
 
   private void run() {
-    long nextTickNanos = clock.nowNanos();
+    long lastTickNanos = 0;
+    boolean ticked = false;
     while (!stopped) {
       for (int i = 0; i < MAXIMUM_BATCH; i++) {
         @Nullable T item = ring.poll();
@@ -89,11 +124,15 @@
         runLoggingExceptions(() -> handler.accept(item));
       }
       long now = clock.nowNanos();
-      if (now - nextTickNanos >= 0) {
-        nextTickNanos = now + tickIntervalNanos;
+      if (!ticked || now - schedule.nextTickNanos(lastTickNanos) >= 0) {
+        ticked = true;
+        lastTickNanos = now;
         runLoggingExceptions(() -> tick.accept(now));
       }
-      ring.await(Math.max(0, nextTickNanos - clock.nowNanos()));
+      long waitNanos = schedule.nextTickNanos(lastTickNanos) - clock.nowNanos();
+      if (waitNanos > 0) {
+        ring.await(waitNanos);
+      }
     }
   }
 
--- a/kernel/src/test/java/org/teaseltrestle/kernel/KernelTest.java
+++ b/kernel/src/test/java/org/teaseltrestle/kernel/KernelTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.teaseltrestle.model.TrestleException;
 import org.testng.annotations.Test;
 
@@ -75,6 +76,33 @@
     }
   }
 
+  /** Guards against a duty that misses the time that its schedule gives after an item. */
+  public static final class ScheduleTest {
+
+    @Test
+    public void itemBringsNextTickForward() throws InterruptedException {
+      AtomicLong intervalNanos = new AtomicLong(TimeUnit.HOURS.toNanos(1));
+      CountDownLatch firstTick = new CountDownLatch(1);
+      CountDownLatch secondTick = new CountDownLatch(2);
+      try (DutyThread<String> duty =
+          new DutyThread<>(
+              "test",
+              8,
+              item -> intervalNanos.set(1),
+              now -> {
+                firstTick.countDown();
+                secondTick.countDown();
+              },
+              (DutyThread.TickSchedule) last -> last + intervalNanos.get(),
+              MonotonicClock.SYSTEM)) {
+        duty.start();
+        assertTrue(firstTick.await(10, TimeUnit.SECONDS));
+        assertTrue(duty.offer("item"));
+        assertTrue(secondTick.await(10, TimeUnit.SECONDS));
+      }
+    }
+  }
+
   /** Guards against two services registered under one name. */
   public static final class ServiceRegistryTest {
 
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
@@ -64,7 +64,7 @@
           "response has no length, so a truncation could not be detected");
     }
     try {
-      return read(body.source(), buffer);
+      return readWithDeadline(body.source(), buffer);
     } catch (IOException e) {
       throw progress.failure(e);
     }
@@ -76,7 +76,7 @@
   }
 
   /** Reads with a deadline that moves only with progress, so a stalled response ends. */
-  private int read(BufferedSource source, byte[] buffer) throws IOException {
+  private int readWithDeadline(BufferedSource source, byte[] buffer) throws IOException {
     if (bytesBeforeDeadline >= MINIMUM_PROGRESS_BYTES) {
       source.timeout().deadline(timeout.toNanos(), TimeUnit.NANOSECONDS);
       bytesBeforeDeadline = 0;
--- a/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleetSource.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleetSource.java
@@ -38,6 +38,7 @@
   private List<ListedServer> platformServers = List.of();
   private Collection<BackendServerRecord> committedRecords = List.of();
   private List<ListedServer> committedServers = List.of();
+  private boolean committedWasRead;
   private long nextReadNanos;
 
   /**
@@ -54,11 +55,19 @@
     this.nextReadNanos = clock.nowNanos();
   }
 
+  @Override
+  public synchronized boolean isUnchanged() {
+    return committedWasRead
+        && grantAgeNanos(clock.nowNanos()) < GRANT_TIMEOUT_NANOS
+        && control.view().backendServers() == committedRecords;
+  }
+
   @Override
   public synchronized List<ListedServer> readFleet() {
     long now = clock.nowNanos();
-    long grantAgeNanos = now - (control.keyLeaseEndsAtNanos() - keyLeaseNanos);
-    if (grantAgeNanos < GRANT_TIMEOUT_NANOS) {
+    long grantAgeNanos = grantAgeNanos(now);
+    committedWasRead = grantAgeNanos < GRANT_TIMEOUT_NANOS;
+    if (committedWasRead) {
       platformServers = List.of();
       return committedServers();
     }
@@ -69,6 +78,10 @@
     return platformServers.isEmpty() ? committedServers() : platformServers;
   }
 
+  private long grantAgeNanos(long now) {
+    return now - (control.keyLeaseEndsAtNanos() - keyLeaseNanos);
+  }
+
   private void readPlatform(long grantAgeNanos) {
     try {
       platformServers = fleetSource.readFleet();
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -44,6 +44,7 @@
   private final ControlGateway control;
   private final MonotonicClock clock;
   private final Predicate<AdmissionEvent> admission;
+  private final FleetSource fleetSource;
   private final FleetPoller poller;
   private final DutyThread<FleetDutyInput> thread;
   private final ServerObservations observations;
@@ -78,7 +79,9 @@
     this.announcement = new FleetAnnouncement(observations);
     this.admission = admission;
     this.thread =
-        new DutyThread<>("fleet", RING_CAPACITY, this::handle, this::tick, TICK_NANOS, clock);
+        new DutyThread<>(
+            "fleet", RING_CAPACITY, this::handle, this::tick, this::nextTickNanos, clock);
+    this.fleetSource = fleetSource;
     this.poller =
         new FleetPoller(
             fleetSource, engines, services, clock, settings.pollThreads(), thread::offer);
@@ -117,10 +120,16 @@
     thread.close();
   }
 
+  /** Servers are polled at the fixed interval; without polls, only the list is due regularly. */
+  private long nextTickNanos(long lastTickNanos) {
+    return lastTickNanos
+        + (settings.polls().isEmpty() ? settings.listInterval().toNanos() : TICK_NANOS);
+  }
+
   private void tick(long nowNanos) {
     if (!listReadRunning && nowNanos - nextListNanos >= 0) {
       nextListNanos = nowNanos + settings.listInterval().toNanos();
-      listReadRunning = poller.readList();
+      listReadRunning = !fleetSource.isUnchanged() && poller.readList();
     }
     for (WatchedServer server : watched.values()) {
       poll(server, nowNanos);
--- a/node/src/main/java/org/teaseltrestle/node/port/FleetSource.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/FleetSource.java
@@ -12,4 +12,9 @@
    * @throws org.teaseltrestle.model.TrestleException if the platform returns none
    */
   List<ListedServer> readFleet();
+
+  /** Returns whether it is known without a call that the list is the same as at the last read. */
+  default boolean isUnchanged() {
+    return false;
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -24,7 +24,12 @@
 public final class AdmissionDuty implements AutoCloseable {
 
   private static final int RING_CAPACITY = 8_192;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Accuracy with which the deadlines of waiting requests are observed. */
+  private static final long WAITING_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Time within which a change of lists or keys is noticed while no request waits. */
+  private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private static final long OFFER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long OFFER_RETRY_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
@@ -49,7 +54,8 @@
     this.clock = clock;
     this.counters = new RelayCounters(metrics);
     this.thread =
-        new DutyThread<>("admission", RING_CAPACITY, this::handle, this::tick, TICK_NANOS, clock);
+        new DutyThread<>(
+            "admission", RING_CAPACITY, this::handle, this::tick, this::nextTickNanos, clock);
   }
 
   /** Starts the thread. */
@@ -90,6 +96,19 @@
     mailboxes.remove(mailbox.request());
   }
 
+  private long nextTickNanos(long lastTickNanos) {
+    return lastTickNanos + (hasWaitingRequest() ? WAITING_TICK_NANOS : IDLE_TICK_NANOS);
+  }
+
+  private boolean hasWaitingRequest() {
+    for (RequestMailbox mailbox : mailboxes.values()) {
+      if (!mailbox.isAttemptRunning()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private void handle(AdmissionEvent event) {
     for (AdmissionAction action : decisions.handle(event, clock.nowNanos())) {
       perform(action);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestMailbox.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestMailbox.java
@@ -101,6 +101,11 @@
     }
   }
 
+  /** Returns whether an attempt is running, so that no decision is awaited. */
+  synchronized boolean isAttemptRunning() {
+    return runningHandle != null;
+  }
+
   /** Clears the running attempt. */
   synchronized void attemptEnded() {
     runningHandle = null;
--- a/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
@@ -28,6 +28,7 @@
   private final Deque<LoggedCommand> recentCommands = new ArrayDeque<>();
   private ControlState state = new ControlState();
   private long appliedIndex;
+  private long lastPromptIndex;
   private long recentBytes;
   private byte @Nullable [] snapshot;
   private volatile ControlView view = state.view();
@@ -40,6 +41,11 @@
     return appliedIndex;
   }
 
+  /** Returns the index of the last entry that changes more than usage figures. */
+  long lastPromptIndex() {
+    return lastPromptIndex;
+  }
+
   /**
    * Applies the log entry after the last applied one.
    *
@@ -53,12 +59,18 @@
           "log entry " + index + " does not follow the last applied entry " + appliedIndex);
     }
     CommandAnswer answer = CommandAnswer.getDefaultInstance();
+    boolean onlyUsage = false;
     if (command.isEmpty()) {
       state.skipEntry(index);
     } else {
-      answer = state.apply(index, decode(index, command));
+      Command decoded = decode(index, command);
+      answer = state.apply(index, decoded);
+      onlyUsage = concernsUsage(decoded);
     }
     appliedIndex = index;
+    if (!onlyUsage) {
+      lastPromptIndex = index;
+    }
     snapshot = null;
     retain(LoggedCommand.newBuilder().setIndex(index).setCommand(command).build());
     return answer;
@@ -71,6 +83,7 @@
     }
     state = ControlState.restore(encoded);
     appliedIndex = index;
+    lastPromptIndex = index;
     snapshot = encoded;
     recentCommands.clear();
     recentBytes = 0;
@@ -126,6 +139,13 @@
     }
   }
 
+  private static boolean concernsUsage(Command command) {
+    return switch (command.getChangeCase()) {
+      case USAGE_BATCH, CLOSE_USAGE_WINDOW, USAGE_REPORTED -> true;
+      default -> false;
+    };
+  }
+
   private static Command decode(long index, ByteString command) {
     try {
       return Command.parseFrom(command);
--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -33,11 +33,15 @@
   private static final int MAXIMUM_BATCH_BYTES = 1024 * 1024;
   private static final int MAXIMUM_CHILDREN = 256;
 
+  /** Minimum time between two batches of commands to the children. */
+  private static final long MINIMUM_FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+
   /**
-   * Minimum time between two batches of commands to the children. Each entry node commits usage
-   * every second; sent one by one, the commits of 84 nodes would be 84 messages a second per child.
+   * Time for which commands about usage may wait. All entry nodes commit usage all the time, and
+   * each batch wakes every child, so prompt feeds would cost in proportion to the square of their
+   * number.
    */
-  private static final long MINIMUM_FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+  private static final long USAGE_FEED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final PeerTransport transport;
   private final PeerAddresses addresses;
@@ -48,7 +52,7 @@
   private final Map<String, String> childOfInstance = new HashMap<>();
   private ServingLists lists = ServingLists.EMPTY;
   private long lastFedIndex;
-  private long nextFeedNanos;
+  private long lastFeedNanos;
 
   private static final class Child {
     InetSocketAddress address;
@@ -72,7 +76,7 @@
     this.transport = transport;
     this.addresses = addresses;
     this.clock = clock;
-    this.nextFeedNanos = clock.nowNanos();
+    this.lastFeedNanos = clock.nowNanos();
   }
 
   /**
@@ -109,20 +113,28 @@
 
   /**
    * Sends the children the commands they lack and removes children that timed out. Commands that
-   * are applied within the minimum interval wait for a later call, so each tick calls this too.
+   * are applied within the interval wait for a later call, so each tick calls this too.
    */
   void feed(AppliedState state) {
     long now = clock.nowNanos();
-    if (state.appliedIndex() == lastFedIndex || now - nextFeedNanos < 0) {
+    long interval =
+        state.lastPromptIndex() > lastFedIndex
+            ? MINIMUM_FEED_INTERVAL_NANOS
+            : USAGE_FEED_INTERVAL_NANOS;
+    if (state.appliedIndex() == lastFedIndex || now - lastFeedNanos < interval) {
       return;
     }
     lastFedIndex = state.appliedIndex();
-    nextFeedNanos = now + MINIMUM_FEED_INTERVAL_NANOS;
+    lastFeedNanos = now;
     children.values().removeIf(child -> now - child.lastMessageNanos > CHILD_TIMEOUT_NANOS);
     childOfInstance.values().removeIf(child -> !children.containsKey(child));
     children.values().forEach(child -> feedChild(child, state));
   }
 
+  boolean hasChildren() {
+    return !children.isEmpty();
+  }
+
   boolean hasRenewals() {
     return !renewals.isEmpty();
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -25,7 +25,11 @@
 
   private static final EventLog LOG = EventLog.of(FollowService.class);
   private static final int RING_CAPACITY = 1_024;
-  private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+  private static final long BUSY_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+  /** Accuracy with which the timeouts of the parent are observed. */
+  private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private static final long CANDIDATES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final ControlPlaneSettings settings;
@@ -69,7 +73,12 @@
             now);
     this.duty =
         new DutyThread<>(
-            "follow", RING_CAPACITY, Runnable::run, this::tick, TICK_NANOS, context.clock());
+            "follow",
+            RING_CAPACITY,
+            Runnable::run,
+            this::tick,
+            this::nextTickNanos,
+            context.clock());
     this.inbox = new DutyInbox(duty::offer);
     this.readiness = new Readiness(leader, inbox::offer);
   }
@@ -126,6 +135,13 @@
     leaderCalls.close();
   }
 
+  private long nextTickNanos(long lastTickNanos) {
+    boolean busy = !readiness.isReady() || children.hasChildren();
+    long regular = lastTickNanos + (busy ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
+    long renewal = leaseRenewer.nextOwnRenewalNanos();
+    return renewal - regular < 0 ? renewal : regular;
+  }
+
   private void tick(long nowNanos) {
     updateCandidatesIfDue(nowNanos);
     if (parentSelector.update(nowNanos)) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -58,6 +58,11 @@
     return ownDue || (children.hasRenewals() && nowNanos - nextChildRenewalsNanos >= 0);
   }
 
+  /** Returns the monotonic time at which this node's own renewal is due, in nanoseconds. */
+  long nextOwnRenewalNanos() {
+    return nextOwnRenewalNanos;
+  }
+
   /** Makes this node's next renewal due immediately. */
   void makeDueNow(long nowNanos) {
     nextOwnRenewalNanos = nowNanos;
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -48,9 +48,10 @@
   private static final int RING_CAPACITY = 8_192;
   private static final int COPY_KIND = 1;
   private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long IDLE_TICK_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long COPY_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
   private static final long FAILED_PARTNER_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final long COMMIT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+  private static final long COMMIT_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
   private static final long RELEASE_TIMEOUT_MILLISECONDS = 250;
   private static final long FLUSH_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -102,7 +103,9 @@
     this.partners = new PartnerSelector(instance, failureDomain);
     this.journal = new UsageJournal(instance.value(), boot);
     this.nextCommitNanos = clock.nowNanos();
-    this.duty = new DutyThread<>(NAME, RING_CAPACITY, Runnable::run, this::tick, TICK_NANOS, clock);
+    this.duty =
+        new DutyThread<>(
+            NAME, RING_CAPACITY, Runnable::run, this::tick, this::nextTickNanos, clock);
   }
 
   /** Starts the duty and begins to accept copies from other instances. */
@@ -139,6 +142,8 @@
   @Override
   public void close() {
     flushing = true;
+    // Wakes the duty, which now ticks at once; a full ring means that it is awake.
+    boolean unused = duty.offer(() -> {});
     try {
       flushed.get(FLUSH_TIMEOUT_NANOS, TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
@@ -163,6 +168,11 @@
     copyToPartner();
   }
 
+  private long nextTickNanos(long lastTickNanos) {
+    boolean idle = !flushing && journal.isEmpty() && copies.isEmpty();
+    return lastTickNanos + (idle ? IDLE_TICK_NANOS : TICK_NANOS);
+  }
+
   private void tick(long nowNanos) {
     copyToPartner();
     if (flushing && journal.isEmpty()) {
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -27,6 +27,7 @@
 import org.teaseltrestle.wire.LoggedCommand;
 import org.teaseltrestle.wire.RenewalBundle;
 import org.teaseltrestle.wire.ReplaceLists;
+import org.teaseltrestle.wire.UsageBatch;
 import org.testng.annotations.Test;
 
 /** Tests of what a parent sends to its children. */
@@ -109,6 +110,45 @@
     assertEquals(indexes, LongStream.rangeClosed(1, COMMITS_PER_SECOND).boxed().toList());
   }
 
+  /**
+   * Guards against usage of a hundred entry nodes that wakes each of them with every batch, and
+   * against a change of configuration that waits as long as usage may.
+   */
+  @Test
+  public void usageWaitsAndOtherChangesDoNot() {
+    long[] now = {0};
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> now[0]);
+    feeds.onBundle(
+        RenewalBundle.newBuilder().setInstance("child").setReplyAddress("127.0.0.1:2").build(),
+        log);
+    final int before = sentCommands.size();
+    for (int i = 1; i <= COMMITS_PER_SECOND; i++) {
+      log.apply(i, usageBatch(i));
+      now[0] += SECOND_NANOS / COMMITS_PER_SECOND;
+      feeds.feed(log);
+    }
+    int usageMessages = sentCommands.size() - before;
+    assertTrue(usageMessages <= 1, usageMessages + " messages");
+    log.apply(COMMITS_PER_SECOND + 1, ByteString.EMPTY);
+    now[0] += MAXIMUM_FEED_DELAY_NANOS;
+    feeds.feed(log);
+    List<LoggedCommand> last = sentCommands.get(sentCommands.size() - 1).getCommandsList();
+    assertEquals(last.get(last.size() - 1).getIndex(), COMMITS_PER_SECOND + 1);
+  }
+
+  private static ByteString usageBatch(int number) {
+    return Command.newBuilder()
+        .setUsageBatch(
+            UsageBatch.newBuilder()
+                .setInstance("entry-" + number)
+                .setBoot(1)
+                .setFirstSequence(1)
+                .setLastSequence(1))
+        .build()
+        .toByteString();
+  }
+
   private ChildFeeds feeds(MonotonicClock clock) {
     ControlPlaneSettings settings =
         new ControlPlaneSettings(
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -42,7 +42,7 @@
    */
   private static final int PROBE_INTERVAL_MILLISECONDS = 500;
 
-  private static final int EXPIRY_INTERVAL_MILLISECONDS = 100;
+  private static final int EXPIRY_INTERVAL_MILLISECONDS = 250;
 
   private final TransportConfiguration configuration;
   private final MonotonicClock clock;
