Send platform orders with the fencing number of the own authority

Cause: an order call checked the own authority and then read the fencing number from the committed state. If the process was suspended in between and learned its successor's claim, it sent the order with the successor's number, which the platform accepts: both processes acted under one number around a hand-over. Change: the order carries the number of the authority that was checked. A usage report is sent only if its number is that of the valid authority.

--- a/node/src/main/java/org/teaseltrestle/node/orders/ControlPlaneAuthority.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/ControlPlaneAuthority.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.orders;
 
+import java.util.Optional;
 import org.teaseltrestle.control.leader.ExternalActionAuthority;
 import org.teaseltrestle.node.replica.Authority;
 import org.teaseltrestle.node.replica.ControlPlane;
@@ -15,7 +16,15 @@
 
   @Override
   public boolean mayAct(long nowNanos) {
-    return control.authority().filter(authority -> authority.isValid(nowNanos)).isPresent();
+    return valid(nowNanos).isPresent();
+  }
+
+  /**
+   * Returns the authority under which a call may be sent now. The call must carry its fencing
+   * number: by the time of the send, the committed state may show that of a successor.
+   */
+  Optional<Authority> valid(long nowNanos) {
+    return control.authority().filter(authority -> authority.isValid(nowNanos));
   }
 
   /** Returns whether this process holds an authority lease; it may not be allowed to act yet. */
--- a/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/orders/OrdersDuty.java
@@ -173,12 +173,14 @@
     submitCall(
         order.getOrderId(),
         () ->
-            authority.mayAct(clock.nowNanos())
-                ? clients
-                    .platformOrders()
-                    .send(order, control.view().authority().getFencingNumber())
-                : new OrderResponse(
-                    OrderResponse.Kind.NOT_SENT, "this process may no longer send the order"));
+            authority
+                .valid(clock.nowNanos())
+                .map(own -> clients.platformOrders().send(order, own.fencingNumber()))
+                .orElseGet(
+                    () ->
+                        new OrderResponse(
+                            OrderResponse.Kind.NOT_SENT,
+                            "this process may no longer send the order")));
   }
 
   private boolean maySend(EngineOrder order) {
@@ -216,7 +218,12 @@
     callExecutor.execute(
         () -> {
           boolean accepted = false;
-          if (authority.mayAct(clock.nowNanos())) {
+          boolean isOwnNumber =
+              authority
+                  .valid(clock.nowNanos())
+                  .filter(own -> own.fencingNumber() == fencingNumber)
+                  .isPresent();
+          if (isOwnNumber) {
             OrderResponse response = clients.platformUsage().report(window, fencingNumber);
             accepted = response.kind() == OrderResponse.Kind.ACCEPTED;
             LOG.info(
--- a/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
@@ -5,6 +5,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlState;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.node.replica.Authority;
@@ -28,21 +30,32 @@
 
   private final ControlState state = new ControlState();
   private volatile boolean hasAuthority = true;
+  private final AtomicReference<@Nullable String> successor = new AtomicReference<>();
   private volatile ControlView view = state.view();
   private long index;
 
+  /** Fencing number of this process's own authority. */
+  final long ownFencingNumber;
+
   FakeControlPlane() {
-    apply(
-        Command.newBuilder()
-            .setClaimAuthority(
-                ClaimAuthority.newBuilder().setTerm(TERM).setInstance("entry-1").setBoot(1))
-            .build());
+    ownFencingNumber =
+        apply(
+                Command.newBuilder()
+                    .setClaimAuthority(
+                        ClaimAuthority.newBuilder().setTerm(TERM).setInstance("entry-1").setBoot(1))
+                    .build())
+            .getFencingNumber();
   }
 
   void setAuthority(boolean value) {
     hasAuthority = value;
   }
 
+  /** Lets another instance claim the authority when an order call next checks the own one. */
+  void succeedDuringNextCheckBy(String instance) {
+    successor.set(instance);
+  }
+
   synchronized CommandAnswer apply(Command command) {
     CommandAnswer answer = state.apply(++index, command);
     view = state.view();
@@ -69,10 +82,22 @@
   @Override
   public Optional<Authority> authority() {
     authorityReads.incrementAndGet();
+    String claiming =
+        Thread.currentThread().getName().equals("order-calls") ? successor.getAndSet(null) : null;
+    if (claiming != null) {
+      apply(
+          Command.newBuilder()
+              .setClaimAuthority(
+                  ClaimAuthority.newBuilder().setTerm(TERM + 1).setInstance(claiming).setBoot(1))
+              .build());
+    }
     return hasAuthority
         ? Optional.of(
             new Authority(
-                TERM, 1, System.nanoTime() - SECOND_NANOS, System.nanoTime() + SECOND_NANOS))
+                TERM,
+                ownFencingNumber,
+                System.nanoTime() - SECOND_NANOS,
+                System.nanoTime() + SECOND_NANOS))
         : Optional.empty();
   }
 
--- a/node/src/test/java/org/teaseltrestle/node/orders/OrdersDutyTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/OrdersDutyTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
@@ -60,11 +61,19 @@
       List<PlatformOrder> sent,
       List<UsageWindow> reports,
       OrderResponse firstReportAnswer) {
+    return start(plane, (order, fencingNumber) -> sent.add(order), reports, firstReportAnswer);
+  }
+
+  private static OrdersDuty start(
+      FakeControlPlane plane,
+      BiConsumer<PlatformOrder, Long> sent,
+      List<UsageWindow> reports,
+      OrderResponse firstReportAnswer) {
     ExternalClients clients =
         new ExternalClients(
             (address, order) -> ACCEPTED,
-            (order, authority) -> {
-              sent.add(order);
+            (order, fencingNumber) -> {
+              sent.accept(order, fencingNumber);
               return ACCEPTED;
             },
             (window, fencingNumber) -> {
@@ -153,6 +162,25 @@
     }
   }
 
+  /**
+   * Guards against an order that a process sends with the fencing number of its successor, which
+   * became known between the check of the own authority and the send. Such an order is not refused,
+   * so both processes act under one number.
+   */
+  @Test
+  public void orderCarriesFencingNumberOfOwnAuthority() {
+    FakeControlPlane plane = new FakeControlPlane();
+    List<Long> numbers = Collections.synchronizedList(new ArrayList<>());
+    try (OrdersDuty duty =
+        start(plane, (order, number) -> numbers.add(number), new ArrayList<>(), ACCEPTED)) {
+      plane.succeedDuringNextCheckBy("entry-2");
+      plane.apply(order("first"));
+      await(() -> numbers.size() == 1);
+    }
+    assertEquals(plane.view().authority().getInstance(), "entry-2");
+    assertEquals(numbers, List.of(plane.ownFencingNumber));
+  }
+
   /**
    * Guards against a usage window that is reported again with other figures after a lost response.
    */
