Slow down repeated calls to the leader, and probe from one side of a connection

Before an election each node repeated its calls every 50 ms, so the three seeds woke 27,000 times before traffic; both sides of each connection sent probes. Change: the delay between attempts doubles from 50 to 400 ms. The accepting side probes after one second, so a connection whose connecting side lives is probed from that side only. One network thread on instances of one core. Test: LeaderCallsTest.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,7 +23,12 @@
 final class LeaderCalls {
 
   private static final long ATTEMPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-  private static final int RETRY_DELAY_MILLISECONDS = 50;
+  private static final int SHORTEST_RETRY_DELAY_MILLISECONDS = 50;
+
+  /** Without a limit on the rate, the calls of a hundred instances delay the election itself. */
+  private static final int LONGEST_RETRY_DELAY_MILLISECONDS = 400;
+
+  private static final int MAXIMUM_DOUBLINGS = 3;
 
   private final PeerTransport transport;
   private final PeerAddresses addresses;
@@ -32,8 +36,6 @@
   private final InstanceId self;
   private final @Nullable LeaderRequestHandler localHandler;
   private final AtomicInteger nextVoter = new AtomicInteger();
-  private final Executor retryExecutor =
-      CompletableFuture.delayedExecutor(RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
   private volatile @Nullable String leader;
   private volatile boolean closed;
 
@@ -41,6 +43,7 @@
       LeaderRequest request,
       byte[] body,
       long deadlineNanos,
+      AtomicInteger failures,
       CompletableFuture<LeaderAnswer> result) {}
 
   /**
@@ -67,7 +70,8 @@
    * once this client is closed.
    */
   CompletableFuture<LeaderAnswer> call(LeaderRequest request, byte[] body, long deadlineNanos) {
-    Call call = new Call(request, body, deadlineNanos, new CompletableFuture<>());
+    Call call =
+        new Call(request, body, deadlineNanos, new AtomicInteger(), new CompletableFuture<>());
     attempt(call);
     return call.result();
   }
@@ -127,7 +131,7 @@
           retry(call);
         } else {
           leader = answer.getLeader();
-          retryExecutor.execute(() -> attempt(call));
+          attemptAfter(call, SHORTEST_RETRY_DELAY_MILLISECONDS);
         }
       }
       default -> retry(call);
@@ -142,7 +146,19 @@
   private void retry(Call call) {
     leader = null;
     nextVoter.incrementAndGet();
-    retryExecutor.execute(() -> attempt(call));
+    attemptAfter(call, retryDelayMilliseconds(call.failures().getAndIncrement()));
+  }
+
+  private void attemptAfter(Call call, int delayMilliseconds) {
+    CompletableFuture.delayedExecutor(delayMilliseconds, TimeUnit.MILLISECONDS)
+        .execute(() -> attempt(call));
+  }
+
+  /** Returns the delay before the next attempt of a call that has failed this often before. */
+  static int retryDelayMilliseconds(int earlierFailures) {
+    int doublings = Math.min(MAXIMUM_DOUBLINGS, earlierFailures);
+    return Math.min(
+        LONGEST_RETRY_DELAY_MILLISECONDS, SHORTEST_RETRY_DELAY_MILLISECONDS << doublings);
   }
 
   private String target() {
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -33,15 +33,18 @@
 
   private static final EventLog LOG = EventLog.of(NettyPeerTransport.class);
   private static final int LENGTH_PREFIX_BYTES = 4;
-  private static final int NETWORK_THREADS = 2;
+  private static final int MAXIMUM_NETWORK_THREADS = 2;
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
 
   /**
-   * Read idle time after which a keepalive probe is sent. With hundreds of idle connections, the
-   * probes of a shorter interval add up.
+   * Read idle time after which the connecting side sends a keepalive probe. With hundreds of idle
+   * connections, the probes of a shorter interval add up.
    */
   private static final int PROBE_INTERVAL_MILLISECONDS = 500;
 
+  /** Longer on the accepting side, which hears the probes of a connecting side that lives. */
+  private static final int ACCEPTED_PROBE_INTERVAL_MILLISECONDS = 1_000;
+
   private static final int EXPIRY_INTERVAL_MILLISECONDS = 250;
 
   private final TransportConfiguration configuration;
@@ -51,7 +54,9 @@
   private final Map<InetSocketAddress, PeerConnection> connections = new ConcurrentHashMap<>();
   private final Map<InetSocketAddress, PendingCalls> pendingCalls = new ConcurrentHashMap<>();
   private final EventLoopGroup group =
-      new NioEventLoopGroup(NETWORK_THREADS, new DefaultThreadFactory("duty-transport", true));
+      new NioEventLoopGroup(
+          Math.min(MAXIMUM_NETWORK_THREADS, Runtime.getRuntime().availableProcessors()),
+          new DefaultThreadFactory("duty-transport", true));
   private final @Nullable SslContext serverTls;
   private final @Nullable SslContext clientTls;
   private final Channel listener;
@@ -120,7 +125,9 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(channelInitializer(serverTls, new PendingCalls()));
+            .childHandler(
+                channelInitializer(
+                    serverTls, new PendingCalls(), ACCEPTED_PROBE_INTERVAL_MILLISECONDS));
     try {
       return bootstrap.bind(configuration.listenAddress()).syncUninterruptibly().channel();
     } catch (RuntimeException e) {
@@ -156,11 +163,11 @@
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             new WriteBufferWaterMark(
                 configuration.maximumPendingBytes() / 2, configuration.maximumPendingBytes()))
-        .handler(channelInitializer(clientTls, pendingCallsOf(peer)));
+        .handler(channelInitializer(clientTls, pendingCallsOf(peer), PROBE_INTERVAL_MILLISECONDS));
   }
 
   private ChannelInitializer<SocketChannel> channelInitializer(
-      @Nullable SslContext tls, PendingCalls calls) {
+      @Nullable SslContext tls, PendingCalls calls, int probeIntervalMilliseconds) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
@@ -170,7 +177,7 @@
         channel
             .pipeline()
             .addLast(
-                new IdleStateHandler(PROBE_INTERVAL_MILLISECONDS, 0, 0, TimeUnit.MILLISECONDS),
+                new IdleStateHandler(probeIntervalMilliseconds, 0, 0, TimeUnit.MILLISECONDS),
                 new LengthFieldBasedFrameDecoder(
                     configuration.maximumFrameBytes(),
                     0,
