--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -117,7 +117,7 @@
   @Override
   public void record(RequestUsage usage) {
     CompletableFuture<Void> released = new CompletableFuture<>();
-    while (!duty.offer(() -> append(usage, released))) {
+    while (!duty.offer(() -> appendAndCopy(usage, released))) {
       Thread.onSpinWait();
     }
     try {
@@ -154,6 +154,12 @@
     duty.close();
   }
 
+  private void appendAndCopy(RequestUsage usage, CompletableFuture<Void> released) {
+    append(usage, released);
+    copyToPartner();
+  }
+
+  /** Appends a record; unless a caller waits for its copy, the next tick copies it. */
   private void append(RequestUsage usage, CompletableFuture<Void> released) {
     long sequence =
         journal.append(
@@ -165,7 +171,6 @@
                 .setWindow(usage.completedAtMillis() / windowMillis)
                 .build());
     pendingReleases.add(new PendingRelease(sequence, released));
-    copyToPartner();
   }
 
   private long nextTickNanos(long lastTickNanos) {
