--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerAuthenticator.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerAuthenticator.java
@@ -14,6 +14,7 @@
 
   private final ControlGateway control;
   private final MonotonicClock clock;
+  private volatile boolean keyLeaseReceived;
 
   CallerAuthenticator(ControlGateway control, MonotonicClock clock) {
     this.control = control;
@@ -84,6 +85,17 @@
     throw new RefusalException(RefusalCode.KEY_UNKNOWN, "the key is not known");
   }
 
+  /**
+   * Returns whether this instance has had a key lease since its start; before the first one it
+   * would refuse all keys.
+   */
+  boolean hasReceivedKeyLease() {
+    if (!keyLeaseReceived && !isKeyLeaseExpired()) {
+      keyLeaseReceived = true;
+    }
+    return keyLeaseReceived;
+  }
+
   private boolean isKeyLeaseExpired() {
     return control.keyLeaseEndsAtNanos() - clock.nowNanos() <= 0;
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
@@ -100,7 +100,10 @@
   }
 
   private void ready(HttpServerExchange exchange) {
-    boolean ready = context.control().isReady() && !drain.isDraining();
+    boolean ready =
+        context.control().isReady()
+            && context.authenticator().hasReceivedKeyLease()
+            && !drain.isDraining();
     page(exchange, ready ? 200 : 503, InfoPages.health(ready ? "ready" : "not_ready"));
   }
 
--- a/node/src/test/java/org/teaseltrestle/node/relay/CallerPortTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/CallerPortTest.java
@@ -209,6 +209,24 @@
     }
   }
 
+  /** Readiness after a start. */
+  public static final class ReadinessPage {
+
+    /**
+     * Guards against a restarted instance that reports itself ready before its first key lease, and
+     * refuses the requests that the load balancer then sends.
+     */
+    @Test
+    public void notReadyBeforeTheFirstKeyLease() {
+      try (RelayHarness relay = new RelayHarness()) {
+        relay.control.leaseEndsAtNanos = System.nanoTime() - 1;
+        assertEquals(relay.send(relay.request("/health/ready")).statusCode(), 503);
+        relay.control.leaseEndsAtNanos = System.nanoTime() + TimeUnit.HOURS.toNanos(1);
+        assertEquals(relay.send(relay.request("/health/ready")).statusCode(), 200);
+      }
+    }
+  }
+
   /** Graceful shutdown. */
   public static final class Shutdown {
 
