Let another failure domain cost a part of the shared prefix's prefill time

Cause: entry nodes left their domain for a difference of 8 ms in cost. Request bodies and KV caches then crossed domains, and each domain that was used prefilled the shared prefixes. Change: the cost of another domain is 8 ms and a tenth of the time in which the engine would prefill the shared prefix, so it follows the speed of the engines. Test: PromptLoadTest.UnevenDomains, which also holds the choice on engines four times as fast.

--- a/policy/src/main/java/org/teaseltrestle/policy/CostModel.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CostModel.java
@@ -39,6 +39,12 @@
    */
   private static final double PREEMPTIBLE_NANOS = -5e6;
 
+  /**
+   * Part of the prefill time of a shared prefix that a server of another failure domain costs in
+   * addition: each domain that is used prefills the prefix once.
+   */
+  private static final double SHARED_PREFIX_FRACTION = 0.1;
+
   private final @Nullable FailureDomain ownDomain;
   private final double crossDomainNanos;
 
@@ -66,7 +72,17 @@
     if (server.server.capacity() == BackendServer.Capacity.CHEAP) {
       cost += PREEMPTIBLE_NANOS;
     }
-    return isOwnDomain(server) ? cost : cost + crossDomainNanos;
+    int sharedTokens = request.work.options().sharedPrefixTokens();
+    return cost + crossDomainNanos(server, server.speed.prefillNanos(sharedTokens));
+  }
+
+  /**
+   * Returns the cost of using a server of another failure domain; 0 in the own one.
+   *
+   * @param sharedPrefillNanos time in which the server would prefill the request's shared prefix
+   */
+  double crossDomainNanos(ServerState server, double sharedPrefillNanos) {
+    return isOwnDomain(server) ? 0 : crossDomainNanos + SHARED_PREFIX_FRACTION * sharedPrefillNanos;
   }
 
   /** Returns the estimated time to the first token, or to the response of a service call. */
--- a/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
@@ -101,10 +101,10 @@
             + server.contention.delayNanos(nowNanos)
             + SECOND_CALL_NANOS
             + TRANSFER_NANOS_PER_TOKEN * request.promptTokens();
+    double sharedPrefillNanos =
+        server.contention.prefillNanos(request.work.options().sharedPrefixTokens());
     return new RemotePrefill(
-        server,
-        tokens,
-        costs.isOwnDomain(server) ? nanos : nanos + configuration.crossDomainCostNanos());
+        server, tokens, nanos + costs.crossDomainNanos(server, sharedPrefillNanos));
   }
 
   /**
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.policy.AdmissionCoreTest.Harness;
 import org.teaseltrestle.policy.WorkRequest.Repeatability;
@@ -117,6 +118,83 @@
     }
   }
 
+  /** Callers of one failure domain send prompts with shared prefixes; another domain is idle. */
+  public static final class UnevenDomains {
+
+    private static final int REQUESTS = 20;
+
+    /** Three quarters; some leave, since the choice is random between similar costs. */
+    private static final int MINIMUM_KEPT = 15;
+
+    private static final double TOKENS_PER_SECOND = 64_000;
+
+    private static void report(Harness harness, String server, int running) {
+      harness.send(
+          new AdmissionEvent.LoadReported(
+              new LoadReport(
+                  new BackendServerId(server),
+                  harness.now,
+                  running,
+                  0,
+                  0,
+                  0,
+                  0,
+                  0,
+                  EngineRole.MIXED)));
+    }
+
+    /** Sends prompts that no engine is known to hold and counts those that stay in the domain. */
+    private static int sentToOwnDomain(int runningInOwnDomain, double tokensPerSecond) {
+      Harness harness =
+          new Harness(
+              configuration()
+                  .ownFailureDomain(new FailureDomain("a"))
+                  .crossDomainCostNanos(8 * Samples.MILLISECOND)
+                  .initialPrefillTokensPerSecond(tokensPerSecond)
+                  .build(),
+              List.of(Samples.engine("own", "a"), Samples.engine("other", "b")),
+              Samples.highLimits("north", 1, 0));
+      int own = 0;
+      for (int i = 0; i < REQUESTS; i++) {
+        report(harness, "own", runningInOwnDomain);
+        report(harness, "other", 0);
+        AdmissionAction.Dispatch dispatch =
+            Harness.dispatch(harness.arrive(prompt(harness, i, 0, Repeatability.IDEMPOTENT)));
+        own += dispatch.server().value().equals("own") ? 1 : 0;
+        long prefillNanos =
+            (long) ((SHARED_TOKENS + OWN_TOKENS) / tokensPerSecond * Samples.SECOND);
+        harness.finish(dispatch, new AttemptOutcome(null, 100, prefillNanos));
+      }
+      return own;
+    }
+
+    /**
+     * Guards against requests that leave their domain for a small difference in load: their bodies
+     * and KV caches then cross domains, and shared prefixes are prefilled in each.
+     */
+    @Test
+    public void fewRunningResponsesKeepRequestsInTheirDomain() {
+      assertTrue(sentToOwnDomain(4, TOKENS_PER_SECOND) >= MINIMUM_KEPT);
+    }
+
+    /** Guards against a domain whose callers wait while another domain is idle. */
+    @Test
+    public void busyDomainSendsRequestsToTheOther() {
+      assertEquals(sentToOwnDomain(60, TOKENS_PER_SECOND), 0);
+    }
+
+    /**
+     * Guards against a cost in milliseconds that fits the engines of one deployment: on engines
+     * four times as fast the same load is worth leaving the domain.
+     */
+    @Test
+    public void fastEnginesAreWorthLeavingForEarlier() {
+      int slow = sentToOwnDomain(12, TOKENS_PER_SECOND);
+      int fast = sentToOwnDomain(12, 4 * TOKENS_PER_SECOND);
+      assertTrue(fast < slow, fast + " of fast engines, " + slow + " of slow ones");
+    }
+  }
+
   /** Long prompts arrive during the decode of other responses. */
   public static final class LongPromptsDuringDecode {
 
