--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
@@ -25,7 +25,7 @@
   private final Response response;
   private final AttemptProgress progress;
   private final Duration timeout;
-  private int bytesBeforeDeadline = MINIMUM_PROGRESS_BYTES;
+  private int bytesSinceDeadlineSet = MINIMUM_PROGRESS_BYTES;
 
   HttpServiceResponse(Response response, AttemptProgress progress, Duration timeout) {
     this.response = response;
@@ -77,12 +77,12 @@
 
   /** Reads with a deadline that moves only with progress, so a stalled response ends. */
   private int readWithDeadline(BufferedSource source, byte[] buffer) throws IOException {
-    if (bytesBeforeDeadline >= MINIMUM_PROGRESS_BYTES) {
+    if (bytesSinceDeadlineSet >= MINIMUM_PROGRESS_BYTES) {
       source.timeout().deadline(timeout.toNanos(), TimeUnit.NANOSECONDS);
-      bytesBeforeDeadline = 0;
+      bytesSinceDeadlineSet = 0;
     }
     int count = source.read(buffer);
-    bytesBeforeDeadline += Math.max(0, count);
+    bytesSinceDeadlineSet += Math.max(0, count);
     progress.bodyDelivered();
     return count;
   }
