Feed usage to followers every 200 ms, so that a missed change is noticed

By the code, a follower that misses a message notices it by the next one; since usage waited up to three seconds, that could take two renewals. Change: commands about usage go out every 200 ms in place of with the renewal.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -37,11 +37,11 @@
   private static final long MINIMUM_FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
   /**
-   * Time for which commands about usage may wait for a feed; the response to a child's renewal,
-   * each second, carries them earlier. All entry nodes commit usage all the time, so prompt feeds
-   * would cost in proportion to the square of their number.
+   * Time for which commands about usage may wait. All entry nodes commit usage all the time, so
+   * prompt feeds would cost in proportion to the square of their number. Not longer, since a child
+   * notices by the next feed that it has missed one.
    */
-  private static final long USAGE_FEED_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(3);
+  private static final long USAGE_FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   private final PeerTransport transport;
   private final PeerAddresses addresses;
