Leave a silent parent at its timeout, not at the next tick

Change: the follower's next tick is at the timeout of the parent or of the news of a leader. Test: ControlPlaneTest (a node changes its parent) passes; no test holds the time.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -27,9 +27,11 @@
   private static final int RING_CAPACITY = 1_024;
   private static final long BUSY_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-  /** Accuracy with which the timeouts of the parent are observed. */
   private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+  /** Added to the time of a timeout, which must have passed at the tick. */
+  private static final long TIMEOUT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
   private static final long CANDIDATES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final ControlPlaneSettings settings;
@@ -139,7 +141,9 @@
     boolean busy = !readiness.isReady() || children.hasChildren();
     long regular = lastTickNanos + (busy ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
     long renewal = leaseRenewer.nextOwnRenewalNanos();
-    return renewal - regular < 0 ? renewal : regular;
+    long timeout = parentSelector.timeoutNanos() + TIMEOUT_MARGIN_NANOS;
+    long earlier = renewal - regular < 0 ? renewal : regular;
+    return timeout - earlier < 0 ? timeout : earlier;
   }
 
   private void tick(long nowNanos) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -54,6 +54,13 @@
     }
   }
 
+  /** Returns the monotonic time after which the parent has timed out unless it sends a message. */
+  long timeoutNanos() {
+    long parentTimeout = parentContactNanos + tree.parentTimeoutNanos();
+    long rootTimeout = rootContactNanos + tree.rootTimeoutNanos();
+    return parentTimeout - rootTimeout < 0 ? parentTimeout : rootTimeout;
+  }
+
   /** Selects the parent; returns whether it has changed or the previous one timed out. */
   boolean update(long nowNanos) {
     boolean parentTimedOut = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
