Log what marks the end of a backend server's response

Cause: the record of the truncated streams fits three hypotheses, which differ in how the engine's response is framed; no line said that. Change: event 5019 has a field framing (NO_BODY, LENGTH, CHUNKS, CONNECTION). No decision changes.

--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpRoutedClient.java
@@ -16,6 +16,7 @@
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.ResponseFraming;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.RoutedClient;
 import org.teaseltrestle.node.port.ServiceResponse;
@@ -124,6 +125,11 @@
       return fields;
     }
 
+    @Override
+    public ResponseFraming framing() {
+      return ResponseFramings.of(response);
+    }
+
     @Override
     public int read(byte[] buffer) {
       ResponseBody body = response.body();
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
@@ -10,6 +10,7 @@
 import okio.BufferedSource;
 import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.ResponseFraming;
 import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.FailureKind;
 
@@ -19,9 +20,6 @@
   /** Bytes that must arrive within each timeout, unless the response ends before. */
   private static final int MINIMUM_PROGRESS_BYTES = 1024;
 
-  private static final int NO_CONTENT = 204;
-  private static final int NOT_MODIFIED = 304;
-
   private final Response response;
   private final AttemptProgress progress;
   private final Duration timeout;
@@ -52,13 +50,18 @@
     return fields;
   }
 
+  @Override
+  public ResponseFraming framing() {
+    return ResponseFramings.of(response);
+  }
+
   @Override
   public int read(byte[] buffer) {
     ResponseBody body = response.body();
     if (body == null) {
       return -1;
     }
-    if (!hasDetectableEnd()) {
+    if (framing() == ResponseFraming.CONNECTION) {
       throw new AttemptFailure(
           FailureKind.LOST_DURING_ANSWER,
           "response has no length, so a truncation could not be detected");
@@ -86,14 +89,4 @@
     progress.bodyDelivered();
     return count;
   }
-
-  private boolean hasDetectableEnd() {
-    boolean hasNoBody =
-        response.request().method().equals("HEAD")
-            || response.code() == NO_CONTENT
-            || response.code() == NOT_MODIFIED;
-    return hasNoBody
-        || response.header("Content-Length") != null
-        || "chunked".equalsIgnoreCase(response.header("Transfer-Encoding"));
-  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/port/ServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/ServiceResponse.java
@@ -11,6 +11,9 @@
   /** Returns the header fields as received. */
   List<HeaderField> headers();
 
+  /** Returns what marks the end of the body. */
+  ResponseFraming framing();
+
   /**
    * Reads bytes of the body into a buffer.
    *
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -209,6 +209,8 @@
             server.id(),
             "status",
             backendResponse.status(),
+            "framing",
+            backendResponse.framing(),
             "load",
             load,
             "millis",
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
@@ -552,7 +552,8 @@
         expectThrows(
             UncheckedIOException.class, () -> relay.post(NON_RESUMABLE_STREAM, "cut-1", "none"));
         assertTrue(awaitLine("cut-1", "E5016").contains("server=s0"));
-        assertTrue(awaitLine("cut-1", "E5019").contains("status=200"));
+        String started = awaitLine("cut-1", "E5019");
+        assertTrue(started.contains("status=200 framing=CHUNKS"), started);
         String failed = awaitLine("cut-1", "E5005");
         assertTrue(failed.contains("kind=LOST_DURING_ANSWER"), failed);
         assertTrue(awaitLine("cut-1", "E5014").contains("version=1"));
