Show truncated responses that still look complete, as failing tests

The same cause, taking the end of a connection for the end of a response, was looked for on both interfaces.

--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
@@ -12,6 +12,9 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -437,6 +440,49 @@
       }
     }
 
+    /** Guards against a stream that breaks off before its first event and looks complete. */
+    @Test
+    public void streamThatEndsBeforeItsFirstEventIsNotComplete() throws Exception {
+      try (FakeServer breaking = new FakeServer(closesAfter(""));
+          Harness relay = new Harness(breaking)) {
+        assertEquals(relay.post(NON_RESUMABLE_STREAM).statusCode(), 502);
+      }
+    }
+
+    /** Guards against an event stream on a route without streams that breaks off unnoticed. */
+    @Test
+    public void eventStreamOfCallThatEndsWithinAnEventIsNotComplete() throws Exception {
+      try (FakeServer breaking =
+              new FakeServer(
+                  (request, output) -> {
+                    FakeServer.send(
+                        output, 200, "Content-Type: text/event-stream\r\n", "data: e1\n\nda");
+                    return false;
+                  });
+          Harness relay = new Harness(breaking)) {
+        assertEquals(relay.post(CALL).statusCode(), 502);
+      }
+    }
+
+    /**
+     * Guards against a truncated response that looks complete to a caller of HTTP/1.0, for whom the
+     * end of the connection ends the response.
+     */
+    @Test
+    public void truncatedResponseToHttp10CallerEndsWithReset() throws Exception {
+      try (FakeServer breaking = new FakeServer(closesAfter("id: 1\ndata: e1\n\nid: 2\nda"));
+          Harness relay = new Harness(breaking);
+          Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
+        String request =
+            "POST "
+                + NON_RESUMABLE_STREAM
+                + " HTTP/1.0\r\nHost: 127.0.0.1\r\n"
+                + "X-Request-Id: id-1\r\nContent-Length: 4\r\n\r\nbody";
+        caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+        expectThrows(SocketException.class, () -> caller.getInputStream().readAllBytes());
+      }
+    }
+
     /** Guards against a sound stream that is rejected because it has no length. */
     @Test
     public void streamThatEndsAfterAnEventIsComplete() throws Exception {
--- a/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ServiceTest.java
@@ -171,6 +171,46 @@
     }
   }
 
+  /** Event streams of plain services, whose events show whether they are complete. */
+  public static final class EventStreams {
+
+    private static final String TYPE = "Content-Type: text/event-stream\r\n";
+    private static final String COMPLETE = "data: e1\n\ndata: e2\n\n";
+
+    /** Guards against an event stream that breaks off within an event and looks complete. */
+    @Test
+    public void streamThatEndsWithinAnEventIsRetried() {
+      AtomicInteger calls = new AtomicInteger();
+      FakeServer.Behaviour truncatesOnce =
+          (request, output) -> {
+            boolean truncates = calls.getAndIncrement() == 0;
+            FakeServer.send(output, 200, TYPE, truncates ? "data: e1\n\nda" : COMPLETE);
+            return true;
+          };
+      try (FakeServer service = new FakeServer(truncatesOnce);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        HttpResponse<String> response = relay.send(relay.request("/services/iard/lots").GET());
+        assertEquals(response.body(), COMPLETE);
+        assertEquals(calls.get(), 2);
+      }
+    }
+
+    /** Guards against a sound event stream that is refused because it has no length. */
+    @Test
+    public void streamWithoutLengthIsDelivered() {
+      FakeServer.Behaviour withoutLength =
+          (request, output) -> {
+            output.write(("HTTP/1.1 200 OK\r\n" + TYPE + "\r\n" + COMPLETE).getBytes(UTF_8));
+            return false;
+          };
+      try (FakeServer service = new FakeServer(withoutLength);
+          RelayHarness relay = new RelayHarness().with("services", service)) {
+        HttpResponse<String> response = relay.send(relay.request("/services/iard/lots").GET());
+        assertEquals(response.body(), COMPLETE);
+      }
+    }
+  }
+
   /** Calls with an idempotency key. */
   public static final class Claims {
 
