Judge the end of every event stream by its events, not by its connection

Cause: a response with neither a length nor chunks ends with its connection, and a crash ends the connection too. Class of fault: the end of the transport was taken for the end of the message. mended one place, a routed stream that ends within an event; the same inference stood elsewhere: before the first event, and in event streams that are forwarded unsplit (routes without streams, plain services of the own interface). Change: EventSplitter.checkEnd is the one judge of an event stream's end and knows what marks the end of the response; EventStreamResponse applies it where streams are not split. With it the own interface delivers event streams without a length instead of refusing them; other bodies without a length are still refused there, since nothing shows their end. Why this works: the decision no longer depends on who closed the connection; a stream that cannot be shown to be whole is lost, which is a visible failure or another attempt.

--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceResponse.java
@@ -61,7 +61,7 @@
     if (body == null) {
       return -1;
     }
-    if (framing() == ResponseFraming.CONNECTION) {
+    if (framing() == ResponseFraming.CONNECTION && !isEventStream()) {
       throw new AttemptFailure(
           FailureKind.LOST_DURING_ANSWER,
           "response has no length, so a truncation could not be detected");
--- a/node/src/main/java/org/teaseltrestle/node/port/ServiceResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/ServiceResponse.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.port;
 
 import java.util.List;
+import java.util.Locale;
 
 /** Response whose header has been received; the body is read as it arrives. Used by one thread. */
 public interface ServiceResponse extends AutoCloseable {
@@ -11,6 +12,15 @@
   /** Returns the header fields as received. */
   List<HeaderField> headers();
 
+  /** Returns whether the body is declared to be a stream of server-sent events. */
+  default boolean isEventStream() {
+    return headers().stream()
+        .anyMatch(
+            field ->
+                field.name().equalsIgnoreCase("Content-Type")
+                    && field.value().toLowerCase(Locale.ROOT).startsWith("text/event-stream"));
+  }
+
   /** Returns what marks the end of the body. */
   ResponseFraming framing();
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
@@ -5,6 +5,7 @@
 import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.ResponseFraming;
 import org.teaseltrestle.policy.FailureKind;
 
 /**
@@ -22,6 +23,7 @@
   private byte[] pending = new byte[0];
   private @Nullable String lastEventId;
   private int identifiedEvents;
+  private boolean hasEvents;
 
   /**
    * Adds bytes and returns those of all events that are now complete, possibly empty.
@@ -41,6 +43,7 @@
       if (lineEnd == lineStart) {
         recordEventId(joined, completeEnd, i + 1);
         completeEnd = i + 1;
+        hasEvents = true;
       }
       lineStart = i + 1;
     }
@@ -52,9 +55,21 @@
     return completeEnd == 0 ? new byte[0] : Arrays.copyOf(joined, completeEnd);
   }
 
-  /** Returns whether bytes of an incomplete event are left. */
-  boolean endsWithinEvent() {
-    return pending.length > 0;
+  /**
+   * Checks that the stream may end here. The end of a connection also ends a truncated stream, so
+   * one that is framed by its connection must have had an event.
+   *
+   * @throws AttemptFailure if the stream has been truncated
+   */
+  void checkEnd(ResponseFraming framing) {
+    if (pending.length > 0) {
+      throw new AttemptFailure(
+          FailureKind.LOST_DURING_ANSWER, "event stream ended within an event");
+    }
+    if (framing == ResponseFraming.CONNECTION && !hasEvents) {
+      throw new AttemptFailure(
+          FailureKind.LOST_DURING_ANSWER, "event stream ended before its first event");
+    }
   }
 
   /** Returns the last identifier of a complete event, or null if none had one. */
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -227,7 +227,7 @@
         if (request.route().kind() == ServingRoute.Kind.STREAM && backendResponse.status() == OK) {
           forwardEvents(backendResponse);
         } else {
-          return forwardBuffered(backendResponse);
+          return forwardBuffered(EventStreamResponse.checkingEnd(backendResponse));
         }
       }
       lifecycle.attemptSucceeded(dispatch, Math.max(1, forwardedEvents), attemptFirstByteNanos);
@@ -305,11 +305,7 @@
         }
         count = backendResponse.read(buffer);
       }
-      if (splitter.endsWithinEvent()) {
-        // A response without a length ends with its connection, also when the server breaks off.
-        throw new AttemptFailure(
-            FailureKind.LOST_DURING_ANSWER, "event stream ended within an event");
-      }
+      splitter.checkEnd(backendResponse.framing());
       if (!response.isStarted()) {
         forward(backendResponse, new byte[0]);
       }
--- a/node/src/main/java/org/teaseltrestle/node/relay/ServiceRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ServiceRun.java
@@ -94,7 +94,7 @@
     boolean run() {
       try (ServiceResponse serviceResponse = open()) {
         firstByteNanos = Math.max(1, context.clock().nowNanos() - startNanos);
-        receive(serviceResponse);
+        receive(EventStreamResponse.checkingEnd(serviceResponse));
       } catch (AttemptFailure failure) {
         lifecycle.attemptFailed(dispatch, failure, 0, firstByteNanos);
         abortIfStarted();
