Reset the connection of a truncated response that has no other end marker

Cause: the class of fault of the reported one, in the other direction: the relay itself used the end of the transport both as the end of a response and as the sign that it is truncated. Change: CallerResponse.abort resets the connection of a started response that only its connection ends. Responses with chunks or a length still close regularly, as bytes on their way must not be lost and their framing shows the cut.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -12,6 +12,7 @@
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.RequestId;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
@@ -129,11 +130,26 @@
     }
   }
 
-  /** Closes the connection, so that the caller sees that the response is incomplete. */
+  /**
+   * Closes the connection, so that the caller sees that the response is incomplete. A regular close
+   * would complete a response without a length or chunks, so that one ends with a reset.
+   */
   void abort() {
+    if (endsWithConnection()) {
+      try {
+        exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
+      } catch (IOException e) {
+        LOG.warn(RelayEvent.RESET_FAILED, "request", request, "reason", e);
+      }
+    }
     IoUtils.safeClose(exchange.getConnection());
   }
 
+  /** Returns whether only the end of the connection ends the body; HTTP/1.0 has no chunks. */
+  private boolean endsWithConnection() {
+    return isStarted() && exchange.isHttp10() && exchange.getResponseContentLength() < 0;
+  }
+
   private void abortIfOpen() {
     if (!exchange.isComplete()) {
       abort();
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -23,7 +23,8 @@
   ATTEMPT_SENT(5016, "attempt was sent to a backend server"),
   PROMPT_READ(5017, "remote prefill ended"),
   MEMORY_RELEASED(5018, "release of unfetched KV cache requested"),
-  ATTEMPT_ANSWERED(5019, "backend server started its response to an attempt");
+  ATTEMPT_ANSWERED(5019, "backend server started its response to an attempt"),
+  RESET_FAILED(5020, "connection of a truncated response could not be reset; it is closed");
 
   private final int number;
   private final String text;
