Log the shared prompt parts of requests whose server was lost

Change: event 5005 has a field parts, the first 16 shared parts of the prompt, if the connection to the server was lost. WorkRequest carries the parts; no decision uses them yet. The fixture of the routed tests is a class of its own, so that other tests can use it. Evidence: RoutedTest.LogTraces#deathOfEngineIsLogged checks the field.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.relay;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.model.NotRun;
@@ -22,6 +23,8 @@
   /** Limit against an endless loop of attempts; the admission decisions allow far fewer. */
   private static final int MAXIMUM_ATTEMPTS = 16;
 
+  private static final int MAXIMUM_LOGGED_PARTS = 16;
+
   private static final EventLog LOG = EventLog.of(RequestLifecycle.class);
 
   private final RelayContext context;
@@ -117,6 +120,8 @@
           dispatch.server(),
           "kind",
           kind,
+          "parts",
+          loggedParts(kind),
           "reason",
           String.valueOf(failure.getMessage()));
       reportToDirectory(dispatch, kind);
@@ -215,6 +220,15 @@
     }
   }
 
+  /**
+   * Returns the prompt's first shared parts if the server was lost, which one of them may cause.
+   */
+  private List<String> loggedParts(FailureKind kind) {
+    return kind.isConnectionLost()
+        ? work.sharedParts().stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).toList()
+        : List.of();
+  }
+
   private void updateNotRun(FailureKind kind, int tokens) {
     if (tokens > 0 || kind == FailureKind.LOST_DURING_ANSWER) {
       notRun = NotRun.RUN;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -283,12 +283,19 @@
             : WorkRequest.Repeatability.AT_MOST_ONCE,
         incoming.promptTokens(),
         incoming.expectedOutputTokens(),
+        describesPrompts ? sharedParts(incoming) : List.of(),
         List.of(),
         request.deadlineNanos(),
         sample,
         terms(route, incoming, priority));
   }
 
+  /** Returns the hashes of all parts but the last, which belongs to the request or its session. */
+  private static List<Long> sharedParts(IncomingRequest incoming) {
+    List<PromptPart> parts = incoming.promptParts();
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::hash).toList();
+  }
+
   private static RequestOptions terms(ServingRoute route, IncomingRequest incoming, int priority) {
     List<PromptPart> parts = incoming.promptParts();
     int sharedTokens = 0;
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -0,0 +1,197 @@
+package org.teaseltrestle.node.relay;
+
+import com.codahale.metrics.MetricRegistry;
+import com.google.protobuf.ByteString;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.FailureDomain;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ItemName;
+import org.teaseltrestle.model.PoolId;
+import org.teaseltrestle.model.serving.CallerLimits;
+import org.teaseltrestle.model.serving.ServedAccount;
+import org.teaseltrestle.model.serving.ServedPool;
+import org.teaseltrestle.model.serving.ServingConfiguration;
+import org.teaseltrestle.model.serving.ServingRoute;
+import org.teaseltrestle.model.serving.WeightedPool;
+import org.teaseltrestle.node.backend.BackendHttp;
+import org.teaseltrestle.node.backend.HttpEngineClient;
+import org.teaseltrestle.node.backend.HttpRoutedClient;
+import org.teaseltrestle.node.backend.HttpServiceClient;
+import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.serving.ServingConfigurationView;
+import org.teaseltrestle.policy.AdmissionCore;
+import org.teaseltrestle.policy.AdmissionEvent;
+import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.PolicyConfiguration;
+
+/** Relay with three routes in front of fake servers that are called round robin. */
+final class RoutedHarness implements AutoCloseable, ServerDirectory {
+
+  private final StubControl control;
+  private final BackendHttp http = new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(5));
+  private final List<BackendServer> servers = new ArrayList<>();
+  private final AdmissionDuty admission;
+  private final RelayService relay;
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  RoutedHarness(FakeServer... fakes) {
+    this(List.of(), fakes);
+  }
+
+  /** Creates a relay that requires a key unless there are no accounts. */
+  RoutedHarness(List<ServedAccount> accounts, FakeServer... fakes) {
+    this(new StubControl(), accounts, fakes);
+  }
+
+  /** Creates a relay that shares its control state with others. */
+  RoutedHarness(StubControl control, List<ServedAccount> accounts, FakeServer... fakes) {
+    this.control = control;
+    for (FakeServer fake : fakes) {
+      servers.add(
+          new BackendServer(
+              new BackendServerId("s" + servers.size()),
+              new PoolId("pool"),
+              new FailureDomain("a"),
+              fake.address(),
+              Set.of(new ItemName("model")),
+              BackendServer.Capacity.REGULAR,
+              BackendServer.State.LIVE));
+    }
+    PolicyConfiguration policy =
+        PolicyConfiguration.builder()
+            .replicaChoice(PolicyConfiguration.ReplicaChoice.ROUND_ROBIN)
+            .accountsWithoutPlan(PolicyConfiguration.AccountsWithoutPlan.UNLIMITED)
+            .build();
+    MetricRegistry metrics = new MetricRegistry();
+    admission =
+        new AdmissionDuty(
+            new AdmissionCore(policy)::handle, control, MonotonicClock.SYSTEM, metrics);
+    admission.start();
+    admission.offer(new AdmissionEvent.FleetChanged(servers));
+    control.document = ByteString.copyFromUtf8("any");
+    relay =
+        RelayService.builder()
+            .settings(RelaySettings.builder().build())
+            .metrics(metrics)
+            .control(control)
+            .admission(admission)
+            .directory(this)
+            .backends(new HttpEngineClient(http), new HttpServiceClient(http))
+            .usage(new LocalUsageRecorder(metrics))
+            .identity(new InstanceId("entry-1"), 7)
+            .routed(
+                new RoutedRelayDependencies(
+                    new PlainRequestCodec(),
+                    new HttpRoutedClient(http),
+                    new ServingConfigurationView(control, any -> configuration(accounts))))
+            .build();
+    relay.start();
+  }
+
+  private static ServingConfiguration configuration(List<ServedAccount> accounts) {
+    return new ServingConfiguration(
+        1,
+        List.of(
+            route(
+                "/stream/",
+                ServingRoute.Kind.STREAM,
+                Set.of(ServingRoute.Feature.RESUMABLE, ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
+            route(
+                "/single/",
+                ServingRoute.Kind.STREAM,
+                Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
+            route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
+        List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
+        accounts,
+        CallerLimits.DEFAULT);
+  }
+
+  private static ServingRoute route(
+      String prefix, ServingRoute.Kind kind, Set<ServingRoute.Feature> features) {
+    return new ServingRoute(
+        prefix,
+        "127.0.0.1",
+        prefix,
+        kind,
+        features,
+        2,
+        0,
+        5_000,
+        500,
+        0,
+        List.of(new WeightedPool(new PoolId("pool"), 1)));
+  }
+
+  int port() {
+    return relay.port();
+  }
+
+  HttpResponse<String> post(String path) {
+    return post(path, "id-1", "none");
+  }
+
+  HttpResponse<String> post(String path, String id, String key) {
+    return send(request(path, id, key));
+  }
+
+  /** Sends a request whose prompt has the given parts, hexadecimal hashes separated by commas. */
+  HttpResponse<String> postPrompt(String path, String id, String parts) {
+    return send(request(path, id, "none").header("Parts", parts));
+  }
+
+  private HttpRequest.Builder request(String path, String id, String key) {
+    return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port() + path))
+        .header("X-Request-Id", id)
+        .header("Key", key)
+        .POST(HttpRequest.BodyPublishers.ofString("body"));
+  }
+
+  private HttpResponse<String> send(HttpRequest.Builder request) {
+    try {
+      return client.send(request.build(), HttpResponse.BodyHandlers.ofString());
+    } catch (java.io.IOException e) {
+      throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Override
+  public @Nullable BackendServer find(BackendServerId server) {
+    return servers.stream().filter(each -> each.id().equals(server)).findFirst().orElse(null);
+  }
+
+  @Override
+  public void reportLeaving(BackendServerId server) {
+    // The tests check only what callers receive.
+  }
+
+  @Override
+  public void reportLost(BackendServerId server) {
+    // The tests check only what callers receive.
+  }
+
+  @Override
+  public int pieceTokens(PoolId pool) {
+    return 0;
+  }
+
+  @Override
+  public void close() {
+    relay.close();
+    admission.close();
+    http.close();
+  }
+}
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedTest.java
@@ -9,57 +9,22 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
-import com.codahale.metrics.MetricRegistry;
-import com.google.protobuf.ByteString;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.net.SocketException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.Function;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.LoggerFactory;
-import org.teaseltrestle.kernel.MonotonicClock;
-import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
-import org.teaseltrestle.model.FailureDomain;
-import org.teaseltrestle.model.InstanceId;
-import org.teaseltrestle.model.ItemName;
-import org.teaseltrestle.model.PoolId;
-import org.teaseltrestle.model.serving.CallerLimits;
 import org.teaseltrestle.model.serving.ServedAccount;
-import org.teaseltrestle.model.serving.ServedPool;
-import org.teaseltrestle.model.serving.ServingConfiguration;
-import org.teaseltrestle.model.serving.ServingRoute;
-import org.teaseltrestle.model.serving.WeightedPool;
-import org.teaseltrestle.node.backend.BackendHttp;
-import org.teaseltrestle.node.backend.HttpEngineClient;
-import org.teaseltrestle.node.backend.HttpRoutedClient;
-import org.teaseltrestle.node.backend.HttpServiceClient;
-import org.teaseltrestle.node.port.AttemptOptions;
-import org.teaseltrestle.node.port.HeaderField;
-import org.teaseltrestle.node.port.IncomingRequest;
-import org.teaseltrestle.node.port.ReportedLoad;
-import org.teaseltrestle.node.port.RequestCodec;
-import org.teaseltrestle.node.port.ResponseVerdict;
-import org.teaseltrestle.node.port.ServerDirectory;
-import org.teaseltrestle.node.serving.ServingConfigurationView;
-import org.teaseltrestle.policy.AdmissionCore;
-import org.teaseltrestle.policy.AdmissionEvent;
-import org.teaseltrestle.policy.BackendServer;
-import org.teaseltrestle.policy.PolicyConfiguration;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -72,202 +37,6 @@
   private static final String NON_RESUMABLE_STREAM = "/single/x";
   private static final String CALL = "/call/x";
 
-  /** Codec with few fields and plain names. */
-  private static final class PlainCodec implements RequestCodec {
-
-    @Override
-    public IncomingRequest read(Function<String, @Nullable String> header) {
-      String id = header.apply("X-Request-Id");
-      return new IncomingRequest(
-          id == null ? "" : id,
-          header.apply("Key"),
-          10_000,
-          "model",
-          10,
-          10,
-          List.of(),
-          header.apply("Last-Event-Id"));
-    }
-
-    @Override
-    public List<HeaderField> attemptHeaders(List<HeaderField> received, AttemptOptions options) {
-      List<HeaderField> fields = new ArrayList<>(received);
-      fields.removeIf(field -> field.name().equalsIgnoreCase("Last-Event-Id"));
-      if (options.lastEventId() != null) {
-        fields.add(new HeaderField("Last-Event-Id", options.lastEventId()));
-      }
-      return fields;
-    }
-
-    @Override
-    public ResponseVerdict classifyResponse(
-        int status,
-        String callerRequestId,
-        BackendServerId asked,
-        Function<String, @Nullable String> header) {
-      return status == 503 && header.apply("Not-Run") != null
-          ? ResponseVerdict.NOT_RUN_BUSY
-          : ResponseVerdict.VALID_RESPONSE;
-    }
-
-    @Override
-    public @Nullable String kvCacheHandle(byte[] response) {
-      return null;
-    }
-
-    @Override
-    public String kvCacheReleaseTarget(String memory) {
-      return "/" + memory;
-    }
-
-    @Override
-    public @Nullable ReportedLoad load(Function<String, @Nullable String> header) {
-      return null;
-    }
-  }
-
-  /** Relay with three routes in front of fake servers that are called round robin. */
-  private static final class Harness implements AutoCloseable, ServerDirectory {
-
-    private final StubControl control = new StubControl();
-    private final BackendHttp http = new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(5));
-    private final List<BackendServer> servers = new ArrayList<>();
-    private final AdmissionDuty admission;
-    private final RelayService relay;
-    private final HttpClient client =
-        HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
-
-    Harness(FakeServer... fakes) {
-      this(List.of(), fakes);
-    }
-
-    /** Creates a relay that requires a key unless there are no accounts. */
-    Harness(List<ServedAccount> accounts, FakeServer... fakes) {
-      for (FakeServer fake : fakes) {
-        servers.add(
-            new BackendServer(
-                new BackendServerId("s" + servers.size()),
-                new PoolId("pool"),
-                new FailureDomain("a"),
-                fake.address(),
-                Set.of(new ItemName("model")),
-                BackendServer.Capacity.REGULAR,
-                BackendServer.State.LIVE));
-      }
-      PolicyConfiguration policy =
-          PolicyConfiguration.builder()
-              .replicaChoice(PolicyConfiguration.ReplicaChoice.ROUND_ROBIN)
-              .accountsWithoutPlan(PolicyConfiguration.AccountsWithoutPlan.UNLIMITED)
-              .build();
-      MetricRegistry metrics = new MetricRegistry();
-      admission =
-          new AdmissionDuty(
-              new AdmissionCore(policy)::handle, control, MonotonicClock.SYSTEM, metrics);
-      admission.start();
-      admission.offer(new AdmissionEvent.FleetChanged(servers));
-      control.document = ByteString.copyFromUtf8("any");
-      relay =
-          RelayService.builder()
-              .settings(RelaySettings.builder().build())
-              .metrics(metrics)
-              .control(control)
-              .admission(admission)
-              .directory(this)
-              .backends(new HttpEngineClient(http), new HttpServiceClient(http))
-              .usage(new LocalUsageRecorder(metrics))
-              .identity(new InstanceId("entry-1"), 7)
-              .routed(
-                  new RoutedRelayDependencies(
-                      new PlainCodec(),
-                      new HttpRoutedClient(http),
-                      new ServingConfigurationView(control, any -> configuration(accounts))))
-              .build();
-      relay.start();
-    }
-
-    private static ServingConfiguration configuration(List<ServedAccount> accounts) {
-      return new ServingConfiguration(
-          1,
-          List.of(
-              route(
-                  "/stream/",
-                  ServingRoute.Kind.STREAM,
-                  Set.of(
-                      ServingRoute.Feature.RESUMABLE, ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
-              route(
-                  "/single/",
-                  ServingRoute.Kind.STREAM,
-                  Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
-              route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
-          List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
-          accounts,
-          CallerLimits.DEFAULT);
-    }
-
-    private static ServingRoute route(
-        String prefix, ServingRoute.Kind kind, Set<ServingRoute.Feature> features) {
-      return new ServingRoute(
-          prefix,
-          "127.0.0.1",
-          prefix,
-          kind,
-          features,
-          2,
-          0,
-          5_000,
-          500,
-          0,
-          List.of(new WeightedPool(new PoolId("pool"), 1)));
-    }
-
-    HttpResponse<String> post(String path) {
-      return post(path, "id-1", "none");
-    }
-
-    HttpResponse<String> post(String path, String id, String key) {
-      try {
-        return client.send(
-            HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + relay.port() + path))
-                .header("X-Request-Id", id)
-                .header("Key", key)
-                .POST(HttpRequest.BodyPublishers.ofString("body"))
-                .build(),
-            HttpResponse.BodyHandlers.ofString());
-      } catch (java.io.IOException e) {
-        throw new UncheckedIOException(e);
-      } catch (InterruptedException e) {
-        throw new IllegalStateException(e);
-      }
-    }
-
-    @Override
-    public @Nullable BackendServer find(BackendServerId server) {
-      return servers.stream().filter(each -> each.id().equals(server)).findFirst().orElse(null);
-    }
-
-    @Override
-    public void reportLeaving(BackendServerId server) {
-      // The tests check only what callers receive.
-    }
-
-    @Override
-    public void reportLost(BackendServerId server) {
-      // The tests check only what callers receive.
-    }
-
-    @Override
-    public int pieceTokens(PoolId pool) {
-      return 0;
-    }
-
-    @Override
-    public void close() {
-      relay.close();
-      admission.close();
-      http.close();
-    }
-  }
-
   /**
    * Sends {@code count} events, resuming after the last event identifier of the request; truncates
    * the first event after {@code truncateAfter} and closes the connection.
@@ -312,7 +81,7 @@
     public void resumableStreamContinuesAfterLastCompleteEvent() throws Exception {
       try (FakeServer dying = new FakeServer(events(5, 2));
           FakeServer other = new FakeServer(events(5, 5));
-          Harness relay = new Harness(dying, other)) {
+          RoutedHarness relay = new RoutedHarness(dying, other)) {
         for (int i = 0; i < 2; i++) {
           assertEquals(relay.post(STREAM).body(), expected(5));
         }
@@ -327,7 +96,7 @@
     @Test
     public void nonResumableStreamEndsWithClosedConnection() throws Exception {
       try (FakeServer dying = new FakeServer(events(5, 2));
-          Harness relay = new Harness(dying)) {
+          RoutedHarness relay = new RoutedHarness(dying)) {
         expectThrows(UncheckedIOException.class, () -> relay.post(NON_RESUMABLE_STREAM));
         assertEquals(dying.received.size(), 1);
       }
@@ -337,7 +106,7 @@
     @Test
     public void connectionServesNextRequest() throws Exception {
       try (FakeServer engine = new FakeServer(events(3, 3));
-          Harness relay = new Harness(engine)) {
+          RoutedHarness relay = new RoutedHarness(engine)) {
         for (int i = 0; i < 20; i++) {
           assertEquals(relay.post(STREAM).body(), expected(3));
         }
@@ -392,7 +161,7 @@
           };
       try (FakeServer broken = new FakeServer(endless);
           FakeServer other = new FakeServer(events(3, 3));
-          Harness relay = new Harness(broken, other)) {
+          RoutedHarness relay = new RoutedHarness(broken, other)) {
         for (int i = 0; i < 2; i++) {
           assertEquals(relay.post(STREAM).body(), expected(3));
         }
@@ -414,7 +183,7 @@
             }
           };
       try (FakeServer broken = new FakeServer(endless);
-          Harness relay = new Harness(broken)) {
+          RoutedHarness relay = new RoutedHarness(broken)) {
         expectThrows(UncheckedIOException.class, () -> relay.post(CALL));
       }
     }
@@ -435,7 +204,7 @@
     @Test
     public void streamThatEndsWithinAnEventIsNotComplete() throws Exception {
       try (FakeServer breaking = new FakeServer(closesAfter("id: 1\ndata: e1\n\nid: 2\nda"));
-          Harness relay = new Harness(breaking)) {
+          RoutedHarness relay = new RoutedHarness(breaking)) {
         expectThrows(UncheckedIOException.class, () -> relay.post(NON_RESUMABLE_STREAM));
       }
     }
@@ -444,7 +213,7 @@
     @Test
     public void streamThatEndsBeforeItsFirstEventIsNotComplete() throws Exception {
       try (FakeServer breaking = new FakeServer(closesAfter(""));
-          Harness relay = new Harness(breaking)) {
+          RoutedHarness relay = new RoutedHarness(breaking)) {
         assertEquals(relay.post(NON_RESUMABLE_STREAM).statusCode(), 502);
       }
     }
@@ -459,7 +228,7 @@
                         output, 200, "Content-Type: text/event-stream\r\n", "data: e1\n\nda");
                     return false;
                   });
-          Harness relay = new Harness(breaking)) {
+          RoutedHarness relay = new RoutedHarness(breaking)) {
         assertEquals(relay.post(CALL).statusCode(), 502);
       }
     }
@@ -471,8 +240,8 @@
     @Test
     public void truncatedResponseToHttp10CallerEndsWithReset() throws Exception {
       try (FakeServer breaking = new FakeServer(closesAfter("id: 1\ndata: e1\n\nid: 2\nda"));
-          Harness relay = new Harness(breaking);
-          Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.relay.port())) {
+          RoutedHarness relay = new RoutedHarness(breaking);
+          Socket caller = new Socket(InetAddress.getLoopbackAddress(), relay.port())) {
         String request =
             "POST "
                 + NON_RESUMABLE_STREAM
@@ -487,7 +256,7 @@
     @Test
     public void streamThatEndsAfterAnEventIsComplete() throws Exception {
       try (FakeServer engine = new FakeServer(closesAfter(expected(2)));
-          Harness relay = new Harness(engine)) {
+          RoutedHarness relay = new RoutedHarness(engine)) {
         assertEquals(relay.post(NON_RESUMABLE_STREAM).body(), expected(2));
       }
     }
@@ -511,7 +280,7 @@
                     FakeServer.send(output, 200, "Receipt: r\r\n", "done");
                     return true;
                   });
-          Harness relay = new Harness(full, free)) {
+          RoutedHarness relay = new RoutedHarness(full, free)) {
         for (int i = 0; i < 3; i++) {
           HttpResponse<String> response = relay.post(CALL);
           assertEquals(response.body(), "done");
@@ -526,7 +295,7 @@
       FakeServer.Behaviour losesResponse = (request, output) -> false;
       try (FakeServer first = new FakeServer(losesResponse);
           FakeServer second = new FakeServer(losesResponse);
-          Harness relay = new Harness(first, second)) {
+          RoutedHarness relay = new RoutedHarness(first, second)) {
         HttpResponse<String> response = relay.post(CALL);
         assertEquals(response.statusCode(), 502);
         assertFalse(response.body().contains("\"not_run\":true"), response.body());
@@ -543,7 +312,7 @@
                     FakeServer.send(output, 500, "Receipt: r\r\n", "failed");
                     return true;
                   });
-          Harness relay = new Harness(failing)) {
+          RoutedHarness relay = new RoutedHarness(failing)) {
         HttpResponse<String> response = relay.post(CALL);
         assertEquals(response.statusCode(), 500);
         assertEquals(response.body(), "failed");
@@ -581,7 +350,7 @@
      */
     @Test
     public void earlyRefusalIsLogged() throws Exception {
-      try (Harness relay = new Harness()) {
+      try (RoutedHarness relay = new RoutedHarness()) {
         assertEquals(relay.post(CALL, "early-1", "none").statusCode(), 503);
         assertTrue(awaitLine("early-1", "E5015").contains("notRun=CERTAIN"));
         assertEquals(linesOf("early-1", "E5016"), List.of());
@@ -594,14 +363,16 @@
     @Test
     public void deathOfEngineIsLogged() throws Exception {
       try (FakeServer dying = new FakeServer(events(5, 2));
-          Harness relay = new Harness(dying)) {
+          RoutedHarness relay = new RoutedHarness(dying)) {
         expectThrows(
-            UncheckedIOException.class, () -> relay.post(NON_RESUMABLE_STREAM, "cut-1", "none"));
+            UncheckedIOException.class,
+            () -> relay.postPrompt(NON_RESUMABLE_STREAM, "cut-1", "a1,b2,c3"));
         assertTrue(awaitLine("cut-1", "E5016").contains("server=s0"));
         String started = awaitLine("cut-1", "E5019");
         assertTrue(started.contains("status=200 framing=CHUNKS"), started);
         String failed = awaitLine("cut-1", "E5005");
         assertTrue(failed.contains("kind=LOST_DURING_ANSWER"), failed);
+        assertTrue(failed.contains("parts=[a1, b2]"), failed);
         assertTrue(awaitLine("cut-1", "E5014").contains("version=1"));
         assertTrue(awaitLine("cut-1", "E5015").contains("code=answer_cut"));
       }
@@ -612,7 +383,7 @@
     public void refusalOfKeyIsLogged() throws Exception {
       ServedAccount account = new ServedAccount(new ClientAccount("a"), Set.of("known"), 0);
       try (FakeServer engine = new FakeServer(events(3, 3));
-          Harness relay = new Harness(List.of(account), engine)) {
+          RoutedHarness relay = new RoutedHarness(List.of(account), engine)) {
         assertEquals(relay.post(STREAM, "served-1", "known").statusCode(), 200);
         assertEquals(relay.post(STREAM, "key-1", "withdrawn").statusCode(), 401);
         String refused = awaitLine("key-1", "E5015");
--- a/policy/src/main/java/org/teaseltrestle/policy/FailureKind.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/FailureKind.java
@@ -19,5 +19,10 @@
   /** The response carries the identifier of another request. */
   ANSWER_MISMATCH,
   /** The caller disconnected, or this process cancelled the attempt. */
-  CANCELLED
+  CANCELLED;
+
+  /** Returns whether the connection broke after the request may have been sent. */
+  public boolean isConnectionLost() {
+    return this == LOST_BEFORE_ANSWER || this == LOST_DURING_ANSWER;
+  }
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.policy;
 
+import java.util.Arrays;
 import java.util.List;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ItemName;
@@ -17,6 +18,8 @@
  * @param repeatability whether the request may be run again after a failed attempt
  * @param promptTokens prompt length in tokens; 0 for a service call
  * @param expectedOutputTokens expected response length in tokens; 0 for a service call
+ * @param sharedParts hashes of the prompt's parts that other requests may share, in order; empty
+ *     for a service call
  * @param prefixHashes hash chain of the prompt's blocks, in hexadecimal; empty for a service call
  * @param firstTokenDeadlineNanos monotonic time by which the first token, or the response of a
  *     service call, is due
@@ -33,6 +36,7 @@
     Repeatability repeatability,
     int promptTokens,
     int expectedOutputTokens,
+    List<Long> sharedParts,
     List<String> prefixHashes,
     long firstTokenDeadlineNanos,
     long sampleBits,
@@ -41,12 +45,13 @@
   /** Account of requests on routes without authentication, whose limits are a setting. */
   public static final ClientAccount OPEN_ROUTE_ACCOUNT = new ClientAccount("::open-routes");
 
-  /** Copies the prefix hashes. */
+  /** Copies the hashes. */
   public WorkRequest {
+    sharedParts = List.copyOf(sharedParts);
     prefixHashes = List.copyOf(prefixHashes);
   }
 
-  /** Creates a request whose route adds no settings. */
+  /** Creates a request whose shared parts are the blocks of its hash chain. */
   public WorkRequest(
       RequestId request,
       ClientAccount account,
@@ -68,6 +73,7 @@
         repeatability,
         promptTokens,
         expectedOutputTokens,
+        parsedHashes(prefixHashes),
         prefixHashes,
         firstTokenDeadlineNanos,
         sampleBits,
@@ -79,6 +85,10 @@
     return Math.max(1, promptTokens + expectedOutputTokens);
   }
 
+  private static List<Long> parsedHashes(List<String> prefixHashes) {
+    return Arrays.stream(PrefixIndex.parseHashes(prefixHashes)).boxed().toList();
+  }
+
   /** Kind of work. */
   public enum WorkKind {
     MODEL_COMPLETION,
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -72,6 +72,7 @@
         plain.repeatability(),
         plain.promptTokens(),
         plain.expectedOutputTokens(),
+        plain.sharedParts(),
         plain.prefixHashes(),
         plain.firstTokenDeadlineNanos(),
         plain.sampleBits(),
