Show a prompt part that crashes engine after engine, as a failing test

Two relays that share a control state, 12 engines, 30 such requests: 30 crashes; the users allow three requests after the fifth crash.

--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -0,0 +1,67 @@
+package org.teaseltrestle.node.relay;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.testng.annotations.Test;
+
+/** Tests of relays that share a control state, in front of engines that certain prompts crash. */
+public final class PromptQuarantineTest {
+
+  private static final String STREAM = "/single/x";
+  private static final int ENGINES = 12;
+  private static final int ROUNDS = 30;
+
+  /** Crashes until the cause is known, and requests that may still reach engines afterwards. */
+  private static final int MAXIMUM_CRASHES = 5 + 3;
+
+  /** Closes the connection if a prompt contains the part {@code dead}, otherwise answers. */
+  private static FakeServer crashingEngine(AtomicInteger crashes) {
+    return new FakeServer(
+        (request, output) -> {
+          if (request.header("Parts").contains("dead")) {
+            crashes.incrementAndGet();
+            return false;
+          }
+          FakeServer.startStream(output, request.header("X-Request-Id"));
+          byte[] event = "id: 1\ndata: e\n\n".getBytes(StandardCharsets.UTF_8);
+          String head = Integer.toHexString(event.length) + "\r\n";
+          output.write(head.getBytes(StandardCharsets.UTF_8));
+          output.write(event);
+          output.write("\r\n0\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+          output.flush();
+          return true;
+        });
+  }
+
+  /** Requests that share one crashing part with each other, and the other parts with sound ones. */
+  public static final class CrashingPart {
+
+    /** Guards against a prompt part that crashes one engine after the other through all nodes. */
+    @Test
+    public void stopsReachingEnginesWhileSoundRequestsAreServed() {
+      AtomicInteger crashes = new AtomicInteger();
+      FakeServer[] engines =
+          Stream.generate(() -> crashingEngine(crashes)).limit(ENGINES).toArray(FakeServer[]::new);
+      StubControl control = new StubControl();
+      try (RoutedHarness first = new RoutedHarness(control, List.of(), engines);
+          RoutedHarness second = new RoutedHarness(control, List.of(), engines)) {
+        int status = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+          RoutedHarness relay = i % 2 == 0 ? first : second;
+          status = relay.postPrompt(STREAM, "crashing-" + i, "a1,dead," + i).statusCode();
+          int sound = relay.postPrompt(STREAM, "sound-" + i, "a1,b2," + i).statusCode();
+          assertEquals(sound, 200, "sound request " + i);
+        }
+        assertTrue(crashes.get() <= MAXIMUM_CRASHES, crashes + " engines crashed");
+        assertEquals(status, 503);
+      } finally {
+        Stream.of(engines).forEach(FakeServer::close);
+      }
+    }
+  }
+}
