--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -35,6 +35,7 @@
   private final UsageArea usage = new UsageArea();
   private final ClaimsArea claims = new ClaimsArea();
   private final ServingArea serving = new ServingArea();
+  private final SuspectPartsArea suspectParts = new SuspectPartsArea();
   private long appliedIndex;
   private long stateTimeMillis;
 
@@ -118,7 +119,8 @@
         authority.authority(),
         usage.windows(),
         claims.claims(),
-        serving.document());
+        serving.document(),
+        suspectParts.suspects());
   }
 
   /** Returns the encoded state; equal states have equal bytes. */
@@ -138,6 +140,7 @@
     usage.save(snapshot);
     claims.save(snapshot);
     serving.save(snapshot);
+    suspectParts.save(snapshot);
     return snapshot.build().toByteArray();
   }
 
@@ -155,6 +158,7 @@
     usage.load(snapshot);
     claims.load(snapshot);
     serving.load(snapshot);
+    suspectParts.load(snapshot);
   }
 
   private CommandAnswer.Builder execute(Command command, CommandContext context) {
@@ -180,6 +184,7 @@
           claims.claim(command.getClaimIdempotency().getClaim(), instances, context);
       case RECORD_OUTCOME -> claims.record(command.getRecordOutcome(), context);
       case PUBLISH_CONFIGURATION -> serving.publish(command.getPublishConfiguration());
+      case REPORT_PROMPT_PARTS -> suspectParts.report(command.getReportPromptParts(), context);
       case CHANGE_NOT_SET -> CommandAnswers.rejected("", "the command holds no known change");
     };
   }
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -13,6 +13,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 
 /** Immutable view of the control state at one log index; safe for use by any thread. */
@@ -82,6 +83,14 @@
     return ServingDocument.NONE;
   }
 
+  /**
+   * Returns the prompt parts that ran at lost backend servers and have not been answered since;
+   * views return the same collection object until one of them changes.
+   */
+  default Collection<SuspectPromptPart> suspectPromptParts() {
+    return List.of();
+  }
+
   /** Returns how many backend servers of open purchases are not available yet. */
   default int outstandingServers(String pool, String failureDomain, String capacity) {
     return openPlatformOrders().stream()
--- a/control/src/main/java/org/teaseltrestle/control/StateView.java
+++ b/control/src/main/java/org/teaseltrestle/control/StateView.java
@@ -13,6 +13,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 
 /** View that shares the immutable maps of the state. */
@@ -32,9 +33,15 @@
     AuthorityRecord authority,
     PersistentMap<Long, UsageArea.Window> windowsByNumber,
     PersistentMap<ClaimsArea.ClaimKey, ClaimSnapshot> claimsByKey,
-    ServingDocument servingDocument)
+    ServingDocument servingDocument,
+    PersistentMap<Long, SuspectPromptPart> suspectsByPart)
     implements ControlView {
 
+  @Override
+  public Collection<SuspectPromptPart> suspectPromptParts() {
+    return suspectsByPart.values();
+  }
+
   @Override
   public Optional<KeyRecord> key(String keyId) {
     return keysById.get(keyId);
--- /dev/null
+++ b/control/src/main/java/org/teaseltrestle/control/SuspectPartsArea.java
@@ -0,0 +1,105 @@
+package org.teaseltrestle.control;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.ControlSnapshot;
+import org.teaseltrestle.wire.LostPromptParts;
+import org.teaseltrestle.wire.ReportPromptParts;
+import org.teaseltrestle.wire.ServerLoss;
+import org.teaseltrestle.wire.SuspectPromptPart;
+
+/**
+ * Prompt parts that ran at lost backend servers. A part that crashes servers is never answered, so
+ * an answer clears it; the parts that only ran beside it are soon answered elsewhere.
+ */
+final class SuspectPartsArea {
+
+  /** Maximum number of suspects; beyond it, the ones with the fewest losses are forgotten. */
+  static final int CAPACITY = 256;
+
+  /**
+   * Losses closer together than this count once: a failure domain that loses power, or an instance
+   * whose connections are reset, ends many servers' requests at one moment.
+   */
+  static final long SAME_MOMENT_MILLIS = 200;
+
+  /** All instances report the loss of a server within this time, and it does not restart sooner. */
+  static final long SAME_LOSS_MILLIS = 2_000;
+
+  private static final int RETAINED_LOSSES = 4;
+  private static final String SUBJECT = "prompt parts";
+
+  private PersistentMap<Long, SuspectPromptPart> suspects = PersistentMap.empty();
+
+  PersistentMap<Long, SuspectPromptPart> suspects() {
+    return suspects;
+  }
+
+  CommandAnswer.Builder report(ReportPromptParts report, CommandContext context) {
+    for (LostPromptParts lost : report.getLostList()) {
+      ServerLoss loss =
+          ServerLoss.newBuilder()
+              .setBackendServer(lost.getBackendServer())
+              .setReportedAtMillis(context.proposedAtMillis())
+              .build();
+      lost.getPartsList().forEach(part -> count(part, loss, context.index()));
+    }
+    report.getAnsweredPartsList().forEach(part -> suspects = suspects.without(part));
+    while (suspects.size() > CAPACITY) {
+      evict();
+    }
+    return CommandAnswers.accepted(SUBJECT);
+  }
+
+  void save(ControlSnapshot.Builder snapshot) {
+    snapshot.addAllSuspectPromptParts(suspects.values());
+  }
+
+  void load(ControlSnapshot snapshot) {
+    for (SuspectPromptPart suspect : snapshot.getSuspectPromptPartsList()) {
+      suspects = suspects.with(suspect.getPart(), suspect);
+    }
+  }
+
+  private void count(long part, ServerLoss loss, long index) {
+    Optional<SuspectPromptPart> known = suspects.get(part);
+    if (known.isPresent()
+        && known.get().getLatestList().stream().anyMatch(earlier -> covers(earlier, loss))) {
+      return;
+    }
+    SuspectPromptPart suspect = known.orElse(SuspectPromptPart.newBuilder().setPart(part).build());
+    List<ServerLoss> latest =
+        Stream.concat(suspect.getLatestList().stream(), Stream.of(loss))
+            .skip(Math.max(0, suspect.getLatestCount() + 1 - RETAINED_LOSSES))
+            .toList();
+    suspects =
+        suspects.with(
+            part,
+            suspect.toBuilder()
+                .setLosses(suspect.getLosses() + 1)
+                .clearLatest()
+                .addAllLatest(latest)
+                .setChangedIndex(index)
+                .build());
+  }
+
+  // The distance and not the order of the times matters: the reporters' clocks may differ or jump.
+  private static boolean covers(ServerLoss earlier, ServerLoss loss) {
+    long distance = Math.abs(loss.getReportedAtMillis() - earlier.getReportedAtMillis());
+    return distance < SAME_MOMENT_MILLIS
+        || (distance < SAME_LOSS_MILLIS
+            && earlier.getBackendServer().equals(loss.getBackendServer()));
+  }
+
+  private void evict() {
+    suspects.values().stream()
+        .min(
+            Comparator.comparingInt(SuspectPromptPart::getLosses)
+                .thenComparingLong(SuspectPromptPart::getChangedIndex)
+                .thenComparingLong(SuspectPromptPart::getPart))
+        .ifPresent(suspect -> suspects = suspects.without(suspect.getPart()));
+  }
+}
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.control;
 
 import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.Random;
 import org.teaseltrestle.wire.BackendServerRecord;
 import org.teaseltrestle.wire.ClaimAuthority;
@@ -12,6 +13,7 @@
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.IssueKey;
 import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.LostPromptParts;
 import org.teaseltrestle.wire.ObserveFleet;
 import org.teaseltrestle.wire.PlaceEngineOrder;
 import org.teaseltrestle.wire.PlacePlatformOrder;
@@ -21,6 +23,7 @@
 import org.teaseltrestle.wire.RecordOutcome;
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.ReplaceLists;
+import org.teaseltrestle.wire.ReportPromptParts;
 import org.teaseltrestle.wire.RetireInstance;
 import org.teaseltrestle.wire.SettleEngineOrder;
 import org.teaseltrestle.wire.SettlePlatformOrder;
@@ -273,6 +276,27 @@
     };
   }
 
+  /** Reports the parts of prompts that ran at a lost server. */
+  static Command lostParts(long atMillis, String server, Long... parts) {
+    return Command.newBuilder()
+        .setProposedAtMillis(atMillis)
+        .setReportPromptParts(
+            ReportPromptParts.newBuilder()
+                .addLost(
+                    LostPromptParts.newBuilder()
+                        .setBackendServer(server)
+                        .addAllParts(List.of(parts))))
+        .build();
+  }
+
+  /** Reports the parts of answered prompts. */
+  static Command answeredParts(long atMillis, Long... parts) {
+    return Command.newBuilder()
+        .setProposedAtMillis(atMillis)
+        .setReportPromptParts(ReportPromptParts.newBuilder().addAllAnsweredParts(List.of(parts)))
+        .build();
+  }
+
   static KeyRecord randomKey(Random random, String account) {
     return KeyRecord.newBuilder()
         .setKeyId(String.format("%016x", 1 + random.nextInt(12)))
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -17,6 +17,7 @@
 import org.teaseltrestle.wire.EngineOrder;
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.IdempotencyRecord.State;
+import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -66,6 +67,90 @@
     }
   }
 
+  /** Prompt parts that ran at lost backend servers. */
+  public static class SuspectParts extends StateFixture {
+
+    private static final long MOMENT = SuspectPartsArea.SAME_MOMENT_MILLIS;
+
+    private int losses(long part) {
+      return state.view().suspectPromptParts().stream()
+          .filter(suspect -> suspect.getPart() == part)
+          .mapToInt(SuspectPromptPart::getLosses)
+          .sum();
+    }
+
+    /** Guards against a loss that counts once for each instance that saw it, or for each resend. */
+    @Test
+    public void lossReportedByManyCountsOnce() {
+      for (int reporter = 0; reporter < 9; reporter++) {
+        expect(Status.ACCEPTED, Commands.lostParts(1_000 + 150 * reporter, "s1", 7L));
+      }
+      assertEquals(losses(7), 1);
+      expect(Status.ACCEPTED, Commands.lostParts(1_000 + 9 * MOMENT, "s2", 7L));
+      assertEquals(losses(7), 2);
+    }
+
+    /**
+     * Guards against a server that crashes again under its former identifier and is not counted.
+     */
+    @Test
+    public void laterLossOfSameServerCounts() {
+      expect(Status.ACCEPTED, Commands.lostParts(1_000, "s1", 7L));
+      long later = 1_000 + SuspectPartsArea.SAME_LOSS_MILLIS;
+      expect(Status.ACCEPTED, Commands.lostParts(later, "s1", 7L));
+      assertEquals(losses(7), 2);
+    }
+
+    /** Guards against parts that are convicted because many servers lose power at one moment. */
+    @Test
+    public void lossesAtOneMomentCountOnce() {
+      for (int server = 0; server < 8; server++) {
+        expect(Status.ACCEPTED, Commands.lostParts(1_000 + server, "s" + server, 7L));
+      }
+      assertEquals(losses(7), 1);
+    }
+
+    /** Guards against losses that are not counted because one reporter's clock had jumped ahead. */
+    @Test
+    public void clockThatJumpsHidesNoLoss() {
+      expect(Status.ACCEPTED, Commands.lostParts(9_000, "s1", 7L));
+      expect(Status.ACCEPTED, Commands.lostParts(1_000, "s2", 7L));
+      expect(Status.ACCEPTED, Commands.lostParts(2_000, "s3", 7L));
+      assertEquals(losses(7), 3);
+    }
+
+    /**
+     * Guards against sound parts that stay suspected, and against a crashing one cleared by them.
+     */
+    @Test
+    public void answerClearsOnlyItsParts() {
+      for (int i = 0; i < 3; i++) {
+        expect(Status.ACCEPTED, Commands.lostParts(1_000 * i, "s" + i, 1L, 7L));
+      }
+      expect(Status.ACCEPTED, Commands.answeredParts(3_000, 1L, 2L));
+      assertEquals(losses(1), 0);
+      assertEquals(losses(7), 3);
+    }
+
+    /** Guards against a quarantine that a restarted instance does not know, and against growth. */
+    @Test
+    public void suspectsAreBoundedAndSurviveRestart() {
+      for (int i = 0; i < 3; i++) {
+        expect(Status.ACCEPTED, Commands.lostParts(1_000 * i, "s" + i, 7L));
+      }
+      for (long part = 100; part < 100 + 2L * SuspectPartsArea.CAPACITY; part++) {
+        expect(Status.ACCEPTED, Commands.lostParts(10_000, "s9", part));
+      }
+      assertEquals(state.view().suspectPromptParts().size(), SuspectPartsArea.CAPACITY);
+      assertEquals(losses(7), 3);
+      ControlState restored = ControlState.restore(state.snapshot());
+      assertEquals(restored.snapshot(), state.snapshot());
+      assertEquals(
+          List.copyOf(restored.view().suspectPromptParts()),
+          List.copyOf(state.view().suspectPromptParts()));
+    }
+  }
+
   /** Lists and request ids. */
   public static class Lists extends StateFixture {
 
--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -160,8 +160,12 @@
   @Provides
   @Singleton
   AdmissionDuty admission(
-      DemandMeter demandMeter, ControlPlane control, MonotonicClock clock, MetricRegistry metrics) {
-    return new AdmissionDuty(demandMeter, control, clock, metrics);
+      DemandMeter demandMeter,
+      ControlPlane control,
+      MonotonicClock clock,
+      WallClock wallClock,
+      MetricRegistry metrics) {
+    return new AdmissionDuty(demandMeter, control, clock, wallClock, metrics);
   }
 
   @Provides
--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -1,21 +1,29 @@
 package org.teaseltrestle.node.relay;
 
 import com.codahale.metrics.MetricRegistry;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.stream.Collectors;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
+import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.RequestId;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.AttemptOutcome;
 import org.teaseltrestle.policy.FailureKind;
+import org.teaseltrestle.wire.SuspectPromptPart;
 
 /**
  * Runs the admission decisions on one thread. Relay threads submit events and wait at the mailbox
@@ -23,7 +31,9 @@
  */
 public final class AdmissionDuty implements AutoCloseable {
 
+  private static final EventLog LOG = EventLog.of(AdmissionDuty.class);
   private static final int RING_CAPACITY = 8_192;
+  private static final int MAXIMUM_LOGGED_SUSPECTS = 8;
 
   /** Accuracy with which the deadlines of waiting requests are observed. */
   private static final long WAITING_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
@@ -42,13 +52,17 @@
   private final Map<RequestId, RequestMailbox> mailboxes = new ConcurrentHashMap<>();
   private long listsRevision = -1;
   private long appliedIndex = -1;
+  private final PromptPartReporter promptParts;
+  private Collection<SuspectPromptPart> suspectParts = List.of();
 
   /** Creates the duty; {@link #start()} starts its thread. */
   public AdmissionDuty(
       AdmissionDecisions decisions,
       ControlGateway control,
       MonotonicClock clock,
+      WallClock wallClock,
       MetricRegistry metrics) {
+    this.promptParts = new PromptPartReporter(control, wallClock, metrics);
     this.decisions = decisions;
     this.control = control;
     this.clock = clock;
@@ -110,6 +124,42 @@
   }
 
   private void handle(AdmissionEvent event) {
+    applySuspectParts();
+    decide(event);
+    promptParts.flush();
+  }
+
+  /** Applies a change of the suspected parts before the next decision. */
+  private void applySuspectParts() {
+    ControlView view = control.view();
+    Collection<SuspectPromptPart> latest = view.suspectPromptParts();
+    if (latest == suspectParts) {
+      return;
+    }
+    suspectParts = latest;
+    Map<Long, Integer> lossesByPart = new HashMap<>();
+    latest.forEach(suspect -> lossesByPart.put(suspect.getPart(), suspect.getLosses()));
+    LOG.info(
+        RelayEvent.SUSPECT_PARTS_CHANGED,
+        "applied",
+        view.appliedIndex(),
+        "suspects",
+        latest.size(),
+        "losses",
+        largestLosses(latest));
+    decide(new AdmissionEvent.SuspectPartsChanged(lossesByPart));
+  }
+
+  /** Returns the parts with the most losses, which are the first to be quarantined. */
+  private static String largestLosses(Collection<SuspectPromptPart> suspects) {
+    return suspects.stream()
+        .sorted(Comparator.comparingInt(SuspectPromptPart::getLosses).reversed())
+        .limit(MAXIMUM_LOGGED_SUSPECTS)
+        .map(suspect -> Long.toHexString(suspect.getPart()) + "=" + suspect.getLosses())
+        .collect(Collectors.joining(","));
+  }
+
+  private void decide(AdmissionEvent event) {
     for (AdmissionAction action : decisions.handle(event, clock.nowNanos())) {
       perform(action);
     }
@@ -160,12 +210,16 @@
       }
     } else if (action instanceof AdmissionAction.CountRetry retry) {
       counters.attemptRetried(retry.reason());
+    } else if (action instanceof AdmissionAction.ReportLostParts report) {
+      promptParts.add(report);
+    } else if (action instanceof AdmissionAction.ReportAnsweredParts report) {
+      promptParts.add(report);
     }
   }
 
   /** Releases the slot of a chosen server whose request ended before the decision reached it. */
   private void releaseSlot(AdmissionAction.Dispatch dispatch) {
-    handle(
+    decide(
         new AdmissionEvent.AttemptFinished(
             dispatch.request(),
             dispatch.attempt(),
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
@@ -0,0 +1,128 @@
+package org.teaseltrestle.node.relay;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.MetricRegistry;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.UUID;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.policy.AdmissionAction;
+import org.teaseltrestle.wire.Command;
+import org.teaseltrestle.wire.LostPromptParts;
+import org.teaseltrestle.wire.ReportPromptParts;
+
+/**
+ * Commits what this instance sees of prompt parts that may crash servers, one command at a time;
+ * what is added meanwhile goes out with the next one. A command that failed is sent again
+ * unchanged. Confined to the admission thread, except for the answers to commands.
+ */
+final class PromptPartReporter {
+
+  private static final EventLog LOG = EventLog.of(PromptPartReporter.class);
+
+  /** Maximum number of servers, and of answered parts, that wait to be reported. */
+  private static final int MAXIMUM_PENDING = 256;
+
+  private final ControlGateway control;
+  private final WallClock wallClock;
+  private final Counter losses;
+  private final Counter answers;
+  private final Map<String, Set<Long>> lost = new LinkedHashMap<>();
+  private final Set<Long> answered = new LinkedHashSet<>();
+  private @Nullable Command unconfirmed;
+  private volatile Progress progress = Progress.IDLE;
+
+  private enum Progress {
+    IDLE,
+    RUNNING,
+    FAILED
+  }
+
+  PromptPartReporter(ControlGateway control, WallClock wallClock, MetricRegistry metrics) {
+    this.control = control;
+    this.wallClock = wallClock;
+    this.losses = metrics.counter("prompt_parts.lost");
+    this.answers = metrics.counter("prompt_parts.answered");
+  }
+
+  /** Adds the parts of a request whose server was lost. */
+  void add(AdmissionAction.ReportLostParts report) {
+    losses.inc(report.parts().size());
+    if (lost.size() < MAXIMUM_PENDING || lost.containsKey(report.server().value())) {
+      lost.computeIfAbsent(report.server().value(), server -> new LinkedHashSet<>())
+          .addAll(report.parts());
+    } else {
+      LOG.warn(RelayEvent.PROMPT_PARTS_DROPPED, "server", report.server());
+    }
+  }
+
+  /** Adds suspected parts of a request that was answered. */
+  void add(AdmissionAction.ReportAnsweredParts report) {
+    answers.inc(report.parts().size());
+    if (answered.size() < MAXIMUM_PENDING) {
+      answered.addAll(report.parts());
+    } else {
+      LOG.warn(RelayEvent.PROMPT_PARTS_DROPPED, "parts", hexadecimal(report.parts()));
+    }
+  }
+
+  /** Sends what has been added, unless an earlier command is still running. */
+  void flush() {
+    if (progress == Progress.RUNNING) {
+      return;
+    }
+    Command command = progress == Progress.FAILED ? unconfirmed : nextCommand();
+    if (command == null) {
+      return;
+    }
+    unconfirmed = command;
+    progress = Progress.RUNNING;
+    control
+        .propose(command)
+        .whenComplete(
+            (answer, failure) -> {
+              progress = failure == null ? Progress.IDLE : Progress.FAILED;
+              if (failure != null) {
+                LOG.warn(RelayEvent.PROMPT_PARTS_NOT_REPORTED, "reason", failure);
+              }
+            });
+  }
+
+  private @Nullable Command nextCommand() {
+    if (lost.isEmpty() && answered.isEmpty()) {
+      return null;
+    }
+    ReportPromptParts.Builder report = ReportPromptParts.newBuilder();
+    lost.forEach(
+        (server, parts) ->
+            report.addLost(
+                LostPromptParts.newBuilder().setBackendServer(server).addAllParts(parts)));
+    report.addAllAnsweredParts(answered);
+    LOG.info(
+        RelayEvent.PROMPT_PARTS_REPORTED,
+        "servers",
+        List.copyOf(lost.keySet()),
+        "answered",
+        hexadecimal(answered));
+    lost.clear();
+    answered.clear();
+    return Command.newBuilder()
+        .setRequestId("prompt-parts/" + UUID.randomUUID())
+        .setProposedAtMillis(wallClock.nowMillis())
+        .setReportPromptParts(report)
+        .build();
+  }
+
+  private static List<String> hexadecimal(Iterable<Long> parts) {
+    List<String> texts = new ArrayList<>();
+    parts.forEach(part -> texts.add(Long.toHexString(part)));
+    return texts;
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -24,7 +24,11 @@
   PROMPT_READ(5017, "remote prefill ended"),
   MEMORY_RELEASED(5018, "release of unfetched KV cache requested"),
   ATTEMPT_ANSWERED(5019, "backend server started its response to an attempt"),
-  RESET_FAILED(5020, "connection of a truncated response could not be reset; it is closed");
+  RESET_FAILED(5020, "connection of a truncated response could not be reset; it is closed"),
+  PROMPT_PARTS_REPORTED(5021, "prompt parts of lost servers or of answered requests are reported"),
+  PROMPT_PARTS_NOT_REPORTED(5022, "report of prompt parts failed; it is sent again"),
+  PROMPT_PARTS_DROPPED(5023, "prompt parts were not reported, too many are waiting"),
+  SUSPECT_PARTS_CHANGED(5024, "suspected prompt parts changed");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
@@ -71,7 +71,10 @@
     }
     if (action instanceof AdmissionAction.Refuse refuse) {
       settled = true;
-      throw refusal(refuse.code(), "the request was refused: " + refuse.code().wireName(), refuse);
+      String parts =
+          refuse.code() == RefusalCode.PROMPT_QUARANTINED ? " " + hexadecimalParts() : "";
+      throw refusal(
+          refuse.code(), "the request was refused: " + refuse.code().wireName() + parts, refuse);
     }
     throw refusal(RefusalCode.QUEUE_TIMEOUT, "no backend server became free in time", null);
   }
@@ -224,9 +227,11 @@
    * Returns the prompt's first shared parts if the server was lost, which one of them may cause.
    */
   private List<String> loggedParts(FailureKind kind) {
-    return kind.isConnectionLost()
-        ? work.sharedParts().stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).toList()
-        : List.of();
+    return kind.isConnectionLost() ? hexadecimalParts() : List.of();
+  }
+
+  private List<String> hexadecimalParts() {
+    return work.sharedParts().stream().limit(MAXIMUM_LOGGED_PARTS).map(Long::toHexString).toList();
   }
 
   private void updateNotRun(FailureKind kind, int tokens) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -32,6 +32,7 @@
   private static final int BUFFER_BYTES = 16 * 1024;
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
+  private static final int FIRST_REDIRECT = 300;
   private static final long NANOS_PER_MILLISECOND = 1_000_000;
 
   private final RelayContext context;
@@ -355,7 +356,8 @@
             "backend server responded with status " + completeResponse.status(),
             completeResponse.status());
       }
-      lifecycle.attemptSucceeded(dispatch, 0, attemptFirstByteNanos);
+      boolean rejected = completeResponse.status() >= FIRST_REDIRECT;
+      lifecycle.attemptSucceeded(dispatch, 0, rejected ? 0 : attemptFirstByteNanos);
       respond(completeResponse);
       return true;
     }
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -19,6 +19,7 @@
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
@@ -82,6 +83,7 @@
             },
             control,
             MonotonicClock.SYSTEM,
+            WallClock.SYSTEM,
             metrics);
     admission.start();
     relay =
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -77,7 +77,11 @@
     MetricRegistry metrics = new MetricRegistry();
     admission =
         new AdmissionDuty(
-            new AdmissionCore(policy)::handle, control, MonotonicClock.SYSTEM, metrics);
+            new AdmissionCore(policy)::handle,
+            control,
+            MonotonicClock.SYSTEM,
+            control.reportTimes,
+            metrics);
     admission.start();
     admission.offer(new AdmissionEvent.FleetChanged(servers));
     control.document = ByteString.copyFromUtf8("any");
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -12,10 +12,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.ControlState;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.control.KeyVerifier;
 import org.teaseltrestle.control.ServingDocument;
+import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.ItemName;
@@ -36,6 +39,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.SuspectPromptPart;
 
 /** In-memory control state with one account, service and key, and two models. */
 final class StubControl implements ControlGateway, ControlView {
@@ -52,13 +56,24 @@
   volatile boolean withdrawn;
   volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
   volatile ByteString document = ByteString.EMPTY;
+  private final ControlState state = new ControlState();
+  private final AtomicLong reportedAtMillis = new AtomicLong();
   private volatile long index = 1;
+  private volatile Collection<SuspectPromptPart> suspects = List.of();
+
+  /** Wall clock on which each report is made at a moment of its own. */
+  final WallClock reportTimes = () -> reportedAtMillis.addAndGet(1_000);
 
   synchronized void withdraw() {
     withdrawn = true;
     index++;
   }
 
+  @Override
+  public Collection<SuspectPromptPart> suspectPromptParts() {
+    return suspects;
+  }
+
   @Override
   public ServingDocument servingDocument() {
     return document.isEmpty() ? ServingDocument.NONE : new ServingDocument(1, document);
@@ -83,7 +98,10 @@
     proposed.add(command);
     CommandAnswer.Builder answer =
         CommandAnswer.newBuilder().setStatus(CommandAnswer.Status.ACCEPTED);
-    if (command.hasClaimIdempotency()) {
+    if (command.hasReportPromptParts()) {
+      state.apply(++index, command);
+      suspects = state.view().suspectPromptParts();
+    } else if (command.hasClaimIdempotency()) {
       IdempotencyRecord requestedClaim = command.getClaimIdempotency().getClaim();
       IdempotencyRecord existing =
           claims.putIfAbsent(requestedClaim.getIdempotencyKey(), requestedClaim);
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.policy;
 
 import java.time.Duration;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.RefusalCode;
@@ -43,6 +44,12 @@
   record CancelAttempt(RequestId request, int attempt, BackendServerId server)
       implements AdmissionAction {}
 
+  /** Reports the prompt parts of a request that ran at a backend server when that was lost. */
+  record ReportLostParts(BackendServerId server, List<Long> parts) implements AdmissionAction {}
+
+  /** Reports suspected prompt parts of a request that was answered. */
+  record ReportAnsweredParts(List<Long> parts) implements AdmissionAction {}
+
   /** Counts a retry in the metrics, by the failure that caused it. */
   record CountRetry(FailureKind reason) implements AdmissionAction {}
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -49,6 +49,7 @@
   private final DeadlineCheck deadlines;
   private final CostModel costs;
   private final RemotePrefillSelector remotePrefills;
+  private final PromptQuarantine quarantine = new PromptQuarantine();
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
   private long nextSequence;
 
@@ -114,6 +115,9 @@
       retryBudget.applyShare(granted.defaultShare());
     } else if (event instanceof AdmissionEvent.RequestsRevoked revoked) {
       refuseRevoked(revoked, actions);
+    } else if (event instanceof AdmissionEvent.SuspectPartsChanged changed) {
+      quarantine.replace(changed.lossesByPart(), nowNanos);
+      refuseQuarantined(nowNanos, actions);
     }
     refuseExpired(nowNanos, actions);
     for (QueueKey key : waiting.nonEmptyKeys()) {
@@ -139,6 +143,9 @@
     if (denial == null) {
       denial = limiter.admit(planLimits, work.workTokens(), nowNanos);
     }
+    if (denial != null) {
+      quarantine.ended(work);
+    }
     if (denial != null) {
       actions.add(refusal(work.request(), denial.code(), denial.retryAfter()));
       return;
@@ -150,6 +157,10 @@
   }
 
   private AccountLimiter.@Nullable Denial denial(RequestState request, long nowNanos) {
+    if (!quarantine.admit(request.work, nowNanos)) {
+      return new AccountLimiter.Denial(
+          RefusalCode.PROMPT_QUARANTINED, quarantine.retryAfter(request.work, nowNanos));
+    }
     if (!fleet.canServe(request, nowNanos)) {
       return new AccountLimiter.Denial(RefusalCode.NO_BACKEND_SERVER, RETRY_AFTER);
     }
@@ -200,6 +211,7 @@
     fleet.recordOutcome(server, request, failure, nowNanos);
     fleet.removeIfUnlisted(server);
     request.outputTokens += event.outcome().outputTokens();
+    reportParts(request, server, event.outcome(), nowNanos, actions);
     if (failure == null || request.phase == Phase.CANCELLING) {
       endAfterRun(request);
     } else {
@@ -208,6 +220,26 @@
     dispatchWaiting(request.queueKey, nowNanos, actions);
   }
 
+  /** Reports what the outcome says of the prompt's parts: they may crash servers, or do not. */
+  private void reportParts(
+      RequestState request,
+      ServerState server,
+      AttemptOutcome outcome,
+      long nowNanos,
+      List<AdmissionAction> actions) {
+    if (outcome.isAnswered()) {
+      List<Long> cleared = quarantine.recordAnswer(request.work, nowNanos);
+      if (!cleared.isEmpty()) {
+        actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
+      }
+    } else if (outcome.failure() != null && outcome.failure().isConnectionLost()) {
+      List<Long> parts = quarantine.partsToReport(request.work);
+      if (!parts.isEmpty()) {
+        actions.add(new AdmissionAction.ReportLostParts(server.server.id(), parts));
+      }
+    }
+  }
+
   private void retryOrRefuse(
       RequestState request,
       FailureKind failure,
@@ -224,7 +256,7 @@
     // A partly delivered response waits even if no server remains: one may return before the
     // deadline.
     boolean serverAvailable = action == RetryAction.RESUME || fleet.canServe(request, nowNanos);
-    if (!serverAvailable || !mayRetry(request, action)) {
+    if (quarantine.forbidsRetry(request.work) || !serverAvailable || !mayRetry(request, action)) {
       end(request);
       actions.add(refusal(request.id(), request.verifiedCode(code), null));
       return;
@@ -313,6 +345,18 @@
     limiter.retain(limits);
   }
 
+  private void refuseQuarantined(long nowNanos, List<AdmissionAction> actions) {
+    for (RequestState request : waiting.all()) {
+      if (quarantine.holdsBack(request.work)) {
+        refuseWaiting(
+            request,
+            request.verifiedCode(RefusalCode.PROMPT_QUARANTINED),
+            quarantine.retryAfter(request.work, nowNanos),
+            actions);
+      }
+    }
+  }
+
   private void refuseExpired(long nowNanos, List<AdmissionAction> actions) {
     for (RequestState request : waiting.expired(nowNanos)) {
       boolean servable = fleet.canServe(request, nowNanos);
@@ -422,6 +466,7 @@
     if (request.mayHaveRun()) {
       endAfterRun(request);
     } else {
+      quarantine.ended(request.work);
       requests.remove(request.id());
       limiter.endNotRun(request.work.account(), request.work.workTokens());
     }
@@ -429,6 +474,7 @@
 
   /** Ends a request that ran, and corrects its charge to the actual length of the response. */
   private void endAfterRun(RequestState request) {
+    quarantine.ended(request.work);
     requests.remove(request.id());
     WorkRequest work = request.work;
     int unused = work.expectedOutputTokens() - request.outputTokens;
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -76,6 +76,14 @@
   /** An API key was withdrawn: its requests that still wait are refused as not run. */
   record RequestsRevoked(Set<RequestId> requests) implements AdmissionEvent {}
 
+  /**
+   * The prompt parts that are suspected to crash backend servers changed.
+   *
+   * @param lossesByPart for each part, how often servers that ran it were lost since its last
+   *     answer
+   */
+  record SuspectPartsChanged(Map<Long, Integer> lossesByPart) implements AdmissionEvent {}
+
   /** Time has passed; lets the core refuse expired requests and dispatch waiting ones. */
   record Tick() implements AdmissionEvent {}
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/AttemptOutcome.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AttemptOutcome.java
@@ -13,6 +13,11 @@
 public record AttemptOutcome(
     @Nullable FailureKind failure, int outputTokens, long firstTokenNanos) {
 
+  /** Returns whether the prompt was answered: a rejected request has no token and no response. */
+  public boolean isAnswered() {
+    return failure == null && firstTokenNanos > 0;
+  }
+
   /** Returns whether the response was complete. */
   public boolean succeeded() {
     return failure == null;
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
@@ -0,0 +1,167 @@
+package org.teaseltrestle.policy;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.policy.WorkRequest.WorkKind;
+
+/**
+ * Keeps prompts away from the backend servers if one of their parts has crashed several: which
+ * parts are suspected is agreed among the instances, as such requests come at any of them. After a
+ * while one request at a time tries whether the part is answered after all.
+ */
+final class PromptQuarantine {
+
+  /** Losses at different moments, without an answer in between, after which a part is refused. */
+  static final int QUARANTINE_LOSSES = 3;
+
+  /** Time until the first trial; each further loss multiplies it. */
+  static final long FIRST_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  static final long LONGEST_TRIAL_INTERVAL_NANOS = TimeUnit.HOURS.toNanos(1);
+  private static final int TRIAL_INTERVAL_FACTOR = 4;
+
+  /** Maximum number of parts reported for one lost request; the first ones are the most shared. */
+  private static final int MAXIMUM_REPORTED_PARTS = 32;
+
+  /** Time until an answered part that is still suspected is reported again. */
+  private static final long REPEATED_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private Map<Long, Suspect> suspects = new HashMap<>();
+
+  /** State of one suspected part. */
+  private static final class Suspect {
+    private final int losses;
+    private final long trialAtNanos;
+    private @Nullable RequestId trial;
+    private boolean answered;
+    private long reportAgainAtNanos = Long.MIN_VALUE;
+
+    Suspect(int losses, long nowNanos) {
+      this.losses = losses;
+      this.trialAtNanos = nowNanos + trialInterval(losses);
+    }
+
+    boolean isQuarantined() {
+      return losses >= QUARANTINE_LOSSES && !answered;
+    }
+
+    private static long trialInterval(int losses) {
+      long interval = FIRST_TRIAL_NANOS;
+      for (int i = QUARANTINE_LOSSES; i < losses && interval < LONGEST_TRIAL_INTERVAL_NANOS; i++) {
+        interval *= TRIAL_INTERVAL_FACTOR;
+      }
+      return Math.min(interval, LONGEST_TRIAL_INTERVAL_NANOS);
+    }
+  }
+
+  /** Replaces the suspected parts; those with an unchanged number of losses keep their state. */
+  void replace(Map<Long, Integer> lossesByPart, long nowNanos) {
+    Map<Long, Suspect> replaced = new HashMap<>();
+    lossesByPart.forEach(
+        (part, losses) -> {
+          Suspect known = suspects.get(part);
+          replaced.put(
+              part,
+              known != null && known.losses == losses ? known : new Suspect(losses, nowNanos));
+        });
+    suspects = replaced;
+  }
+
+  /** Returns whether a request has a quarantined part, unless it is the trial of it. */
+  boolean holdsBack(WorkRequest work) {
+    if (suspects.isEmpty()) {
+      return false;
+    }
+    for (Long part : work.sharedParts()) {
+      Suspect suspect = suspects.get(part);
+      if (suspect != null
+          && suspect.isQuarantined()
+          && !Objects.equals(suspect.trial, work.request())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns whether a request has a quarantined part; even as its trial it runs only once. */
+  boolean forbidsRetry(WorkRequest work) {
+    return !suspects.isEmpty() && !quarantinedParts(work).isEmpty();
+  }
+
+  /** Returns whether a new request may run; it becomes the trial of its quarantined parts. */
+  boolean admit(WorkRequest work, long nowNanos) {
+    if (!holdsBack(work)) {
+      return true;
+    }
+    List<Suspect> quarantined = quarantinedParts(work);
+    for (Suspect suspect : quarantined) {
+      if (suspect.trial != null || nowNanos < suspect.trialAtNanos) {
+        return false;
+      }
+    }
+    quarantined.forEach(suspect -> suspect.trial = work.request());
+    return true;
+  }
+
+  /** Returns the time until a part of the request is tried again. */
+  Duration retryAfter(WorkRequest work, long nowNanos) {
+    long remaining = REPEATED_REPORT_NANOS;
+    for (Suspect suspect : quarantinedParts(work)) {
+      remaining = Math.max(remaining, suspect.trialAtNanos - nowNanos);
+    }
+    return Duration.ofNanos(remaining);
+  }
+
+  /** Returns the parts of a lost request that may have crashed its server. */
+  List<Long> partsToReport(WorkRequest work) {
+    return work.kind() == WorkKind.MODEL_COMPLETION
+        ? work.sharedParts().stream().limit(MAXIMUM_REPORTED_PARTS).toList()
+        : List.of();
+  }
+
+  /** Records an answered request; returns its suspected parts, which are thereby cleared. */
+  List<Long> recordAnswer(WorkRequest work, long nowNanos) {
+    if (suspects.isEmpty()) {
+      return List.of();
+    }
+    List<Long> cleared = new ArrayList<>();
+    for (Long part : work.sharedParts()) {
+      Suspect suspect = suspects.get(part);
+      if (suspect != null) {
+        suspect.answered = true;
+        if (nowNanos >= suspect.reportAgainAtNanos) {
+          suspect.reportAgainAtNanos = nowNanos + REPEATED_REPORT_NANOS;
+          cleared.add(part);
+        }
+      }
+    }
+    return cleared;
+  }
+
+  /** Ends the trial of a request, if it was one. */
+  void ended(WorkRequest work) {
+    for (Suspect suspect : suspects.values()) {
+      if (Objects.equals(suspect.trial, work.request())) {
+        suspect.trial = null;
+      }
+    }
+  }
+
+  private List<Suspect> quarantinedParts(WorkRequest work) {
+    List<Suspect> quarantined = new ArrayList<>();
+    for (Long part : work.sharedParts()) {
+      Suspect suspect = suspects.get(part);
+      if (suspect != null && suspect.isQuarantined()) {
+        quarantined.add(suspect);
+      }
+    }
+    return quarantined;
+  }
+}
--- /dev/null
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
@@ -0,0 +1,179 @@
+package org.teaseltrestle.policy;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.teaseltrestle.model.RefusalCode;
+import org.teaseltrestle.policy.AdmissionAction.Dispatch;
+import org.teaseltrestle.policy.AdmissionAction.ReportAnsweredParts;
+import org.teaseltrestle.policy.AdmissionAction.ReportLostParts;
+import org.teaseltrestle.policy.AdmissionCoreTest.Harness;
+import org.teaseltrestle.policy.WorkRequest.Repeatability;
+import org.testng.annotations.Test;
+
+/**
+ * Load pattern: requests that share one prompt part, under which engines crash, among sound ones
+ * that share their account and their other parts.
+ */
+public final class PromptQuarantineTest {
+
+  private static final long COMMON = 1;
+  private static final long CRASHING = 666;
+  private static final AttemptOutcome LOST =
+      new AttemptOutcome(FailureKind.LOST_BEFORE_ANSWER, 0, 0);
+
+  private static Harness harness() {
+    return new Harness(
+        PolicyConfiguration.builder().build(),
+        List.of(Samples.engine("e1", "a"), Samples.engine("e2", "a"), Samples.engine("e3", "a")),
+        Samples.highLimits("north", 1, 0));
+  }
+
+  private static WorkRequest prompt(Harness harness, String id, Long... parts) {
+    WorkRequest plain = Samples.completion(id, "north", 100, 10, harness.now + 5 * Samples.SECOND);
+    return new WorkRequest(
+        plain.request(),
+        plain.account(),
+        plain.item(),
+        plain.pool(),
+        plain.kind(),
+        Repeatability.IDEMPOTENT,
+        plain.promptTokens(),
+        plain.expectedOutputTokens(),
+        List.of(parts),
+        List.of(),
+        plain.firstTokenDeadlineNanos(),
+        plain.sampleBits(),
+        RequestOptions.NONE);
+  }
+
+  private static List<AdmissionAction> suspect(Harness harness, int losses) {
+    return harness.send(
+        new AdmissionEvent.SuspectPartsChanged(Map.of(COMMON, 1, CRASHING, losses)));
+  }
+
+  private static AttemptOutcome answer() {
+    return new AttemptOutcome(null, 10, Samples.MILLISECOND);
+  }
+
+  /** Requests with a quarantined part. */
+  public static final class Quarantined {
+
+    /** Guards against a crashing prompt that is sent or held, and against sound ones refused. */
+    @Test
+    public void areRefusedAtOnceAndSoundOnesAreSent() {
+      Harness harness = harness();
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      AdmissionAction.Refuse refusal =
+          Harness.refusal(harness.arrive(prompt(harness, "r1", COMMON, CRASHING)));
+      assertEquals(refusal.code(), RefusalCode.PROMPT_QUARANTINED);
+      assertTrue(refusal.retryAfter() != null && refusal.retryAfter().toSeconds() > 0);
+      Harness.dispatch(harness.arrive(prompt(harness, "r2", COMMON, 3L)));
+      assertEquals(harness.core.openRequests(), 1);
+    }
+
+    /** Guards against a suspicion that refuses prompts before it is confirmed. */
+    @Test
+    public void areSentWhileTheyAreOnlySuspected() {
+      Harness harness = harness();
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES - 1);
+      Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON, CRASHING)));
+    }
+
+    /** Guards against a lost request that crashes a second engine. */
+    @Test
+    public void areNotRetried() {
+      Harness harness = harness();
+      Dispatch dispatch = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      List<AdmissionAction> actions = harness.finish(dispatch, LOST);
+      assertEquals(Harness.refusal(actions).code(), RefusalCode.OUTCOME_UNKNOWN);
+    }
+
+    /** Guards against a waiting request that is sent after its part was quarantined. */
+    @Test
+    public void areRefusedWhileTheyWait() {
+      Harness harness =
+          new Harness(
+              PolicyConfiguration.builder().maximumRunningPerServer(1).build(),
+              List.of(Samples.engine("e1", "a")),
+              Samples.highLimits("north", 1, 0));
+      Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON)));
+      assertTrue(harness.arrive(prompt(harness, "r2", CRASHING)).isEmpty());
+      AdmissionAction.Refuse refusal =
+          Harness.refusal(suspect(harness, PromptQuarantine.QUARANTINE_LOSSES));
+      assertEquals(refusal.code(), RefusalCode.PROMPT_QUARANTINED);
+    }
+  }
+
+  /** What is reported of the parts of a request. */
+  public static final class Reports {
+
+    /** Guards against an engine's loss that is not tied to the prompts that ran on it. */
+    @Test
+    public void partsOfLostRequestsAreReported() {
+      Harness harness = harness();
+      Dispatch dispatch = Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON, CRASHING)));
+      List<ReportLostParts> reports =
+          Harness.actionsOfType(ReportLostParts.class, harness.finish(dispatch, LOST));
+      assertEquals(
+          reports, List.of(new ReportLostParts(dispatch.server(), List.of(COMMON, CRASHING))));
+    }
+
+    /** Guards against a sound part that stays suspected, and against reports of rejections. */
+    @Test
+    public void suspectedPartsOfAnsweredRequestsAreReported() {
+      Harness harness = harness();
+      suspect(harness, 1);
+      Dispatch rejected = Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON, 5L)));
+      assertTrue(harness.finish(rejected, new AttemptOutcome(null, 0, 0)).isEmpty());
+      Dispatch answered = Harness.dispatch(harness.arrive(prompt(harness, "r2", COMMON, 5L)));
+      assertEquals(
+          harness.finish(answered, answer()), List.of(new ReportAnsweredParts(List.of(COMMON))));
+    }
+
+    /** Guards against a refusal of a part of which this instance has just seen an answer. */
+    @Test
+    public void answeredPartIsAdmittedBeforeOthersKnow() {
+      Harness harness = harness();
+      Dispatch running = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      harness.finish(running, answer());
+      Harness.dispatch(harness.arrive(prompt(harness, "r2", CRASHING)));
+    }
+  }
+
+  /** Trials of a quarantined part. */
+  public static final class Trials {
+
+    /** Guards against a sound part that is refused for ever, and against many trials at once. */
+    @Test
+    public void singleRequestIsTriedAfterInterval() {
+      Harness harness = harness();
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      Dispatch trial = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
+      Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
+      assertEquals(
+          harness.finish(trial, answer()), List.of(new ReportAnsweredParts(List.of(CRASHING))));
+      Harness.dispatch(harness.arrive(prompt(harness, "r3", CRASHING)));
+    }
+
+    /** Guards against a trial that crashes two engines, and against a next one as early. */
+    @Test
+    public void lostTrialIsNotRetriedAndTheNextOneComesLater() {
+      Harness harness = harness();
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      Dispatch trial = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
+      Harness.refusal(harness.finish(trial, LOST));
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES + 1);
+      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
+      harness.now += 3 * PromptQuarantine.FIRST_TRIAL_NANOS;
+      Harness.dispatch(harness.arrive(prompt(harness, "r3", CRASHING)));
+    }
+  }
+}
--- a/wire/src/main/java/org/teaseltrestle/wire/Command.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Command.java
@@ -73,6 +73,7 @@
     CLAIM_IDEMPOTENCY(26),
     RECORD_OUTCOME(27),
     PUBLISH_CONFIGURATION(28),
+    REPORT_PROMPT_PARTS(29),
     CHANGE_NOT_SET(0);
     private final int value;
     private ChangeCase(int value) {
@@ -109,6 +110,7 @@
         case 26: return CLAIM_IDEMPOTENCY;
         case 27: return RECORD_OUTCOME;
         case 28: return PUBLISH_CONFIGURATION;
+        case 29: return REPORT_PROMPT_PARTS;
         case 0: return CHANGE_NOT_SET;
         default: return null;
       }
@@ -775,6 +777,37 @@
     return org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance();
   }
 
+  public static final int REPORT_PROMPT_PARTS_FIELD_NUMBER = 29;
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   * @return Whether the reportPromptParts field is set.
+   */
+  @java.lang.Override
+  public boolean hasReportPromptParts() {
+    return changeCase_ == 29;
+  }
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   * @return The reportPromptParts.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ReportPromptParts getReportPromptParts() {
+    if (changeCase_ == 29) {
+       return (org.teaseltrestle.wire.ReportPromptParts) change_;
+    }
+    return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+  }
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ReportPromptPartsOrBuilder getReportPromptPartsOrBuilder() {
+    if (changeCase_ == 29) {
+       return (org.teaseltrestle.wire.ReportPromptParts) change_;
+    }
+    return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -852,6 +885,9 @@
     if (changeCase_ == 28) {
       output.writeMessage(28, (org.teaseltrestle.wire.PublishConfiguration) change_);
     }
+    if (changeCase_ == 29) {
+      output.writeMessage(29, (org.teaseltrestle.wire.ReportPromptParts) change_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -944,6 +980,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(28, (org.teaseltrestle.wire.PublishConfiguration) change_);
     }
+    if (changeCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.teaseltrestle.wire.ReportPromptParts) change_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1041,6 +1081,10 @@
         if (!getPublishConfiguration()
             .equals(other.getPublishConfiguration())) return false;
         break;
+      case 29:
+        if (!getReportPromptParts()
+            .equals(other.getReportPromptParts())) return false;
+        break;
       case 0:
       default:
     }
@@ -1137,6 +1181,10 @@
         hash = (37 * hash) + PUBLISH_CONFIGURATION_FIELD_NUMBER;
         hash = (53 * hash) + getPublishConfiguration().hashCode();
         break;
+      case 29:
+        hash = (37 * hash) + REPORT_PROMPT_PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getReportPromptParts().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1334,6 +1382,9 @@
       if (publishConfigurationBuilder_ != null) {
         publishConfigurationBuilder_.clear();
       }
+      if (reportPromptPartsBuilder_ != null) {
+        reportPromptPartsBuilder_.clear();
+      }
       changeCase_ = 0;
       change_ = null;
       return this;
@@ -1457,6 +1508,10 @@
           publishConfigurationBuilder_ != null) {
         result.change_ = publishConfigurationBuilder_.build();
       }
+      if (changeCase_ == 29 &&
+          reportPromptPartsBuilder_ != null) {
+        result.change_ = reportPromptPartsBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1556,6 +1611,10 @@
           mergePublishConfiguration(other.getPublishConfiguration());
           break;
         }
+        case REPORT_PROMPT_PARTS: {
+          mergeReportPromptParts(other.getReportPromptParts());
+          break;
+        }
         case CHANGE_NOT_SET: {
           break;
         }
@@ -1729,6 +1788,13 @@
               changeCase_ = 28;
               break;
             } // case 226
+            case 234: {
+              input.readMessage(
+                  internalGetReportPromptPartsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              changeCase_ = 29;
+              break;
+            } // case 234
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4595,6 +4661,148 @@
       return publishConfigurationBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.ReportPromptParts, org.teaseltrestle.wire.ReportPromptParts.Builder, org.teaseltrestle.wire.ReportPromptPartsOrBuilder> reportPromptPartsBuilder_;
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     * @return Whether the reportPromptParts field is set.
+     */
+    @java.lang.Override
+    public boolean hasReportPromptParts() {
+      return changeCase_ == 29;
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     * @return The reportPromptParts.
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.ReportPromptParts getReportPromptParts() {
+      if (reportPromptPartsBuilder_ == null) {
+        if (changeCase_ == 29) {
+          return (org.teaseltrestle.wire.ReportPromptParts) change_;
+        }
+        return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+      } else {
+        if (changeCase_ == 29) {
+          return reportPromptPartsBuilder_.getMessage();
+        }
+        return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    public Builder setReportPromptParts(org.teaseltrestle.wire.ReportPromptParts value) {
+      if (reportPromptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        change_ = value;
+        onChanged();
+      } else {
+        reportPromptPartsBuilder_.setMessage(value);
+      }
+      changeCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    public Builder setReportPromptParts(
+        org.teaseltrestle.wire.ReportPromptParts.Builder builderForValue) {
+      if (reportPromptPartsBuilder_ == null) {
+        change_ = builderForValue.build();
+        onChanged();
+      } else {
+        reportPromptPartsBuilder_.setMessage(builderForValue.build());
+      }
+      changeCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    public Builder mergeReportPromptParts(org.teaseltrestle.wire.ReportPromptParts value) {
+      if (reportPromptPartsBuilder_ == null) {
+        if (changeCase_ == 29 &&
+            change_ != org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance()) {
+          change_ = org.teaseltrestle.wire.ReportPromptParts.newBuilder((org.teaseltrestle.wire.ReportPromptParts) change_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          change_ = value;
+        }
+        onChanged();
+      } else {
+        if (changeCase_ == 29) {
+          reportPromptPartsBuilder_.mergeFrom(value);
+        } else {
+          reportPromptPartsBuilder_.setMessage(value);
+        }
+      }
+      changeCase_ = 29;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    public Builder clearReportPromptParts() {
+      if (reportPromptPartsBuilder_ == null) {
+        if (changeCase_ == 29) {
+          changeCase_ = 0;
+          change_ = null;
+          onChanged();
+        }
+      } else {
+        if (changeCase_ == 29) {
+          changeCase_ = 0;
+          change_ = null;
+        }
+        reportPromptPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    public org.teaseltrestle.wire.ReportPromptParts.Builder getReportPromptPartsBuilder() {
+      return internalGetReportPromptPartsFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.ReportPromptPartsOrBuilder getReportPromptPartsOrBuilder() {
+      if ((changeCase_ == 29) && (reportPromptPartsBuilder_ != null)) {
+        return reportPromptPartsBuilder_.getMessageOrBuilder();
+      } else {
+        if (changeCase_ == 29) {
+          return (org.teaseltrestle.wire.ReportPromptParts) change_;
+        }
+        return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.ReportPromptParts, org.teaseltrestle.wire.ReportPromptParts.Builder, org.teaseltrestle.wire.ReportPromptPartsOrBuilder> 
+        internalGetReportPromptPartsFieldBuilder() {
+      if (reportPromptPartsBuilder_ == null) {
+        if (!(changeCase_ == 29)) {
+          change_ = org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
+        }
+        reportPromptPartsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.ReportPromptParts, org.teaseltrestle.wire.ReportPromptParts.Builder, org.teaseltrestle.wire.ReportPromptPartsOrBuilder>(
+                (org.teaseltrestle.wire.ReportPromptParts) change_,
+                getParentForChildren(),
+                isClean());
+        change_ = null;
+      }
+      changeCase_ = 29;
+      onChanged();
+      return reportPromptPartsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.Command)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
@@ -325,5 +325,20 @@
    */
   org.teaseltrestle.wire.PublishConfigurationOrBuilder getPublishConfigurationOrBuilder();
 
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   * @return Whether the reportPromptParts field is set.
+   */
+  boolean hasReportPromptParts();
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   * @return The reportPromptParts.
+   */
+  org.teaseltrestle.wire.ReportPromptParts getReportPromptParts();
+  /**
+   * <code>.trestle.ReportPromptParts report_prompt_parts = 29;</code>
+   */
+  org.teaseltrestle.wire.ReportPromptPartsOrBuilder getReportPromptPartsOrBuilder();
+
   org.teaseltrestle.wire.Command.ChangeCase getChangeCase();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -166,6 +166,26 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_PublishConfiguration_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_ReportPromptParts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_ReportPromptParts_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_LostPromptParts_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_LostPromptParts_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_SuspectPromptPart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_SuspectPromptPart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_ServerLoss_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_ServerLoss_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -175,7 +195,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rcontrol.proto\022\007trestle\"\275\010\n\007Command\022\022\n\n" +
+      "\n\rcontrol.proto\022\007trestle\"\370\010\n\007Command\022\022\n\n" +
       "request_id\030\001 \001(\t\022\032\n\022proposed_at_millis\030\002" +
       " \001(\003\022.\n\rreplace_lists\030\n \001(\0132\025.trestle.Re" +
       "placeListsH\000\022&\n\tissue_key\030\013 \001(\0132\021.trestl" +
@@ -202,87 +222,96 @@
       "\031.trestle.ClaimIdempotencyH\000\0220\n\016record_o" +
       "utcome\030\033 \001(\0132\026.trestle.RecordOutcomeH\000\022>" +
       "\n\025publish_configuration\030\034 \001(\0132\035.trestle." +
-      "PublishConfigurationH\000B\010\n\006change\"\256\002\n\rCom" +
-      "mandAnswer\022-\n\006status\030\001 \001(\0162\035.trestle.Com" +
-      "mandAnswer.Status\022\017\n\007message\030\002 \001(\t\022\025\n\rap" +
-      "plied_index\030\003 \001(\004\022\026\n\016lists_revision\030\004 \001(" +
-      "\004\022)\n\005claim\030\005 \001(\0132\032.trestle.IdempotencyRe" +
-      "cord\022\026\n\016fencing_number\030\006 \001(\004\022\017\n\007subject\030" +
-      "\007 \001(\t\022\025\n\rlast_sequence\030\010 \001(\004\"C\n\006Status\022\017" +
-      "\n\013UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLIC" +
-      "T\020\002\022\014\n\010REJECTED\020\003\"g\n\014ReplaceLists\022\025\n\rbas" +
-      "e_revision\030\001 \001(\004\022\025\n\raccounts_json\030\002 \001(\t\022" +
-      "\022\n\nplans_json\030\003 \001(\t\022\025\n\roperator_name\030\004 \001" +
-      "(\t\"\225\001\n\tKeyRecord\022\016\n\006key_id\030\001 \001(\t\022\017\n\007acco" +
-      "unt\030\002 \001(\t\022\014\n\004salt\030\003 \001(\014\022\023\n\013secret_hash\030\004" +
-      " \001(\014\022\030\n\020issued_at_millis\030\005 \001(\003\022\033\n\023withdr" +
-      "awn_at_millis\030\006 \001(\003\022\r\n\005label\030\007 \001(\t\"+\n\010Is" +
-      "sueKey\022\037\n\003key\030\001 \001(\0132\022.trestle.KeyRecord\"" +
-      "\035\n\013WithdrawKey\022\016\n\006key_id\030\001 \001(\t\"}\n\016Instan" +
-      "ceRecord\022\020\n\010instance\030\001 \001(\t\022\026\n\016failure_do" +
-      "main\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\024\n\014peer_addre" +
-      "ss\030\004 \001(\t\022\014\n\004boot\030\005 \001(\006\022\r\n\005voter\030\006 \001(\010\"=\n" +
-      "\020RegisterInstance\022)\n\010instance\030\001 \001(\0132\027.tr" +
-      "estle.InstanceRecord\"2\n\016RetireInstance\022\020" +
-      "\n\010instance\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\">\n\016Clai" +
-      "mAuthority\022\014\n\004term\030\001 \001(\004\022\020\n\010instance\030\002 \001" +
-      "(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013EngineOrder\022\020\n\010orde" +
-      "r_id\030\001 \001(\t\022\026\n\016backend_server\030\002 \001(\t\022\026\n\016fe" +
-      "ncing_number\030\003 \001(\004\022\014\n\004kind\030\004 \001(\t\022\014\n\004role" +
-      "\030\005 \001(\t\022\r\n\005model\030\006 \001(\t\022\026\n\016owner_instance\030" +
-      "\007 \001(\t\022\022\n\nowner_boot\030\010 \001(\006\022\017\n\007settled\030\t \001" +
-      "(\010\022\016\n\006result\030\n \001(\t\"O\n\020PlaceEngineOrder\022#" +
-      "\n\005order\030\001 \001(\0132\024.trestle.EngineOrder\022\026\n\016a" +
-      "uthority_term\030\002 \001(\004\"M\n\021SettleEngineOrder" +
-      "\022\020\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016au" +
-      "thority_term\030\003 \001(\004\"\221\001\n\027TransferEngineOwn" +
-      "ership\022\026\n\016backend_server\030\001 \001(\t\022\025\n\rfrom_i" +
-      "nstance\030\002 \001(\t\022\021\n\tfrom_boot\030\003 \001(\006\022\023\n\013to_i" +
-      "nstance\030\004 \001(\t\022\017\n\007to_boot\030\005 \001(\006\022\016\n\006reason" +
-      "\030\006 \001(\t\"\311\001\n\rPlatformOrder\022\020\n\010order_id\030\001 \001" +
-      "(\t\022\026\n\016fencing_number\030\002 \001(\004\022\014\n\004pool\030\003 \001(\t" +
-      "\022\026\n\016failure_domain\030\004 \001(\t\022\020\n\010capacity\030\005 \001" +
-      "(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007release\030\007 \001(\t\022\017\n\007se" +
-      "ttled\030\010 \001(\010\022\016\n\006result\030\t \001(\t\022\025\n\rwanted_in" +
-      "_all\030\n \001(\010\"S\n\022PlacePlatformOrder\022%\n\005orde" +
-      "r\030\001 \001(\0132\026.trestle.PlatformOrder\022\026\n\016autho" +
-      "rity_term\030\002 \001(\004\"O\n\023SettlePlatformOrder\022\020" +
-      "\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016auth" +
-      "ority_term\030\003 \001(\004\"\275\001\n\023BackendServerRecord" +
-      "\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\026\n\016failure_do" +
-      "main\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001(" +
-      "\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007 " +
-      "\001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004ro" +
-      "le\030\n \001(\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132\034" +
-      ".trestle.BackendServerRecord\022\014\n\004gone\030\002 \003" +
-      "(\t\022\026\n\016authority_term\030\003 \001(\004\"2\n\nPlanChange" +
-      "\022\026\n\016backend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203" +
-      "\001\n\013UsageFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item\030" +
-      "\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_t" +
-      "okens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_re" +
-      "quests\030\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance\030" +
-      "\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 " +
-      "\001(\004\022\025\n\rlast_sequence\030\004 \001(\004\022\016\n\006window\030\005 \001" +
-      "(\004\022%\n\007figures\030\006 \003(\0132\024.trestle.UsageFigur" +
-      "e\":\n\020CloseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026\n" +
-      "\016authority_term\030\002 \001(\004\"7\n\rUsageReported\022\016" +
-      "\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"\361" +
-      "\002\n\021IdempotencyRecord\022\017\n\007account\030\001 \001(\t\022\017\n" +
-      "\007service\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022" +
-      "\026\n\016request_digest\030\004 \001(\014\022\027\n\017runner_instan" +
-      "ce\030\005 \001(\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claimed" +
-      "_at_millis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trestl" +
-      "e.IdempotencyRecord.State\022\023\n\013http_status" +
-      "\030\t \001(\r\022\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 \001" +
-      "(\014\"V\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020" +
-      "\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n" +
-      "\007NOT_RUN\020\004\"=\n\020ClaimIdempotency\022)\n\005claim\030" +
-      "\001 \001(\0132\032.trestle.IdempotencyRecord\"V\n\rRec" +
-      "ordOutcome\022+\n\007outcome\030\001 \001(\0132\032.trestle.Id" +
-      "empotencyRecord\022\030\n\020claim_request_id\030\002 \001(" +
-      "\t\"9\n\024PublishConfiguration\022\017\n\007version\030\001 \001" +
-      "(\004\022\020\n\010document\030\002 \001(\014B\032\n\026org.teaseltrestl" +
-      "e.wireP\001b\006proto3"
+      "PublishConfigurationH\000\0229\n\023report_prompt_" +
+      "parts\030\035 \001(\0132\032.trestle.ReportPromptPartsH" +
+      "\000B\010\n\006change\"\256\002\n\rCommandAnswer\022-\n\006status\030" +
+      "\001 \001(\0162\035.trestle.CommandAnswer.Status\022\017\n\007" +
+      "message\030\002 \001(\t\022\025\n\rapplied_index\030\003 \001(\004\022\026\n\016" +
+      "lists_revision\030\004 \001(\004\022)\n\005claim\030\005 \001(\0132\032.tr" +
+      "estle.IdempotencyRecord\022\026\n\016fencing_numbe" +
+      "r\030\006 \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast_sequenc" +
+      "e\030\010 \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED\020\000\022\014\n\010AC" +
+      "CEPTED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECTED\020\003\"g\n\014" +
+      "ReplaceLists\022\025\n\rbase_revision\030\001 \001(\004\022\025\n\ra" +
+      "ccounts_json\030\002 \001(\t\022\022\n\nplans_json\030\003 \001(\t\022\025" +
+      "\n\roperator_name\030\004 \001(\t\"\225\001\n\tKeyRecord\022\016\n\006k" +
+      "ey_id\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\014\n\004salt\030\003 \001" +
+      "(\014\022\023\n\013secret_hash\030\004 \001(\014\022\030\n\020issued_at_mil" +
+      "lis\030\005 \001(\003\022\033\n\023withdrawn_at_millis\030\006 \001(\003\022\r" +
+      "\n\005label\030\007 \001(\t\"+\n\010IssueKey\022\037\n\003key\030\001 \001(\0132\022" +
+      ".trestle.KeyRecord\"\035\n\013WithdrawKey\022\016\n\006key" +
+      "_id\030\001 \001(\t\"}\n\016InstanceRecord\022\020\n\010instance\030" +
+      "\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n\006region\030" +
+      "\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\022\014\n\004boot\030\005 \001(" +
+      "\006\022\r\n\005voter\030\006 \001(\010\"=\n\020RegisterInstance\022)\n\010" +
+      "instance\030\001 \001(\0132\027.trestle.InstanceRecord\"" +
+      "2\n\016RetireInstance\022\020\n\010instance\030\001 \001(\t\022\016\n\006r" +
+      "eason\030\002 \001(\t\">\n\016ClaimAuthority\022\014\n\004term\030\001 " +
+      "\001(\004\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013" +
+      "EngineOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016backend" +
+      "_server\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004\022\014\n" +
+      "\004kind\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\022\r\n\005model\030\006 \001(\t" +
+      "\022\026\n\016owner_instance\030\007 \001(\t\022\022\n\nowner_boot\030\010" +
+      " \001(\006\022\017\n\007settled\030\t \001(\010\022\016\n\006result\030\n \001(\t\"O\n" +
+      "\020PlaceEngineOrder\022#\n\005order\030\001 \001(\0132\024.trest" +
+      "le.EngineOrder\022\026\n\016authority_term\030\002 \001(\004\"M" +
+      "\n\021SettleEngineOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n" +
+      "\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\221\001" +
+      "\n\027TransferEngineOwnership\022\026\n\016backend_ser" +
+      "ver\030\001 \001(\t\022\025\n\rfrom_instance\030\002 \001(\t\022\021\n\tfrom" +
+      "_boot\030\003 \001(\006\022\023\n\013to_instance\030\004 \001(\t\022\017\n\007to_b" +
+      "oot\030\005 \001(\006\022\016\n\006reason\030\006 \001(\t\"\311\001\n\rPlatformOr" +
+      "der\022\020\n\010order_id\030\001 \001(\t\022\026\n\016fencing_number\030" +
+      "\002 \001(\004\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 " +
+      "\001(\t\022\020\n\010capacity\030\005 \001(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007" +
+      "release\030\007 \001(\t\022\017\n\007settled\030\010 \001(\010\022\016\n\006result" +
+      "\030\t \001(\t\022\025\n\rwanted_in_all\030\n \001(\010\"S\n\022PlacePl" +
+      "atformOrder\022%\n\005order\030\001 \001(\0132\026.trestle.Pla" +
+      "tformOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n\023Se" +
+      "ttlePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n\006r" +
+      "esult\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275\001\n\023" +
+      "BackendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030" +
+      "\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007address" +
+      "\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(\t\022\026" +
+      "\n\016checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(\t\022\r" +
+      "\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014ObserveFl" +
+      "eet\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendServe" +
+      "rRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_term\030" +
+      "\003 \001(\004\"2\n\nPlanChange\022\026\n\016backend_server\030\001 " +
+      "\001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007acc" +
+      "ount\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_token" +
+      "s\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010reques" +
+      "ts\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nUsag" +
+      "eBatch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026" +
+      "\n\016first_sequence\030\003 \001(\004\022\025\n\rlast_sequence\030" +
+      "\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(\0132\024" +
+      ".trestle.UsageFigure\":\n\020CloseUsageWindow" +
+      "\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004" +
+      "\"7\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016aut" +
+      "hority_term\030\002 \001(\004\"\361\002\n\021IdempotencyRecord\022" +
+      "\017\n\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017ide" +
+      "mpotency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001" +
+      "(\014\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner_bo" +
+      "ot\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/\n\005s" +
+      "tate\030\010 \001(\0162 .trestle.IdempotencyRecord.S" +
+      "tate\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_typ" +
+      "e\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNSPEC" +
+      "IFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017O" +
+      "UTCOME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020ClaimId" +
+      "empotency\022)\n\005claim\030\001 \001(\0132\032.trestle.Idemp" +
+      "otencyRecord\"V\n\rRecordOutcome\022+\n\007outcome" +
+      "\030\001 \001(\0132\032.trestle.IdempotencyRecord\022\030\n\020cl" +
+      "aim_request_id\030\002 \001(\t\"9\n\024PublishConfigura" +
+      "tion\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\"" +
+      "S\n\021ReportPromptParts\022&\n\004lost\030\001 \003(\0132\030.tre" +
+      "stle.LostPromptParts\022\026\n\016answered_parts\030\002" +
+      " \003(\006\"8\n\017LostPromptParts\022\026\n\016backend_serve" +
+      "r\030\001 \001(\t\022\r\n\005parts\030\002 \003(\006\"m\n\021SuspectPromptP" +
+      "art\022\014\n\004part\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006lat" +
+      "est\030\003 \003(\0132\023.trestle.ServerLoss\022\025\n\rchange" +
+      "d_index\030\004 \001(\004\"@\n\nServerLoss\022\026\n\016backend_s" +
+      "erver\030\001 \001(\t\022\032\n\022reported_at_millis\030\002 \001(\003B" +
+      "\032\n\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -293,7 +322,7 @@
     internal_static_trestle_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_Command_descriptor,
-        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "Change", });
+        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "ReportPromptParts", "Change", });
     internal_static_trestle_CommandAnswer_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_trestle_CommandAnswer_fieldAccessorTable = new
@@ -456,6 +485,30 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PublishConfiguration_descriptor,
         new java.lang.String[] { "Version", "Document", });
+    internal_static_trestle_ReportPromptParts_descriptor =
+      getDescriptor().getMessageTypes().get(28);
+    internal_static_trestle_ReportPromptParts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_ReportPromptParts_descriptor,
+        new java.lang.String[] { "Lost", "AnsweredParts", });
+    internal_static_trestle_LostPromptParts_descriptor =
+      getDescriptor().getMessageTypes().get(29);
+    internal_static_trestle_LostPromptParts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_LostPromptParts_descriptor,
+        new java.lang.String[] { "BackendServer", "Parts", });
+    internal_static_trestle_SuspectPromptPart_descriptor =
+      getDescriptor().getMessageTypes().get(30);
+    internal_static_trestle_SuspectPromptPart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_SuspectPromptPart_descriptor,
+        new java.lang.String[] { "Part", "Losses", "Latest", "ChangedIndex", });
+    internal_static_trestle_ServerLoss_descriptor =
+      getDescriptor().getMessageTypes().get(31);
+    internal_static_trestle_ServerLoss_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_ServerLoss_descriptor,
+        new java.lang.String[] { "BackendServer", "ReportedAtMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -49,6 +49,7 @@
     usageWindows_ = java.util.Collections.emptyList();
     usageSources_ = java.util.Collections.emptyList();
     claims_ = java.util.Collections.emptyList();
+    suspectPromptParts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -911,6 +912,47 @@
     return servingConfiguration_ == null ? org.teaseltrestle.wire.PublishConfiguration.getDefaultInstance() : servingConfiguration_;
   }
 
+  public static final int SUSPECT_PROMPT_PARTS_FIELD_NUMBER = 25;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaseltrestle.wire.SuspectPromptPart> suspectPromptParts_;
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaseltrestle.wire.SuspectPromptPart> getSuspectPromptPartsList() {
+    return suspectPromptParts_;
+  }
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaseltrestle.wire.SuspectPromptPartOrBuilder> 
+      getSuspectPromptPartsOrBuilderList() {
+    return suspectPromptParts_;
+  }
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  @java.lang.Override
+  public int getSuspectPromptPartsCount() {
+    return suspectPromptParts_.size();
+  }
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.SuspectPromptPart getSuspectPromptParts(int index) {
+    return suspectPromptParts_.get(index);
+  }
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.SuspectPromptPartOrBuilder getSuspectPromptPartsOrBuilder(
+      int index) {
+    return suspectPromptParts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -997,6 +1039,9 @@
     if (((bitField0_ & 0x00000002) != 0)) {
       output.writeMessage(24, getServingConfiguration());
     }
+    for (int i = 0; i < suspectPromptParts_.size(); i++) {
+      output.writeMessage(25, suspectPromptParts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1100,6 +1145,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(24, getServingConfiguration());
     }
+    for (int i = 0; i < suspectPromptParts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, suspectPromptParts_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1169,6 +1218,8 @@
       if (!getServingConfiguration()
           .equals(other.getServingConfiguration())) return false;
     }
+    if (!getSuspectPromptPartsList()
+        .equals(other.getSuspectPromptPartsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1266,6 +1317,10 @@
       hash = (37 * hash) + SERVING_CONFIGURATION_FIELD_NUMBER;
       hash = (53 * hash) + getServingConfiguration().hashCode();
     }
+    if (getSuspectPromptPartsCount() > 0) {
+      hash = (37 * hash) + SUSPECT_PROMPT_PARTS_FIELD_NUMBER;
+      hash = (53 * hash) + getSuspectPromptPartsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1417,6 +1472,7 @@
         internalGetUsageSourcesFieldBuilder();
         internalGetClaimsFieldBuilder();
         internalGetServingConfigurationFieldBuilder();
+        internalGetSuspectPromptPartsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1539,6 +1595,13 @@
         servingConfigurationBuilder_.dispose();
         servingConfigurationBuilder_ = null;
       }
+      if (suspectPromptPartsBuilder_ == null) {
+        suspectPromptParts_ = java.util.Collections.emptyList();
+      } else {
+        suspectPromptParts_ = null;
+        suspectPromptPartsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x01000000);
       return this;
     }
 
@@ -1698,6 +1761,15 @@
       } else {
         result.claims_ = claimsBuilder_.build();
       }
+      if (suspectPromptPartsBuilder_ == null) {
+        if (((bitField0_ & 0x01000000) != 0)) {
+          suspectPromptParts_ = java.util.Collections.unmodifiableList(suspectPromptParts_);
+          bitField0_ = (bitField0_ & ~0x01000000);
+        }
+        result.suspectPromptParts_ = suspectPromptParts_;
+      } else {
+        result.suspectPromptParts_ = suspectPromptPartsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.teaseltrestle.wire.ControlSnapshot result) {
@@ -2152,6 +2224,32 @@
       if (other.hasServingConfiguration()) {
         mergeServingConfiguration(other.getServingConfiguration());
       }
+      if (suspectPromptPartsBuilder_ == null) {
+        if (!other.suspectPromptParts_.isEmpty()) {
+          if (suspectPromptParts_.isEmpty()) {
+            suspectPromptParts_ = other.suspectPromptParts_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+          } else {
+            ensureSuspectPromptPartsIsMutable();
+            suspectPromptParts_.addAll(other.suspectPromptParts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.suspectPromptParts_.isEmpty()) {
+          if (suspectPromptPartsBuilder_.isEmpty()) {
+            suspectPromptPartsBuilder_.dispose();
+            suspectPromptPartsBuilder_ = null;
+            suspectPromptParts_ = other.suspectPromptParts_;
+            bitField0_ = (bitField0_ & ~0x01000000);
+            suspectPromptPartsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetSuspectPromptPartsFieldBuilder() : null;
+          } else {
+            suspectPromptPartsBuilder_.addAllMessages(other.suspectPromptParts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2414,6 +2512,19 @@
               bitField0_ |= 0x00800000;
               break;
             } // case 194
+            case 202: {
+              org.teaseltrestle.wire.SuspectPromptPart m =
+                  input.readMessage(
+                      org.teaseltrestle.wire.SuspectPromptPart.parser(),
+                      extensionRegistry);
+              if (suspectPromptPartsBuilder_ == null) {
+                ensureSuspectPromptPartsIsMutable();
+                suspectPromptParts_.add(m);
+              } else {
+                suspectPromptPartsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 202
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6633,6 +6744,246 @@
       return servingConfigurationBuilder_;
     }
 
+    private java.util.List<org.teaseltrestle.wire.SuspectPromptPart> suspectPromptParts_ =
+      java.util.Collections.emptyList();
+    private void ensureSuspectPromptPartsIsMutable() {
+      if (!((bitField0_ & 0x01000000) != 0)) {
+        suspectPromptParts_ = new java.util.ArrayList<org.teaseltrestle.wire.SuspectPromptPart>(suspectPromptParts_);
+        bitField0_ |= 0x01000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.SuspectPromptPart, org.teaseltrestle.wire.SuspectPromptPart.Builder, org.teaseltrestle.wire.SuspectPromptPartOrBuilder> suspectPromptPartsBuilder_;
+
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.SuspectPromptPart> getSuspectPromptPartsList() {
+      if (suspectPromptPartsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(suspectPromptParts_);
+      } else {
+        return suspectPromptPartsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public int getSuspectPromptPartsCount() {
+      if (suspectPromptPartsBuilder_ == null) {
+        return suspectPromptParts_.size();
+      } else {
+        return suspectPromptPartsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public org.teaseltrestle.wire.SuspectPromptPart getSuspectPromptParts(int index) {
+      if (suspectPromptPartsBuilder_ == null) {
+        return suspectPromptParts_.get(index);
+      } else {
+        return suspectPromptPartsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder setSuspectPromptParts(
+        int index, org.teaseltrestle.wire.SuspectPromptPart value) {
+      if (suspectPromptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.set(index, value);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder setSuspectPromptParts(
+        int index, org.teaseltrestle.wire.SuspectPromptPart.Builder builderForValue) {
+      if (suspectPromptPartsBuilder_ == null) {
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder addSuspectPromptParts(org.teaseltrestle.wire.SuspectPromptPart value) {
+      if (suspectPromptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.add(value);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder addSuspectPromptParts(
+        int index, org.teaseltrestle.wire.SuspectPromptPart value) {
+      if (suspectPromptPartsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.add(index, value);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder addSuspectPromptParts(
+        org.teaseltrestle.wire.SuspectPromptPart.Builder builderForValue) {
+      if (suspectPromptPartsBuilder_ == null) {
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder addSuspectPromptParts(
+        int index, org.teaseltrestle.wire.SuspectPromptPart.Builder builderForValue) {
+      if (suspectPromptPartsBuilder_ == null) {
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder addAllSuspectPromptParts(
+        java.lang.Iterable<? extends org.teaseltrestle.wire.SuspectPromptPart> values) {
+      if (suspectPromptPartsBuilder_ == null) {
+        ensureSuspectPromptPartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, suspectPromptParts_);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder clearSuspectPromptParts() {
+      if (suspectPromptPartsBuilder_ == null) {
+        suspectPromptParts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x01000000);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public Builder removeSuspectPromptParts(int index) {
+      if (suspectPromptPartsBuilder_ == null) {
+        ensureSuspectPromptPartsIsMutable();
+        suspectPromptParts_.remove(index);
+        onChanged();
+      } else {
+        suspectPromptPartsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public org.teaseltrestle.wire.SuspectPromptPart.Builder getSuspectPromptPartsBuilder(
+        int index) {
+      return internalGetSuspectPromptPartsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public org.teaseltrestle.wire.SuspectPromptPartOrBuilder getSuspectPromptPartsOrBuilder(
+        int index) {
+      if (suspectPromptPartsBuilder_ == null) {
+        return suspectPromptParts_.get(index);  } else {
+        return suspectPromptPartsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public java.util.List<? extends org.teaseltrestle.wire.SuspectPromptPartOrBuilder> 
+         getSuspectPromptPartsOrBuilderList() {
+      if (suspectPromptPartsBuilder_ != null) {
+        return suspectPromptPartsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(suspectPromptParts_);
+      }
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public org.teaseltrestle.wire.SuspectPromptPart.Builder addSuspectPromptPartsBuilder() {
+      return internalGetSuspectPromptPartsFieldBuilder().addBuilder(
+          org.teaseltrestle.wire.SuspectPromptPart.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public org.teaseltrestle.wire.SuspectPromptPart.Builder addSuspectPromptPartsBuilder(
+        int index) {
+      return internalGetSuspectPromptPartsFieldBuilder().addBuilder(
+          index, org.teaseltrestle.wire.SuspectPromptPart.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.SuspectPromptPart.Builder> 
+         getSuspectPromptPartsBuilderList() {
+      return internalGetSuspectPromptPartsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.SuspectPromptPart, org.teaseltrestle.wire.SuspectPromptPart.Builder, org.teaseltrestle.wire.SuspectPromptPartOrBuilder> 
+        internalGetSuspectPromptPartsFieldBuilder() {
+      if (suspectPromptPartsBuilder_ == null) {
+        suspectPromptPartsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaseltrestle.wire.SuspectPromptPart, org.teaseltrestle.wire.SuspectPromptPart.Builder, org.teaseltrestle.wire.SuspectPromptPartOrBuilder>(
+                suspectPromptParts_,
+                ((bitField0_ & 0x01000000) != 0),
+                getParentForChildren(),
+                isClean());
+        suspectPromptParts_ = null;
+      }
+      return suspectPromptPartsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -511,4 +511,28 @@
    * <code>.trestle.PublishConfiguration serving_configuration = 24;</code>
    */
   org.teaseltrestle.wire.PublishConfigurationOrBuilder getServingConfigurationOrBuilder();
+
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  java.util.List<org.teaseltrestle.wire.SuspectPromptPart> 
+      getSuspectPromptPartsList();
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  org.teaseltrestle.wire.SuspectPromptPart getSuspectPromptParts(int index);
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  int getSuspectPromptPartsCount();
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  java.util.List<? extends org.teaseltrestle.wire.SuspectPromptPartOrBuilder> 
+      getSuspectPromptPartsOrBuilderList();
+  /**
+   * <code>repeated .trestle.SuspectPromptPart suspect_prompt_parts = 25;</code>
+   */
+  org.teaseltrestle.wire.SuspectPromptPartOrBuilder getSuspectPromptPartsOrBuilder(
+      int index);
 }
