Report the prompt parts of a remote prefill whose engine was lost

Change: the loss of a prefill engine is reported like that of the engine that answers. Evidence: PromptLoadTest.LongPromptsDuringDecode#partsOfLostRemotePrefillAreReported failed before (no report) and passes.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -84,7 +84,7 @@
     } else if (event instanceof AdmissionEvent.TokensReceived received) {
       countTokens(received);
     } else if (event instanceof AdmissionEvent.PrefillFinished prefillFinished) {
-      handlePrefillFinished(prefillFinished, nowNanos);
+      handlePrefillFinished(prefillFinished, nowNanos, actions);
     } else if (event instanceof AdmissionEvent.CallerDisconnected disconnected) {
       handleCallerDisconnected(disconnected.request(), actions);
     } else {
@@ -232,7 +232,17 @@
       if (!cleared.isEmpty()) {
         actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
       }
-    } else if (outcome.failure() != null && outcome.failure().isConnectionLost()) {
+    } else {
+      reportLostParts(request, server, outcome.failure(), actions);
+    }
+  }
+
+  private void reportLostParts(
+      RequestState request,
+      ServerState server,
+      @Nullable FailureKind failure,
+      List<AdmissionAction> actions) {
+    if (failure != null && failure.isConnectionLost()) {
       List<Long> parts = quarantine.partsToReport(request.work);
       if (!parts.isEmpty()) {
         actions.add(new AdmissionAction.ReportLostParts(server.server.id(), parts));
@@ -301,9 +311,13 @@
     }
   }
 
-  private void handlePrefillFinished(AdmissionEvent.PrefillFinished event, long nowNanos) {
+  private void handlePrefillFinished(
+      AdmissionEvent.PrefillFinished event, long nowNanos, List<AdmissionAction> actions) {
     RequestState request = requests.get(event.request());
     if (request != null && request.attempt == event.attempt()) {
+      if (request.prefillServer != null) {
+        reportLostParts(request, request.prefillServer, event.failure(), actions);
+      }
       remotePrefills.finished(request, event.failure(), event.nanos(), nowNanos);
     }
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
@@ -72,7 +73,7 @@
         plain.repeatability(),
         plain.promptTokens(),
         plain.expectedOutputTokens(),
-        plain.sharedParts(),
+        affinity == 0 ? List.of() : List.of(affinity),
         plain.prefixHashes(),
         plain.firstTokenDeadlineNanos(),
         plain.sampleBits(),
@@ -274,6 +275,26 @@
       assertTrue(busyCount <= 12, "prefills at the busy engine: " + busyCount);
     }
 
+    /** Guards against a prompt part that crashes one prefill engine after the other unnoticed. */
+    @Test
+    public void partsOfLostRemotePrefillAreReported() {
+      Harness harness = harness();
+      AdmissionAction.Dispatch dispatch =
+          Harness.dispatch(harness.arrive(prompt(harness, 1, 77, Repeatability.AT_MOST_ONCE)));
+      List<AdmissionAction> actions =
+          harness.send(
+              new AdmissionEvent.PrefillFinished(
+                  dispatch.request(),
+                  dispatch.attempt(),
+                  FailureKind.LOST_BEFORE_ANSWER,
+                  Samples.MILLISECOND));
+      assertEquals(
+          actions,
+          List.of(
+              new AdmissionAction.ReportLostParts(
+                  Objects.requireNonNull(dispatch.prefillEngine()), List.of(77L))));
+    }
+
     /** Guards against a second remote prefill, which would count as another attempt. */
     @Test
     public void retryHasNoRemotePrefill() {
