Hold the quarantine on the native interface by a test; keep more suspects

Cause: the quarantine of crashing prompt parts (BUDGET) was tested on the routed interface only. A crash of a large engine can name about 200 parts at once, so that 256 suspects could forget the crashing one before its second loss. Change: a test with completions whose first block crashes engines; 1,024 suspects are kept.

--- a/control/src/main/java/org/teaseltrestle/control/SuspectPartsArea.java
+++ b/control/src/main/java/org/teaseltrestle/control/SuspectPartsArea.java
@@ -18,7 +18,7 @@
 final class SuspectPartsArea {
 
   /** Maximum number of suspects; beyond it, the ones with the fewest losses are forgotten. */
-  static final int CAPACITY = 256;
+  static final int CAPACITY = 1_024;
 
   /**
    * Losses closer together than this count once: a failure domain that loses power, or an instance
--- a/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -14,6 +14,10 @@
 
   private static final String STREAM = "/single/x";
   private static final int ENGINES = 12;
+
+  /** Words of one block of a prompt, as the test's server directory states. */
+  private static final int BLOCK_WORDS = 16;
+
   private static final int ROUNDS = 30;
 
   /** Crashes until the cause is known, and requests that may still reach engines afterwards. */
@@ -38,6 +42,42 @@
         });
   }
 
+  /** Completions of the native interface, whose parts are the blocks of their prompts. */
+  public static final class CrashingBlock {
+
+    private static String prompt(String block, int number) {
+      String words = (block + " ").repeat(BLOCK_WORDS) + "question " + number;
+      return RelayHarness.CHAT.replace("two words", words);
+    }
+
+    /** Guards against a prompt block that crashes one engine after the other. */
+    @Test
+    public void stopsReachingEnginesWhileSoundCompletionsAreServed() {
+      AtomicInteger crashes = new AtomicInteger();
+      FakeServer.Behaviour crashing =
+          (request, output) -> {
+            if (request.body().contains("deadly")) {
+              crashes.incrementAndGet();
+              return false;
+            }
+            return FakeServer.engine(2).respond(request, output);
+          };
+      FakeServer[] engines =
+          Stream.generate(() -> new FakeServer(crashing)).limit(ENGINES).toArray(FakeServer[]::new);
+      try (RelayHarness relay = new RelayHarness().with("models", engines)) {
+        int status = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+          status = relay.chat(prompt("deadly", i)).statusCode();
+          assertEquals(relay.chat(prompt("sound", i)).statusCode(), 200, "completion " + i);
+        }
+        assertTrue(crashes.get() <= MAXIMUM_CRASHES, crashes + " engines crashed");
+        assertEquals(status, 503);
+      } finally {
+        Stream.of(engines).forEach(FakeServer::close);
+      }
+    }
+  }
+
   /** Requests that share one crashing part with each other, and the other parts with sound ones. */
   public static final class CrashingPart {
 
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -19,7 +19,6 @@
 import java.util.function.BooleanSupplier;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.MonotonicClock;
-import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
@@ -83,7 +82,7 @@
             },
             control,
             MonotonicClock.SYSTEM,
-            WallClock.SYSTEM,
+            control.reportTimes,
             metrics);
     admission.start();
     relay =
