Let requests draw the time at which they may try a quarantined part

Change: a request draws from its random bits when, between one and two intervals, it may be the trial. The first interval is 60 s instead of 30 s. Evidence: policy PromptQuarantineTest.Trials#requestsDrawTheTimeOfTheirTrial: one second after the interval fewer than 40 of 1,000 requests are tried, after two intervals the next one is.

--- a/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
@@ -22,11 +22,16 @@
   static final int QUARANTINE_LOSSES = 3;
 
   /** Time until the first trial; each further loss multiplies it. */
-  static final long FIRST_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(30);
+  static final long FIRST_TRIAL_NANOS = TimeUnit.SECONDS.toNanos(60);
 
   static final long LONGEST_TRIAL_INTERVAL_NANOS = TimeUnit.HOURS.toNanos(1);
   private static final int TRIAL_INTERVAL_FACTOR = 4;
 
+  /** Bits of a random number that a double between 0 and 1 does not hold, and its smallest step. */
+  private static final int SAMPLE_SHIFT = 11;
+
+  private static final double SAMPLE_UNIT = 0x1.0p-53;
+
   /** Maximum number of parts reported for one lost request; the first ones are the most shared. */
   private static final int MAXIMUM_REPORTED_PARTS = 32;
 
@@ -38,20 +43,29 @@
   /** State of one suspected part. */
   private static final class Suspect {
     private final int losses;
-    private final long trialAtNanos;
+    private final long sinceNanos;
     private @Nullable RequestId trial;
     private boolean answered;
     private long reportAgainAtNanos = Long.MIN_VALUE;
 
     Suspect(int losses, long nowNanos) {
       this.losses = losses;
-      this.trialAtNanos = nowNanos + trialInterval(losses);
+      this.sinceNanos = nowNanos;
     }
 
     boolean isQuarantined() {
       return losses >= QUARANTINE_LOSSES && !answered;
     }
 
+    /**
+     * Returns the time from which a request may be the trial. Requests draw it from one to two
+     * intervals, so that the instances, which do not know of each other's trials, rarely run two.
+     */
+    long trialAtNanos(WorkRequest work) {
+      double drawn = (work.sampleBits() >>> SAMPLE_SHIFT) * SAMPLE_UNIT;
+      return sinceNanos + (long) ((1 + drawn) * trialInterval(losses));
+    }
+
     private static long trialInterval(int losses) {
       long interval = FIRST_TRIAL_NANOS;
       for (int i = QUARANTINE_LOSSES; i < losses && interval < LONGEST_TRIAL_INTERVAL_NANOS; i++) {
@@ -102,7 +116,7 @@
     }
     List<Suspect> quarantined = quarantinedParts(work);
     for (Suspect suspect : quarantined) {
-      if (suspect.trial != null || nowNanos < suspect.trialAtNanos) {
+      if (suspect.trial != null || nowNanos < suspect.trialAtNanos(work)) {
         return false;
       }
     }
@@ -114,7 +128,7 @@
   Duration retryAfter(WorkRequest work, long nowNanos) {
     long remaining = REPEATED_REPORT_NANOS;
     for (Suspect suspect : quarantinedParts(work)) {
-      remaining = Math.max(remaining, suspect.trialAtNanos - nowNanos);
+      remaining = Math.max(remaining, suspect.trialAtNanos(work) - nowNanos);
     }
     return Duration.ofNanos(remaining);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.policy.AdmissionAction.Dispatch;
 import org.teaseltrestle.policy.AdmissionAction.ReportAnsweredParts;
@@ -32,6 +33,11 @@
   }
 
   private static WorkRequest prompt(Harness harness, String id, Long... parts) {
+    return sampledPrompt(harness, id, 0, parts);
+  }
+
+  private static WorkRequest sampledPrompt(
+      Harness harness, String id, long sampleBits, Long... parts) {
     WorkRequest plain = Samples.completion(id, "north", 100, 10, harness.now + 5 * Samples.SECOND);
     return new WorkRequest(
         plain.request(),
@@ -45,7 +51,7 @@
         List.of(parts),
         List.of(),
         plain.firstTokenDeadlineNanos(),
-        plain.sampleBits(),
+        sampleBits,
         RequestOptions.NONE);
   }
 
@@ -161,6 +167,28 @@
       Harness.dispatch(harness.arrive(prompt(harness, "r3", CRASHING)));
     }
 
+    /** Guards against trials of all instances at one moment, and against a request never tried. */
+    @Test
+    public void requestsDrawTheTimeOfTheirTrial() {
+      Harness harness = harness();
+      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS + Samples.SECOND;
+      int admitted = 0;
+      Random random = new Random(1);
+      for (int i = 0; i < 1_000; i++) {
+        List<AdmissionAction> actions =
+            harness.arrive(sampledPrompt(harness, "r" + i, random.nextLong(), CRASHING));
+        for (Dispatch trial : Harness.actionsOfType(Dispatch.class, actions)) {
+          admitted++;
+          harness.finish(trial, new AttemptOutcome(FailureKind.CONNECT_FAILED, 0, 0));
+        }
+      }
+      assertTrue(
+          admitted > 0 && admitted < 40, "trials one second after the interval: " + admitted);
+      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      Harness.dispatch(harness.arrive(sampledPrompt(harness, "last", random.nextLong(), CRASHING)));
+    }
+
     /** Guards against a trial that crashes two engines, and against a next one as early. */
     @Test
     public void lostTrialIsNotRetriedAndTheNextOneComesLater() {
