Send no Retry-After with the end of a quarantined request that may have run

Cause: a waiting request whose earlier attempt may have run ended with the time of the next trial (BUDGET), although it must not be repeated on that statement. Change: only requests that have not run name that time. Evidence: the tests of the quarantine and of the admission decisions pass.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -365,7 +365,7 @@
         refuseWaiting(
             request,
             request.verifiedCode(RefusalCode.PROMPT_QUARANTINED),
-            quarantine.retryAfter(request.work, nowNanos),
+            request.mayHaveRun() ? null : quarantine.retryAfter(request.work, nowNanos),
             actions);
       }
     }
