--- a/integration/src/test/java/org/teaseltrestle/integration/faults/Callers.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/faults/Callers.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.integration.faults;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Proxy;
@@ -73,6 +74,18 @@
     return send(request(address, "/opening-hours").build());
   }
 
+  /** Asks a model that answers with one token. */
+  Reply chat(String address, String key, String prompt) {
+    ObjectNode body = Json.object().put("model", "pren-7b").put("max_tokens", 1);
+    body.putArray("messages").addObject().put("role", "user").put("content", prompt);
+    return send(
+        new Request.Builder()
+            .url("http://" + address + "/v1/chat/completions")
+            .header("Authorization", "Bearer " + key)
+            .post(RequestBody.create(body.toString(), JSON))
+            .build());
+  }
+
   /** Places a hold with an idempotency key. */
   Reply hold(String address, String key, String idempotencyKey, String body) {
     return send(
--- a/testkit/src/main/java/org/teaseltrestle/testkit/engine/EngineFaults.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/engine/EngineFaults.java
@@ -16,6 +16,8 @@
  *   <li>{@code cutAfterTokens}: tokens sent before a stream is truncated, or before the token that
  *       is sent twice; 3 by default
  *   <li>{@code slowFactor}: factor on the duration of each step
+ *   <li>{@code crashingText}: prompts that contain it end every request of the engine, which then
+ *       starts anew; empty for none
  *   <li>{@code crashed}: whether every connection is closed without a response
  * </ul>
  */
@@ -42,6 +44,7 @@
   private int cutAfterTokens = DEFAULT_CUT_AFTER_TOKENS;
   private double slowFactor = 1;
   private boolean crashed;
+  private String crashingText = "";
 
   synchronized void update(JsonNode body) {
     for (AnswerFault fault : AnswerFault.values()) {
@@ -51,6 +54,7 @@
     cutAfterTokens = body.path("cutAfterTokens").asInt(cutAfterTokens);
     slowFactor = body.path("slowFactor").asDouble(slowFactor);
     crashed = body.path("crashed").asBoolean(crashed);
+    crashingText = body.path("crashingText").asText(crashingText);
   }
 
   /** Returns the fault of the next response and decreases the count of that fault. */
@@ -77,6 +81,10 @@
     return crashed;
   }
 
+  synchronized boolean crashesOn(String prompt) {
+    return !crashingText.isEmpty() && prompt.contains(crashingText);
+  }
+
   synchronized ObjectNode state() {
     ObjectNode state = Json.object();
     state.put("cutAfterTokens", cutAfterTokens).put("slowFactor", slowFactor);
--- a/testkit/src/main/java/org/teaseltrestle/testkit/engine/FakeEngine.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/engine/FakeEngine.java
@@ -156,6 +156,10 @@
       exchange.replyError(404, "unknown_model");
     } else if (!loop.fitsInCache(request)) {
       exchange.replyError(400, "prompt_too_long");
+    } else if (faults.crashesOn(promptText(body))) {
+      record.add("crashed", Json.object().put("requestId", request.requestId()));
+      loop.crash();
+      exchange.abortConnection();
     } else {
       respond(exchange, body, request, fault);
     }
