Wait before a failed report of prompt parts is sent again

Cause: found by reading the change: a report that fails at once, as an overloaded leader or a closing node lets it, was sent again with every admission event (BUDGET's quarantine), each time with a log line. Change: a failed report is sent again 500 ms after it was sent. Evidence: PromptQuarantineTest.FailedReports#areSentAgainUnchangedAfterWhile, with the interval left out: 400 proposals in place of 1; it passes with it.

--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -126,7 +126,7 @@
   private void handle(AdmissionEvent event) {
     applySuspectParts();
     decide(event);
-    promptParts.flush();
+    promptParts.flush(clock.nowNanos());
   }
 
   /** Applies a change of the suspected parts before the next decision. */
--- a/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.EventLog;
@@ -30,6 +31,9 @@
   /** Maximum number of servers, and of answered parts, that wait to be reported. */
   private static final int MAXIMUM_PENDING = 256;
 
+  /** Time until a failed command is sent again; an overloaded leader fails it at once. */
+  private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final ControlGateway control;
   private final WallClock wallClock;
   private final Counter losses;
@@ -37,6 +41,7 @@
   private final Map<String, Set<Long>> lost = new LinkedHashMap<>();
   private final Set<Long> answered = new LinkedHashSet<>();
   private @Nullable Command unconfirmed;
+  private long resendAtNanos;
   private volatile Progress progress = Progress.IDLE;
 
   private enum Progress {
@@ -74,15 +79,18 @@
   }
 
   /** Sends what has been added, unless an earlier command is still running. */
-  void flush() {
-    if (progress == Progress.RUNNING) {
+  void flush(long nowNanos) {
+    Progress current = progress;
+    if (current == Progress.RUNNING
+        || (current == Progress.FAILED && nowNanos - resendAtNanos < 0)) {
       return;
     }
-    Command command = progress == Progress.FAILED ? unconfirmed : nextCommand();
+    Command command = current == Progress.FAILED ? unconfirmed : nextCommand();
     if (command == null) {
       return;
     }
     unconfirmed = command;
+    resendAtNanos = nowNanos + RESEND_NANOS;
     progress = Progress.RUNNING;
     control
         .propose(command)
--- a/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -3,10 +3,14 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import com.codahale.metrics.MetricRegistry;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.policy.AdmissionAction.ReportLostParts;
 import org.testng.annotations.Test;
 
 /** Tests of relays that share a control state, in front of engines that certain prompts crash. */
@@ -42,6 +46,32 @@
         });
   }
 
+  /** Reports that cannot be committed. */
+  public static final class FailedReports {
+
+    /**
+     * Guards against reports that burden an overloaded leader, and against reports lost with it.
+     */
+    @Test
+    public void areSentAgainUnchangedAfterWhile() {
+      StubControl control = new StubControl();
+      control.reachable = false;
+      MetricRegistry metrics = new MetricRegistry();
+      PromptPartReporter reporter = new PromptPartReporter(control, control.reportTimes, metrics);
+      reporter.add(new ReportLostParts(new BackendServerId("s1"), List.of(7L)));
+      for (int millis = 0; millis < 400; millis++) {
+        reporter.flush(TimeUnit.MILLISECONDS.toNanos(millis));
+      }
+      assertEquals(control.refusedProposals.get(), 1);
+      control.reachable = true;
+      reporter.flush(TimeUnit.SECONDS.toNanos(1));
+      assertEquals(control.proposed.size(), 1);
+      assertEquals(control.proposed.get(0).getReportPromptParts().getLost(0).getParts(0), 7L);
+      reporter.flush(TimeUnit.SECONDS.toNanos(2));
+      assertEquals(control.proposed.size(), 1);
+    }
+  }
+
   /** Completions of the native interface, whose parts are the blocks of their prompts. */
   public static final class CrashingBlock {
 
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlState;
@@ -49,6 +50,7 @@
   static final String KEY = ISSUED.apiKey().reveal();
 
   final List<Command> proposed = new CopyOnWriteArrayList<>();
+  final AtomicInteger refusedProposals = new AtomicInteger();
   final List<PlanChange> changes = new CopyOnWriteArrayList<>();
   private final Map<String, IdempotencyRecord> claims = new ConcurrentHashMap<>();
   volatile boolean ready = true;
@@ -92,6 +94,7 @@
   @Override
   public synchronized CompletableFuture<CommandAnswer> propose(Command command) {
     if (!reachable) {
+      refusedProposals.incrementAndGet();
       return CompletableFuture.failedFuture(
           new TrestleException(ErrorCode.UNREACHABLE, "no leader"));
     }
