--- a/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
@@ -12,7 +12,7 @@
   /** Maximum number of accumulated retries; covers a burst of failures after a quiet period. */
   private static final double MAXIMUM_RETRIES = 100;
 
-  private static final double INITIAL_RETRIES = 10;
+  static final double INITIAL_RETRIES = 10;
 
   /** Share of the common reserve that is assumed until the number of instances is known. */
   private static final double INITIAL_SHARE = 1.0 / 64;
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -5,11 +5,13 @@
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Random;
 import java.util.Set;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
@@ -295,6 +297,46 @@
                   Objects.requireNonNull(dispatch.prefillEngine()), List.of(77L))));
     }
 
+    /**
+     * Guards against failed remote prefills, each followed by another attempt, that together exceed
+     * the retry budget of the instances.
+     */
+    @Test
+    public void failedRemotePrefillsDrawOnRetryBudget() {
+      int requests = 200;
+      double ratio = 0.1;
+      List<BackendServer> engines = new ArrayList<>(List.of(engine("decoder", EngineRole.DECODE)));
+      for (int i = 0; i < 8; i++) {
+        engines.add(engine("p" + i, EngineRole.PREFILL_ONLY));
+      }
+      Harness harness =
+          new Harness(
+              configuration().retryRatio(ratio).build(),
+              engines,
+              Samples.highLimits("north", 1, 0));
+      Random random = new Random(1);
+      int failures = 0;
+      for (int i = 0; i < requests; i++) {
+        AdmissionAction.Dispatch dispatch =
+            Harness.dispatch(harness.arrive(prompt(harness, i, i + 1, Repeatability.AT_MOST_ONCE)));
+        if (dispatch.prefillEngine() != null) {
+          boolean fails = random.nextDouble() < 0.4;
+          failures += fails ? 1 : 0;
+          harness.send(
+              new AdmissionEvent.PrefillFinished(
+                  dispatch.request(),
+                  dispatch.attempt(),
+                  fails ? FailureKind.TIMED_OUT : null,
+                  90 * Samples.MILLISECOND));
+        }
+        harness.now += 300 * Samples.MILLISECOND;
+        harness.finish(dispatch, new AttemptOutcome(null, 100, 50 * Samples.MILLISECOND));
+      }
+      assertTrue(
+          failures <= RetryBudget.INITIAL_RETRIES + ratio * requests + 1,
+          failures + " remote prefills failed");
+    }
+
     /** Guards against a second remote prefill, which would count as another attempt. */
     @Test
     public void retryHasNoRemotePrefill() {
