--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -48,11 +48,11 @@
   private final ControlGateway control;
   private final MonotonicClock clock;
   private final RelayCounters counters;
+  private final PromptPartReporter promptParts;
   private final DutyThread<AdmissionEvent> thread;
   private final Map<RequestId, RequestMailbox> mailboxes = new ConcurrentHashMap<>();
   private long listsRevision = -1;
   private long appliedIndex = -1;
-  private final PromptPartReporter promptParts;
   private Collection<SuspectPromptPart> suspectParts = List.of();
 
   /** Creates the duty; {@link #start()} starts its thread. */
--- a/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -53,7 +53,7 @@
      * Guards against reports that burden an overloaded leader, and against reports lost with it.
      */
     @Test
-    public void areSentAgainUnchangedAfterWhile() {
+    public void areSentAgainUnchangedAfterInterval() {
       StubControl control = new StubControl();
       control.reachable = false;
       MetricRegistry metrics = new MetricRegistry();
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
@@ -211,7 +212,7 @@
     fleet.recordOutcome(server, request, failure, nowNanos);
     fleet.removeIfUnlisted(server);
     request.outputTokens += event.outcome().outputTokens();
-    reportParts(request, server, event.outcome(), nowNanos, actions);
+    quarantine.reportAttempt(request.work, server.server.id(), event.outcome(), nowNanos, actions);
     if (failure == null || request.phase == Phase.CANCELLING) {
       endAfterRun(request);
     } else {
@@ -220,36 +221,6 @@
     dispatchWaiting(request.queueKey, nowNanos, actions);
   }
 
-  /** Reports what the outcome says of the prompt's parts: they may crash servers, or do not. */
-  private void reportParts(
-      RequestState request,
-      ServerState server,
-      AttemptOutcome outcome,
-      long nowNanos,
-      List<AdmissionAction> actions) {
-    if (outcome.isAnswered()) {
-      List<Long> cleared = quarantine.recordAnswer(request.work, nowNanos);
-      if (!cleared.isEmpty()) {
-        actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
-      }
-    } else {
-      reportLostParts(request, server, outcome.failure(), actions);
-    }
-  }
-
-  private void reportLostParts(
-      RequestState request,
-      ServerState server,
-      @Nullable FailureKind failure,
-      List<AdmissionAction> actions) {
-    if (failure != null && failure.isConnectionLost()) {
-      List<Long> parts = quarantine.partsToReport(request.work);
-      if (!parts.isEmpty()) {
-        actions.add(new AdmissionAction.ReportLostParts(server.server.id(), parts));
-      }
-    }
-  }
-
   private void retryOrRefuse(
       RequestState request,
       FailureKind failure,
@@ -316,7 +287,8 @@
     RequestState request = requests.get(event.request());
     if (request != null && request.attempt == event.attempt()) {
       if (request.prefillServer != null) {
-        reportLostParts(request, request.prefillServer, event.failure(), actions);
+        BackendServerId engine = request.prefillServer.server.id();
+        quarantine.reportLoss(request.work, engine, event.failure(), actions);
       }
       remotePrefills.finished(request, event.failure(), event.nanos(), nowNanos);
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
@@ -8,8 +8,8 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.RequestId;
-import org.teaseltrestle.policy.WorkRequest.WorkKind;
 
 /**
  * Keeps prompts away from the backend servers if one of their parts has crashed several: which
@@ -133,15 +133,52 @@
     return Duration.ofNanos(remaining);
   }
 
-  /** Returns the parts of a lost request that may have crashed its server. */
-  List<Long> partsToReport(WorkRequest work) {
-    return work.kind() == WorkKind.MODEL_COMPLETION
-        ? work.sharedParts().stream().limit(MAXIMUM_REPORTED_PARTS).toList()
-        : List.of();
+  /**
+   * Adds a report of what an ended attempt says of the request's parts: a lost server suggests that
+   * one of them crashes servers, an answer that none does.
+   */
+  void reportAttempt(
+      WorkRequest work,
+      BackendServerId server,
+      AttemptOutcome outcome,
+      long nowNanos,
+      List<AdmissionAction> actions) {
+    if (outcome.isAnswered()) {
+      List<Long> cleared = clear(work, nowNanos);
+      if (!cleared.isEmpty()) {
+        actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
+      }
+    } else {
+      reportLoss(work, server, outcome.failure(), actions);
+    }
+  }
+
+  /** Adds a report of the request's parts if the failure means that the server was lost. */
+  void reportLoss(
+      WorkRequest work,
+      BackendServerId server,
+      @Nullable FailureKind failure,
+      List<AdmissionAction> actions) {
+    if (failure == null || !failure.isConnectionLost()) {
+      return;
+    }
+    List<Long> parts = work.sharedParts().stream().limit(MAXIMUM_REPORTED_PARTS).toList();
+    if (!parts.isEmpty()) {
+      actions.add(new AdmissionAction.ReportLostParts(server, parts));
+    }
+  }
+
+  /** Ends the trial of a request, if it was one. */
+  void ended(WorkRequest work) {
+    for (Suspect suspect : suspects.values()) {
+      if (Objects.equals(suspect.trial, work.request())) {
+        suspect.trial = null;
+      }
+    }
   }
 
-  /** Records an answered request; returns its suspected parts, which are thereby cleared. */
-  List<Long> recordAnswer(WorkRequest work, long nowNanos) {
+  /** Clears the suspected parts of an answered request; returns those to be reported. */
+  private List<Long> clear(WorkRequest work, long nowNanos) {
     if (suspects.isEmpty()) {
       return List.of();
     }
@@ -159,15 +196,6 @@
     return cleared;
   }
 
-  /** Ends the trial of a request, if it was one. */
-  void ended(WorkRequest work) {
-    for (Suspect suspect : suspects.values()) {
-      if (Objects.equals(suspect.trial, work.request())) {
-        suspect.trial = null;
-      }
-    }
-  }
-
   private List<Suspect> quarantinedParts(WorkRequest work) {
     List<Suspect> quarantined = new ArrayList<>();
     for (Long part : work.sharedParts()) {
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
@@ -154,7 +154,7 @@
   /** Trials of a quarantined part. */
   public static final class Trials {
 
-    /** Guards against a sound part that is refused for ever, and against many trials at once. */
+    /** Guards against a sound part that is refused forever, and against many trials at once. */
     @Test
     public void singleRequestIsTriedAfterInterval() {
       Harness harness = harness();
