Show that a sound prompt part is quarantined beside the crashing one, as a failing test

Cause: every part of a lost request is a suspect, also one that was answered a moment before; only an answer that comes after the part is suspected clears it. Evidence: two relays that share a control state, one sound request, then crashing ones; the next sound request gets 503.

--- a/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -133,5 +133,32 @@
         Stream.of(engines).forEach(FakeServer::close);
       }
     }
+
+    /**
+     * Guards against sound requests that are refused because crashing ones with the same first part
+     * come in quick succession, through an instance that has not seen the first part answered.
+     */
+    @Test
+    public void partAnsweredJustBeforeSeveralLossesIsNotQuarantined() {
+      AtomicInteger crashes = new AtomicInteger();
+      FakeServer[] engines =
+          Stream.generate(() -> crashingEngine(crashes)).limit(ENGINES).toArray(FakeServer[]::new);
+      StubControl control = new StubControl();
+      try (RoutedHarness first = new RoutedHarness(control, List.of(), engines);
+          RoutedHarness second = new RoutedHarness(control, List.of(), engines)) {
+        assertEquals(first.postPrompt(STREAM, "sound-1", "a1,b2,0").statusCode(), 200);
+        int status = 0;
+        for (int i = 0; i < ROUNDS; i++) {
+          RoutedHarness relay = i % 2 == 0 ? first : second;
+          status = relay.postPrompt(STREAM, "crashing-" + i, "a1,dead," + i).statusCode();
+        }
+        assertTrue(crashes.get() <= MAXIMUM_CRASHES, crashes + " engines crashed");
+        assertEquals(status, 503);
+        assertEquals(first.postPrompt(STREAM, "sound-2", "a1,b2,1").statusCode(), 200);
+        assertEquals(second.postPrompt(STREAM, "sound-3", "a1,b2,2").statusCode(), 200);
+      } finally {
+        Stream.of(engines).forEach(FakeServer::close);
+      }
+    }
   }
 }
