Keep lately answered prompt parts out of the suspects of a lost request

What callers saw (BUDGET): sound requests refused as quarantined, since they share parts with crashing ones that came in quick succession. Cause: all parts of a lost request were suspects until a later answer cleared them. Change: an instance remembers when each part was last answered (AnsweredParts). A lost request's parts that were answered within 10 s are left out, unless that leaves none; a part that others suspect is cleared by an answer of the last 2 s. A crashing part is never answered, so it is reported as before. One behind more than 32 sound parts is now reported too.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -117,7 +117,7 @@
     } else if (event instanceof AdmissionEvent.RequestsRevoked revoked) {
       refuseRevoked(revoked, actions);
     } else if (event instanceof AdmissionEvent.SuspectPartsChanged changed) {
-      quarantine.replace(changed.lossesByPart(), nowNanos);
+      quarantine.replace(changed.lossesByPart(), nowNanos, actions);
       refuseQuarantined(nowNanos, actions);
     }
     refuseExpired(nowNanos, actions);
@@ -288,7 +288,7 @@
     if (request != null && request.attempt == event.attempt()) {
       if (request.prefillServer != null) {
         BackendServerId engine = request.prefillServer.server.id();
-        quarantine.reportLoss(request.work, engine, event.failure(), actions);
+        quarantine.reportLoss(request.work, engine, event.failure(), nowNanos, actions);
       }
       remotePrefills.finished(request, event.failure(), event.nanos(), nowNanos);
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PromptQuarantine.java
@@ -41,6 +41,7 @@
   /** Time until an answered part that is still suspected is reported again. */
   private static final long REPEATED_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  private final AnsweredParts answeredParts = new AnsweredParts();
   private Map<Long, Suspect> suspects = new HashMap<>();
 
   /** State of one suspected part. */
@@ -78,8 +79,11 @@
     }
   }
 
-  /** Replaces the suspected parts; those with an unchanged number of losses keep their state. */
-  void replace(Map<Long, Integer> lossesByPart, long nowNanos) {
+  /**
+   * Replaces the suspected parts; those with an unchanged number of losses keep their state. Adds a
+   * report of those that were answered here just now.
+   */
+  void replace(Map<Long, Integer> lossesByPart, long nowNanos, List<AdmissionAction> actions) {
     Map<Long, Suspect> replaced = new HashMap<>();
     lossesByPart.forEach(
         (part, losses) -> {
@@ -89,6 +93,12 @@
               known != null && known.losses == losses ? known : new Suspect(losses, nowNanos));
         });
     suspects = replaced;
+    List<Long> answered =
+        lossesByPart.keySet().stream()
+            .filter(part -> answeredParts.clears(part, nowNanos))
+            .sorted()
+            .toList();
+    clear(answered, nowNanos, actions);
   }
 
   /** Returns whether a request has a quarantined part, unless it is the trial of it. */
@@ -147,25 +157,30 @@
       long nowNanos,
       List<AdmissionAction> actions) {
     if (outcome.isAnswered()) {
-      List<Long> cleared = clear(work, nowNanos);
-      if (!cleared.isEmpty()) {
-        actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
-      }
+      answeredParts.record(work.sharedParts(), nowNanos);
+      clear(work.sharedParts(), nowNanos, actions);
     } else {
-      reportLoss(work, server, outcome.failure(), actions);
+      reportLoss(work, server, outcome.failure(), nowNanos, actions);
     }
   }
 
-  /** Adds a report of the request's parts if the failure means that the server was lost. */
+  /**
+   * Adds a report of the request's parts if the failure means that the server was lost. Parts that
+   * were answered lately are left out, unless no other part explains the loss.
+   */
   void reportLoss(
       WorkRequest work,
       BackendServerId server,
       @Nullable FailureKind failure,
+      long nowNanos,
       List<AdmissionAction> actions) {
     if (failure == null || !failure.isConnectionLost()) {
       return;
     }
-    List<Long> parts = work.sharedParts().stream().limit(MAXIMUM_REPORTED_PARTS).toList();
+    List<Long> parts =
+        answeredParts.suspects(work.sharedParts(), nowNanos).stream()
+            .limit(MAXIMUM_REPORTED_PARTS)
+            .toList();
     if (!parts.isEmpty()) {
       actions.add(new AdmissionAction.ReportLostParts(server, parts));
     }
@@ -180,13 +195,13 @@
     }
   }
 
-  /** Clears the suspected parts of an answered request; returns those to be reported. */
-  private List<Long> clear(WorkRequest work, long nowNanos) {
+  /** Clears answered parts that are suspected, and adds a report of them. */
+  private void clear(List<Long> parts, long nowNanos, List<AdmissionAction> actions) {
     if (suspects.isEmpty()) {
-      return List.of();
+      return;
     }
     List<Long> cleared = new ArrayList<>();
-    for (Long part : work.sharedParts()) {
+    for (Long part : parts) {
       Suspect suspect = suspects.get(part);
       if (suspect != null) {
         suspect.answered = true;
@@ -196,7 +211,9 @@
         }
       }
     }
-    return cleared;
+    if (!cleared.isEmpty()) {
+      actions.add(new AdmissionAction.ReportAnsweredParts(cleared));
+    }
   }
 
   private List<Suspect> quarantinedParts(WorkRequest work) {
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
@@ -1,11 +1,14 @@
 package org.teaseltrestle.policy;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.policy.AdmissionAction.Dispatch;
 import org.teaseltrestle.policy.AdmissionAction.ReportAnsweredParts;
@@ -151,6 +154,86 @@
     }
   }
 
+  /** Crashing requests whose other parts were answered a moment before. */
+  public static final class AnsweredBefore {
+
+    private static void answer(Harness harness, String id, Long... parts) {
+      Dispatch dispatch = Harness.dispatch(harness.arrive(prompt(harness, id, parts)));
+      harness.finish(dispatch, PromptQuarantineTest.answer());
+    }
+
+    private static List<Long> reportedParts(Harness harness, String id, Long... parts) {
+      Dispatch dispatch = Harness.dispatch(harness.arrive(prompt(harness, id, parts)));
+      return Harness.actionsOfType(ReportLostParts.class, harness.finish(dispatch, LOST))
+          .get(0)
+          .parts();
+    }
+
+    /** Guards against a sound part that is quarantined with the crashing one beside it. */
+    @Test
+    public void answeredPartsAreNotReportedBesideOneThatIsNot() {
+      Harness harness = harness();
+      answer(harness, "r1", COMMON, 3L);
+      assertEquals(reportedParts(harness, "r2", COMMON, CRASHING), List.of(CRASHING));
+      harness.now += 11 * Samples.SECOND;
+      assertEquals(reportedParts(harness, "r3", COMMON, CRASHING), List.of(COMMON, CRASHING));
+    }
+
+    /** Guards against a part that starts to crash engines after it was answered. */
+    @Test
+    public void allPartsAreReportedIfEachWasAnswered() {
+      Harness harness = harness();
+      answer(harness, "r1", COMMON, CRASHING);
+      assertEquals(reportedParts(harness, "r2", COMMON, CRASHING), List.of(COMMON, CRASHING));
+    }
+
+    /** Guards against a crashing part behind many sound ones that is never reported. */
+    @Test
+    public void lastOfManyPartsIsReported() {
+      Harness harness = harness();
+      Long[] parts = LongStream.rangeClosed(1, 500).boxed().toArray(Long[]::new);
+      answer(harness, "r1", parts);
+      Long[] crashing = Stream.concat(Stream.of(parts), Stream.of(CRASHING)).toArray(Long[]::new);
+      assertEquals(reportedParts(harness, "r2", crashing), List.of(CRASHING));
+    }
+
+    /** Guards against a sound part that stays suspected until its next answer. */
+    @Test
+    public void partSuspectedByOthersIsClearedByEarlierAnswer() {
+      Harness harness = harness();
+      answer(harness, "r1", COMMON, 3L);
+      harness.now += Samples.SECOND;
+      List<AdmissionAction> actions =
+          harness.send(
+              new AdmissionEvent.SuspectPartsChanged(
+                  Map.of(COMMON, PromptQuarantine.QUARANTINE_LOSSES)));
+      assertEquals(actions, List.of(new ReportAnsweredParts(List.of(COMMON))));
+      Harness.dispatch(harness.arrive(prompt(harness, "r2", COMMON, 4L)));
+    }
+
+    /** Guards against a part that is never quarantined because it was answered long ago. */
+    @Test
+    public void oldAnswerDoesNotClear() {
+      Harness harness = harness();
+      answer(harness, "r1", CRASHING);
+      harness.now += 3 * Samples.SECOND;
+      assertTrue(suspect(harness, PromptQuarantine.QUARANTINE_LOSSES).isEmpty());
+      Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
+    }
+
+    /** Guards against memory that grows with the prompts. */
+    @Test
+    public void forgetsPartsAnsweredLongestAgo() {
+      AnsweredParts answered = new AnsweredParts();
+      answered.record(List.of(COMMON), 0);
+      for (long part = 1_000; part < 1_000 + AnsweredParts.CAPACITY; part++) {
+        assertTrue(answered.clears(COMMON, 0));
+        answered.record(List.of(part), 0);
+      }
+      assertFalse(answered.clears(COMMON, 0));
+    }
+  }
+
   /** Trials of a quarantined part. */
   public static final class Trials {
 
