Report ready only when the backend servers are known

What callers see: an instance that was restarted reports itself ready and then refuses requests (no_backend_server), since the fleet duty has not read the platform's list yet. Cause: readiness waited for the control state, and for the key lease or the configuration, not for the fleet. Change: ServerDirectory.isKnown, true once the admission duty has been told of a list that was read, or of the committed fleet. Evidence: in a run of PromptFaultsTest the restarted follower had its control state at 38.852 s, the first list at 39.191 s and its port open at 39.289 s: 98 ms were between a pass and a sound prompt refused. CallerPortTest$ReadinessPage#notReadyBeforeBackendServersAreKnown failed without the check (200 for 503).

--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -56,6 +56,7 @@
   private List<BackendServer> announced = List.of();
   private boolean listReadRunning;
   private boolean listReadOnce;
+  private volatile boolean known;
   private long nextListNanos;
   private long nextAnnouncementNanos;
 
@@ -94,6 +95,12 @@
     thread.start();
   }
 
+  /** Returns whether the admission duty has been told of a fleet that was read. */
+  @Override
+  public boolean isKnown() {
+    return known;
+  }
+
   @Override
   public @Nullable BackendServer find(BackendServerId server) {
     return serversById.get(server);
@@ -302,6 +309,7 @@
         LOG.info(FleetEvent.FLEET_CHANGED, "servers", current.size());
       }
       announced = current;
+      known = known || listReadOnce || !listed.isEmpty();
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/port/ServerDirectory.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/ServerDirectory.java
@@ -8,6 +8,9 @@
 /** Backend servers known to this instance. Safe for use by any thread. */
 public interface ServerDirectory {
 
+  /** Returns whether the backend servers have been read, or taken from the committed fleet. */
+  boolean isKnown();
+
   /** Returns a backend server, or null if it is no longer known. */
   @Nullable BackendServer find(BackendServerId server);
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
@@ -102,6 +102,7 @@
   private void ready(HttpServerExchange exchange) {
     boolean ready =
         context.control().isReady()
+            && context.directory().isKnown()
             && context.authenticator().hasReceivedKeyLease()
             && !drain.isDraining();
     page(exchange, ready ? 200 : 503, InfoPages.health(ready ? "ready" : "not_ready"));
--- a/node/src/test/java/org/teaseltrestle/node/relay/CallerPortTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/CallerPortTest.java
@@ -225,6 +225,20 @@
         assertEquals(relay.send(relay.request("/health/ready")).statusCode(), 200);
       }
     }
+
+    /**
+     * Guards against a restarted instance that reports itself ready before it knows any backend
+     * server, and refuses the requests that the load balancer then sends.
+     */
+    @Test
+    public void notReadyBeforeBackendServersAreKnown() {
+      try (RelayHarness relay = new RelayHarness()) {
+        relay.serversKnown = false;
+        assertEquals(relay.send(relay.request("/health/ready")).statusCode(), 503);
+        relay.serversKnown = true;
+        assertEquals(relay.send(relay.request("/health/ready")).statusCode(), 200);
+      }
+    }
   }
 
   /** Graceful shutdown. */
--- a/node/src/test/java/org/teaseltrestle/node/relay/FleetDutyTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FleetDutyTest.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 
 import java.time.Duration;
 import java.util.List;
@@ -108,6 +109,19 @@
     assertEquals(state(), State.LIVE);
   }
 
+  /** Guards against a fleet that counts as known before the admission duty could use it. */
+  @Test
+  public void fleetIsKnownOnceItHasBeenRead() {
+    RelayHarness.await(() -> duty.isKnown());
+    platform.close();
+    duty.close();
+    events.clear();
+    duty = duty();
+    duty.start();
+    RelayHarness.await(() -> anyEvent(AdmissionEvent.FleetChanged.class, e -> true));
+    assertFalse(duty.isKnown());
+  }
+
   private static boolean isExpectedLoad(org.teaseltrestle.policy.LoadReport report) {
     long age = System.nanoTime() - report.measuredAtNanos();
     return report.running() == 3
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -45,6 +45,7 @@
   final LocalUsageRecorder usage = new LocalUsageRecorder(metrics);
   final RelayService relay;
   final AtomicInteger arrived = new AtomicInteger();
+  volatile boolean serversKnown = true;
   final Set<BackendServerId> leaving = ConcurrentHashMap.newKeySet();
   private final Map<BackendServerId, BackendServer> servers = new ConcurrentHashMap<>();
   private final BackendHttp http = new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(5));
@@ -178,6 +179,11 @@
     return events;
   }
 
+  @Override
+  public boolean isKnown() {
+    return serversKnown;
+  }
+
   @Override
   public @Nullable BackendServer find(BackendServerId server) {
     return servers.get(server);
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -172,6 +172,11 @@
     }
   }
 
+  @Override
+  public boolean isKnown() {
+    return true;
+  }
+
   @Override
   public @Nullable BackendServer find(BackendServerId server) {
     return servers.stream().filter(each -> each.id().equals(server)).findFirst().orElse(null);
