--- a/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
@@ -31,7 +31,7 @@
   private static final long RELEASE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
   /** A remote prefill may take the remaining time divided by this. */
-  private static final int REMAINING_TIME_DIVISOR = 3;
+  private static final int REMAINING_TIME_DIVISOR = 2;
 
   private final RelayContext context;
   private final RoutedRelayDependencies dependencies;
@@ -63,6 +63,14 @@
     this.attemptHandle = attemptHandle;
   }
 
+  /**
+   * Returns the monotonic time at which a remote prefill is given up and the whole request is sent
+   * instead.
+   */
+  static long deadlineNanos(long startNanos, long requestDeadlineNanos) {
+    return startNanos + (requestDeadlineNanos - startNanos) / REMAINING_TIME_DIVISOR;
+  }
+
   /**
    * Runs the remote prefill.
    *
@@ -71,8 +79,7 @@
    */
   AttemptOptions.Work run() {
     long startNanos = context.clock().nowNanos();
-    long deadlineNanos =
-        startNanos + (request.deadlineNanos() - startNanos) / REMAINING_TIME_DIVISOR;
+    long deadlineNanos = deadlineNanos(startNanos, request.deadlineNanos());
     attemptHandle.onCancel(prefillHandle::cancel);
     String cacheHandle = null;
     FailureKind failure = null;
