Draw failed remote prefills from the retry budget when many fail

Cause: a remote prefill that fails is followed by the whole request at another engine, outside the retry budget. Change: while more than a tenth of the remote prefills fail, each failure is charged to the budget, and the next one starts only if the budget holds the expected number of failures; otherwise the engine that runs the request prefills. Below that rate the budget's margin pays, so that retries, which are worth more to callers, keep the budget.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -63,7 +63,7 @@
         new WaitingRequests(
             configuration.queueing() == Queueing.FAIR ? FairQueue::new : FirstComeQueue::new);
     this.costs = new CostModel(configuration);
-    this.remotePrefills = new RemotePrefillSelector(configuration, fleet, costs);
+    this.remotePrefills = new RemotePrefillSelector(configuration, fleet, costs, retryBudget);
     this.candidateFinder = new CandidateFinder(configuration, fleet);
     this.chooser = createChooser(configuration.replicaChoice(), costs);
     this.deadlines = new DeadlineCheck(configuration, costs);
--- a/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
@@ -21,15 +21,29 @@
    */
   private static final double MAXIMUM_JITTER = 0.3;
 
+  /** Weight of the latest remote prefill in the moving average of the failure rate. */
+  private static final double FAILURE_SMOOTHING_FACTOR = 0.1;
+
+  /**
+   * Failure rate up to which failed remote prefills do not draw on the retry budget: retries are
+   * worth more to callers, and the budget has a margin for that much.
+   */
+  private static final double TOLERATED_FAILURE_RATE = 0.1;
+
   private final PolicyConfiguration configuration;
   private final Fleet fleet;
   private final CostModel costs;
+  private final RetryBudget retryBudget;
   private final PrefixAffinity prefixAffinity = new PrefixAffinity();
+  private double failureRate;
+  private int running;
 
-  RemotePrefillSelector(PolicyConfiguration configuration, Fleet fleet, CostModel costs) {
+  RemotePrefillSelector(
+      PolicyConfiguration configuration, Fleet fleet, CostModel costs, RetryBudget retryBudget) {
     this.configuration = configuration;
     this.fleet = fleet;
     this.costs = costs;
+    this.retryBudget = retryBudget;
   }
 
   /**
@@ -42,11 +56,14 @@
 
   /**
    * Returns the remote prefill that is estimated to finish first, or null if none is possible. Only
-   * the first attempt of a completion is eligible.
+   * the first attempt of a completion is eligible. When many remote prefills fail, the retry budget
+   * must hold the expected number of failures: the whole request is sent again after each.
    */
   @Nullable RemotePrefill select(RequestState request, long nowNanos) {
     boolean isFirstAttempt = request.attempt == 0 && request.outputTokens == 0;
-    if (!isFirstAttempt || request.work.kind() != WorkRequest.WorkKind.MODEL_COMPLETION) {
+    if (!isFirstAttempt
+        || request.work.kind() != WorkRequest.WorkKind.MODEL_COMPLETION
+        || !isFailureCovered()) {
       return null;
     }
     PrefixAffinity.Holders holders =
@@ -69,6 +86,7 @@
 
   /** Records that a remote prefill was dispatched. */
   void dispatched(RequestState request, RemotePrefill remotePrefill, long nowNanos) {
+    running++;
     request.prefillServer = remotePrefill.server();
     request.remotePrefillTokens = remotePrefill.prefillTokens();
     request.remotePrefillAheadTokens = remotePrefill.server().load.queuedPromptTokens();
@@ -83,6 +101,8 @@
       return;
     }
     request.prefillServer = null;
+    running--;
+    recordCost(failure);
     server.load.remotePrefillEnded(request.remotePrefillTokens);
     if (failure == null) {
       server.contention.recordPrefill(
@@ -92,6 +112,21 @@
     fleet.removeIfUnlisted(server);
   }
 
+  private boolean isFailureCovered() {
+    return failureRate <= TOLERATED_FAILURE_RATE || retryBudget.covers((running + 1) * failureRate);
+  }
+
+  private void recordCost(@Nullable FailureKind failure) {
+    if (failure == null) {
+      failureRate -= FAILURE_SMOOTHING_FACTOR * failureRate;
+    } else if (RetryTable.prefillCountsAsRetry(failure)) {
+      failureRate += FAILURE_SMOOTHING_FACTOR * (1 - failureRate);
+      if (failureRate > TOLERATED_FAILURE_RATE) {
+        retryBudget.chargeRetry();
+      }
+    }
+  }
+
   private RemotePrefill estimate(
       RequestState request, ServerState server, PrefixAffinity.Holders holders, long nowNanos) {
     int cachedTokens = holders.holds(server) ? request.work.options().sharedPrefixTokens() : 0;
--- a/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryBudget.java
@@ -59,6 +59,16 @@
     return take(1 - overdraft);
   }
 
+  /** Returns whether the budget holds this many retries; a fraction is an expected number. */
+  boolean covers(double retries) {
+    return available >= retries;
+  }
+
+  /** Takes a retry that has already been sent, overdrawing the budget if necessary. */
+  void chargeRetry() {
+    available -= 1;
+  }
+
   private double reserve(double share) {
     return Math.max(1, sharedReserve * share);
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
@@ -57,6 +57,14 @@
     };
   }
 
+  /**
+   * Returns whether a remote prefill that failed this way loads the servers with one more attempt:
+   * an engine received it, and another one receives the whole request afterwards.
+   */
+  static boolean prefillCountsAsRetry(FailureKind failure) {
+    return failure != FailureKind.CONNECT_FAILED && failure != FailureKind.CANCELLED;
+  }
+
   /** Returns the refusal that ends a request whose last attempt failed this way. */
   static RefusalCode refusal(FailureKind failure) {
     return switch (failure) {
