Rename a test whose name the linter refuses

Cause: "HasAThird" reads as an abbreviation; the module's tests had not run since the test was added. Evidence: RemotePrefillTest runs and passes; with a third of the remaining time prefillOfTwoFifthsOfTheTimeIsAwaited fails.

--- a/node/src/test/java/org/teaseltrestle/node/relay/RemotePrefillTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RemotePrefillTest.java
@@ -26,7 +26,7 @@
 
     /** Guards against a failed prefill that leaves too little time for the whole request. */
     @Test
-    public void wholeRequestHasAThirdOfTheTimeAfterFailedPrefill() {
+    public void wholeRequestHasOneThirdOfTheTimeAfterFailedPrefill() {
       long latest = START + REMAINING * 2 / 3;
       assertTrue(RemotePrefill.deadlineNanos(START, START + REMAINING) <= latest);
     }
