--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -146,8 +146,6 @@
     }
     if (denial != null) {
       quarantine.ended(work);
-    }
-    if (denial != null) {
       actions.add(refusal(work.request(), denial.code(), denial.retryAfter()));
       return;
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/AnsweredParts.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AnsweredParts.java
@@ -16,14 +16,17 @@
   /** Maximum number of parts; the ones answered longest ago are forgotten. */
   static final int CAPACITY = 4_096;
 
-  /** Age up to which an answer excuses a part while another part of the request has none. */
-  private static final long EXCUSE_NANOS = TimeUnit.SECONDS.toNanos(10);
+  /**
+   * Age up to which an answer rules a part out as the cause of a loss, while another part of the
+   * request is not ruled out.
+   */
+  private static final long RULING_OUT_AGE_NANOS = TimeUnit.SECONDS.toNanos(10);
 
   /**
-   * Age up to which an answer clears a part that other instances suspect; a part that was sound
-   * before, such as under older weights, is suspected at the latest after this time.
+   * Age up to which an answer clears a part that other instances suspect. It is short, since a part
+   * may start to crash servers, for example under new weights.
    */
-  private static final long CLEARING_NANOS = TimeUnit.SECONDS.toNanos(2);
+  private static final long CLEARING_AGE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final Map<Long, Long> answeredAtNanos = new LinkedHashMap<>();
 
@@ -41,16 +44,21 @@
     }
   }
 
-  /** Returns the parts of a lost request that may have caused the loss: all, if each is excused. */
+  /**
+   * Returns the parts of a lost request that may have caused the loss: those without a recent
+   * answer, or all if each has one.
+   */
   List<Long> suspects(List<Long> parts, long nowNanos) {
-    List<Long> unexcused =
-        parts.stream().filter(part -> !isAnsweredWithin(EXCUSE_NANOS, part, nowNanos)).toList();
-    return unexcused.isEmpty() ? parts : unexcused;
+    List<Long> unanswered =
+        parts.stream()
+            .filter(part -> !isAnsweredWithin(RULING_OUT_AGE_NANOS, part, nowNanos))
+            .toList();
+    return unanswered.isEmpty() ? parts : unanswered;
   }
 
   /** Returns whether a part was answered so recently that the losses of others do not count. */
   boolean clears(Long part, long nowNanos) {
-    return isAnsweredWithin(CLEARING_NANOS, part, nowNanos);
+    return isAnsweredWithin(CLEARING_AGE_NANOS, part, nowNanos);
   }
 
   private boolean isAnsweredWithin(long ageNanos, Long part, long nowNanos) {
