review: stand-in clients give up a blocked write

Cause: the write of a large body had no time limit, so that the script of case 5 hung once when the entry node stopped reading; an exception in a script ended it with 1, as if the rule were broken. Change: the client closes its connection at the time limit, and an exception ends a script with 2. Case 5 also records whether the node says that it is ready.

--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -9,12 +9,32 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
 
 /** Sends HTTP/1.1 requests, each on a connection of its own. */
 final class Http {
 
+  private static final ScheduledExecutorService LIMITS =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "limits");
+            thread.setDaemon(true);
+            return thread;
+          });
+
   private Http() {}
 
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      System.err.println("cannot close a connection: " + e);
+    }
+  }
+
   /** Response; the status is 0 if the connection could not be opened or ended early, -1 if no
    * complete response arrived in time. */
   static final class Response {
@@ -39,7 +59,10 @@
       Map<String, String> headers, byte[] body, int timeoutMillis) {
     Response response = new Response();
     long start = System.nanoTime();
+    ScheduledFuture<?> limit = null;
     try (Socket socket = new Socket()) {
+      // A write has no timeout of its own; the other side may never read the rest of a body.
+      limit = LIMITS.schedule(() -> closeQuietly(socket), timeoutMillis, TimeUnit.MILLISECONDS);
       socket.connect(new InetSocketAddress(address, port), Math.min(1_000, timeoutMillis));
       socket.setTcpNoDelay(true);
       long end = start + timeoutMillis * 1_000_000L;
@@ -59,8 +82,14 @@
       response.status = -1;
       response.failure = "time limit";
     } catch (IOException e) {
-      response.status = 0;
-      response.failure = e.getMessage() == null ? e.toString() : e.getMessage();
+      boolean late = limit != null && limit.isDone();
+      response.status = late ? -1 : 0;
+      response.failure =
+          late ? "time limit" : e.getMessage() == null ? e.toString() : e.getMessage();
+    } finally {
+      if (limit != null) {
+        limit.cancel(false);
+      }
     }
     response.millis = (System.nanoTime() - start) / 1e6;
     return response;
--- a/review/standins/LargeBodiesCase.java
+++ b/review/standins/LargeBodiesCase.java
@@ -27,6 +27,9 @@
     try (Record record = new Record(Path.of(arguments[0])); Cluster cluster = new Cluster(record)) {
       exit = run(cluster, record, trouble);
       record.add("result", "exit " + exit);
+    } catch (Exception e) {
+      e.printStackTrace();
+      exit = 2;
     }
     System.exit(exit);
   }
@@ -60,6 +63,8 @@
       late += never || response.millis > TIMEOUT_MILLIS + GRACE_MILLIS ? 1 : 0;
     }
     clients.shutdown();
+    record.add("check", "the entry node says that it is "
+        + (cluster.deployment.awaitReady(cluster.entry, 2_000) ? "ready" : "not ready"));
     long errors = Deployment.lines(cluster.entry.logText(), "OutOfMemoryError").size();
     record.add("check", "unanswered after " + TIMEOUT_MILLIS + " ms: " + unanswered + ", after "
         + (TIMEOUT_MILLIS + GRACE_MILLIS) + " ms: " + late + ", of " + CLIENTS
--- a/review/standins/ManyChangesCase.java
+++ b/review/standins/ManyChangesCase.java
@@ -23,6 +23,9 @@
     try (Record record = new Record(Path.of(arguments[0])); Cluster cluster = new Cluster(record)) {
       exit = run(cluster, record, trouble ? ROUTES : 0);
       record.add("result", "exit " + exit);
+    } catch (Exception e) {
+      e.printStackTrace();
+      exit = 2;
     }
     System.exit(exit);
   }
--- a/review/standins/OrderTokenCase.java
+++ b/review/standins/OrderTokenCase.java
@@ -18,6 +18,9 @@
         StandIns standIns = new StandIns(deployment, record)) {
       exit = run(deployment, standIns, record, trouble);
       record.add("result", "exit " + exit);
+    } catch (Exception e) {
+      e.printStackTrace();
+      exit = 2;
     }
     System.exit(exit);
   }
