Log why a node left its parent, and gaps in the committed log

E3011 now has the reason, the ages of the last message and of the news of a leader, and the applied index; E3017 names the index held, the index announced and the parent. What is decided is the same as before.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -148,7 +148,7 @@
 
   private void tick(long nowNanos) {
     updateCandidatesIfDue(nowNanos);
-    if (parentSelector.update(nowNanos)) {
+    if (parentSelector.update(state.appliedIndex(), nowNanos)) {
       leaseRenewer.makeDueNow(nowNanos);
     }
     if (leaseRenewer.isDue(nowNanos)) {
@@ -226,6 +226,7 @@
     long now = context.clock().nowNanos();
     parentSelector.messageReceived(sender, message.getRootAgeMillis(), now);
     apply(message.getCommandsList());
+    logGap(sender, message);
     if (!message.getCommandsList().isEmpty() && state.appliedIndex() < message.getAppliedIndex()) {
       leaseRenewer.makeDueNow(now);
     }
@@ -245,6 +246,24 @@
     }
   }
 
+  private void logGap(String sender, CommittedCommands message) {
+    List<LoggedCommand> commands = message.getCommandsList();
+    long received =
+        commands.isEmpty()
+            ? message.getAppliedIndex()
+            : commands.get(commands.size() - 1).getIndex();
+    if (state.appliedIndex() < received) {
+      LOG.warn(
+          ReplicaEvent.ENTRIES_MISSING,
+          "appliedIndex",
+          state.appliedIndex(),
+          "announcedIndex",
+          message.getAppliedIndex(),
+          "parent",
+          sender);
+    }
+  }
+
   private void onState(String sender, CommittedState message) {
     long now = context.clock().nowNanos();
     parentSelector.messageReceived(sender, parentSelector.rootAgeMillis(now), now);
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -62,7 +62,7 @@
   }
 
   /** Selects the parent; returns whether it has changed or the previous one timed out. */
-  boolean update(long nowNanos) {
+  boolean update(long appliedIndex, long nowNanos) {
     boolean parentTimedOut = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
     // Two nodes that are each other's parent receive messages, but no news of a leader.
     boolean rootTimedOut = nowNanos - rootContactNanos > tree.rootTimeoutNanos();
@@ -81,10 +81,30 @@
     if (selected.equals(parent) && !parentTimedOut && !rootTimedOut) {
       return false;
     }
-    LOG.info(ReplicaEvent.PARENT_CHANGED, "from", parent, "to", selected);
+    LOG.info(
+        ReplicaEvent.PARENT_CHANGED,
+        "from",
+        parent,
+        "to",
+        selected,
+        "reason",
+        reason(parentTimedOut, rootTimedOut),
+        "parentAgeMillis",
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - parentContactNanos),
+        "rootAgeMillis",
+        rootAgeMillis(nowNanos),
+        "appliedIndex",
+        appliedIndex);
     parent = selected;
     parentContactNanos = nowNanos;
     rootContactNanos = rootTimedOut ? nowNanos : rootContactNanos;
     return true;
   }
+
+  private static String reason(boolean parentTimedOut, boolean rootTimedOut) {
+    if (parentTimedOut) {
+      return "parent-silent";
+    }
+    return rootTimedOut ? "no-news-of-leader" : "preferred";
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -19,7 +19,8 @@
   PROPOSAL_FAILED(3012, "internal proposal failed"),
   FOLLOWING_INSTEAD(
       3013, "local replica is unavailable; this instance follows the committed log instead"),
-  REOPEN_FAILED(3014, "data folder cannot be used yet; the replica is opened again later");
+  REOPEN_FAILED(3014, "data folder cannot be used yet; the replica is opened again later"),
+  ENTRIES_MISSING(3017, "entries of the committed log are missing; the parent is asked for them");
 
   private final int number;
   private final String text;
