Log what a replica recovered when it opens its data folder

REPLICA_OPENED named the replica only: an old state after a restart could not be told from a lost one. ReplicaStorage.recoverySummary() keeps these after the recovered state is released.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
@@ -29,6 +29,7 @@
   private final SegmentedLog log;
   private final FileChannel lockChannel;
   private final ReplicaId identity;
+  private final RecoverySummary recoverySummary;
   private RecoveredState recovered;
   private final List<LogEntry> pendingEntries = new ArrayList<>();
   private @Nullable HardState pendingHardState;
@@ -46,6 +47,7 @@
     this.identity = identity;
     this.log = log;
     this.recovered = recover();
+    this.recoverySummary = RecoverySummary.of(recovered, log.truncatedBytes());
   }
 
   /**
@@ -113,6 +115,11 @@
     recovered = RecoveredState.empty();
   }
 
+  @Override
+  public RecoverySummary recoverySummary() {
+    return recoverySummary;
+  }
+
   @Override
   public void saveHardState(HardState state) {
     pendingHardState = state;
--- /dev/null
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RecoverySummary.java
@@ -0,0 +1,19 @@
+package org.teaseltrestle.consensus;
+
+/**
+ * What a storage found when it was opened.
+ *
+ * @param snapshotIndex index of the latest snapshot, 0 if there is none
+ * @param lastIndex index of the last entry of snapshot and log, 0 if both are empty
+ * @param truncatedBytes size of an incomplete last record that was cut off
+ */
+public record RecoverySummary(long term, long snapshotIndex, long lastIndex, long truncatedBytes) {
+
+  static RecoverySummary of(RecoveredState state, long truncatedBytes) {
+    Snapshot snapshot = state.snapshot();
+    long snapshotIndex = snapshot == null ? 0 : snapshot.index();
+    int entries = state.entries().size();
+    return new RecoverySummary(
+        state.hardState().term(), snapshotIndex, snapshotIndex + entries, truncatedBytes);
+  }
+}
--- a/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaStorage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaStorage.java
@@ -21,6 +21,9 @@
   /** Releases the recovered state, whose entries would otherwise stay in memory. */
   void releaseRecovered();
 
+  /** Returns what was found when the storage was opened; stays available after a release. */
+  RecoverySummary recoverySummary();
+
   /** Buffers the term and vote; durable after {@link #sync()}. */
   void saveHardState(HardState state);
 
--- a/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -25,6 +25,7 @@
   private final List<Segment> segments = new ArrayList<>();
   private @Nullable FileChannel channel;
   private long nextNumber;
+  private long truncatedBytes;
 
   private static final class Segment {
     final String name;
@@ -55,6 +56,11 @@
     return usable;
   }
 
+  /** Returns the size of the incomplete record that {@link #open} cut off. */
+  long truncatedBytes() {
+    return truncatedBytes;
+  }
+
   void append(List<LogEntry> entries) throws IOException {
     FileChannel current = channel;
     if (current == null) {
@@ -120,6 +126,7 @@
             name + " ends in an incomplete record but is not the last segment");
       }
       truncateFile(name, scan.validBytes());
+      truncatedBytes += content.length - scan.validBytes();
     }
     Segment segment = new Segment(name);
     segments.add(segment);
--- a/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
@@ -159,6 +159,22 @@
       }
     }
 
+    /** Guards against a restart whose log event hides what was recovered and cut off. */
+    @Test
+    public void isReportedWithWhatWasRecovered() throws IOException {
+      fill(folder, 6);
+      try (FileReplicaStorage storage = open(folder)) {
+        storage.saveSnapshot(new Snapshot(2, 1, VOTERS, new byte[0]), StoredEntries.PRUNE, 1);
+        storage.releaseRecovered();
+        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 0, 6, 0));
+      }
+      byte[] content = Files.readAllBytes(segment(folder));
+      Files.write(segment(folder), Arrays.copyOf(content, content.length + 5));
+      try (FileReplicaStorage storage = open(folder)) {
+        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 2, 6, 5));
+      }
+    }
+
     @Test
     public void isTruncatedWhereSectorsWereNotWritten() throws IOException {
       fill(folder, 2);
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -4,7 +4,7 @@
 
 /** Log events of the control plane of a node, numbers 3000 to 3999. */
 public enum ReplicaEvent implements LogEvent {
-  REPLICA_OPENED(3001, "replica opened its data folder"),
+  REPLICA_OPENED(3001, "replica opened its data folder and recovered its state"),
   REPLICA_STOPPED(
       3002, "replica stopped after a failure and does not vote until it is opened again"),
   ROLE_CHANGED(3003, "role, term or leader changed"),
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -14,6 +14,7 @@
 import org.teaseltrestle.consensus.RaftEnvelope;
 import org.teaseltrestle.consensus.RaftEvent;
 import org.teaseltrestle.consensus.RaftRole;
+import org.teaseltrestle.consensus.RecoverySummary;
 import org.teaseltrestle.consensus.ReplicaStorage;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
@@ -121,7 +122,19 @@
 
   /** Registers the message handlers and starts the duty thread. */
   public void start() {
-    LOG.info(ReplicaEvent.REPLICA_OPENED, "replica", storage.identity());
+    RecoverySummary found = storage.recoverySummary();
+    LOG.info(
+        ReplicaEvent.REPLICA_OPENED,
+        "replica",
+        storage.identity(),
+        "term",
+        found.term(),
+        "snapshotIndex",
+        found.snapshotIndex(),
+        "lastIndex",
+        found.lastIndex(),
+        "truncatedBytes",
+        found.truncatedBytes());
     new ReplicaMessageHandler(settings, inbox, driver, leaderOperations, leaseRenewer)
         .register(context.messageHandlers(), this::onBundle);
     duty.start();
