Leave the connection of a finished response alone

Callers saw: a request on a kept connection got no answer ("header parser received no bytes"), although nothing was wrong with it.

Cause: a call's response is finished before the backend server's response is closed. An exception from that close reached CallerRouter, which aborted the response and with it the connection, on which the caller's next request already was. An AttemptFailure at that point could also start a second attempt for an answered request.

Change: CallerResponse has an explicit state. abort() does nothing once the response is finished; a refusal or a failed attempt after that is logged (E5026) and nothing else. The timer for an unread request body closes the connection only while that exchange is open, as before.

Why this works: the state becomes FINISHED only after the last byte has been flushed, and Undertow reads the next request no earlier than that; every path that closes a connection goes through abort() or checks the exchange.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -29,12 +29,20 @@
 
   private static final long DISCARD_BODY_SECONDS = 2;
 
+  /** How far the response is. Its connection may carry the next request once it is finished. */
+  private enum State {
+    NOT_STARTED,
+    STARTED,
+    FINISHED
+  }
+
   private final HttpServerExchange exchange;
   private final RequestId request;
   private final Duration writeTimeout;
   private final MonotonicClock clock;
   private final ByteBudget.Reservation memory;
   private @Nullable StreamSinkChannel channel;
+  private State state = State.NOT_STARTED;
 
   CallerResponse(
       HttpServerExchange exchange,
@@ -55,7 +63,12 @@
   }
 
   boolean isStarted() {
-    return channel != null;
+    return state != State.NOT_STARTED;
+  }
+
+  /** Returns whether the caller has received the complete response. */
+  boolean isFinished() {
+    return state == State.FINISHED;
   }
 
   @Nullable String contentType() {
@@ -84,6 +97,7 @@
     if (channel == null) {
       throw new CallerDisconnectedException();
     }
+    state = State.STARTED;
   }
 
   /** Sends a complete response. */
@@ -133,20 +147,25 @@
       throw disconnect();
     }
     flush();
+    state = State.FINISHED;
     exchange.endExchange();
     if (!exchange.isRequestComplete()) {
       // The rest of a refused body is discarded, but only for a limited time.
       exchange
           .getIoThread()
-          .executeAfter(this::abortIfOpen, DISCARD_BODY_SECONDS, TimeUnit.SECONDS);
+          .executeAfter(this::closeIfOpen, DISCARD_BODY_SECONDS, TimeUnit.SECONDS);
     }
   }
 
   /**
    * Closes the connection, so that the caller sees that the response is incomplete. A regular close
-   * would complete a response without a length or chunks, so that one ends with a reset.
+   * would complete a response without a length or chunks, so that one ends with a reset. A finished
+   * response is left alone, because its connection may already carry the next request.
    */
   void abort() {
+    if (isFinished()) {
+      return;
+    }
     if (endsWithConnection()) {
       try {
         exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
@@ -162,9 +181,9 @@
     return isStarted() && exchange.isHttp10() && exchange.getResponseContentLength() < 0;
   }
 
-  private void abortIfOpen() {
+  private void closeIfOpen() {
     if (!exchange.isComplete()) {
-      abort();
+      IoUtils.safeClose(exchange.getConnection());
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -145,6 +145,15 @@
       RequestId request,
       CallerResponse response,
       RefusalException refusal) {
+    if (response.isFinished()) {
+      LOG.warn(
+          RelayEvent.FAILURE_AFTER_RESPONSE,
+          "request",
+          request,
+          "code",
+          refusal.refusalCode().wireName());
+      return;
+    }
     context.counters().requestRefused(refusal.refusalCode());
     try {
       if (response.isStarted()) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -175,6 +175,15 @@
           deadlines.schedule(handle, request.deadlineNanos())) {
         return sendAndForward();
       } catch (AttemptFailure failure) {
+        if (response.isFinished()) {
+          LOG.warn(
+              RelayEvent.FAILURE_AFTER_RESPONSE,
+              "request",
+              id,
+              "reason",
+              String.valueOf(failure.getMessage()));
+          return true;
+        }
         handleFailure(failure);
         return false;
       } catch (CallerDisconnectedException e) {
