Make durable what a replica reads when it starts

What callers saw: a change that was acknowledged is gone, or the state comes back older, after voters were killed and later lost power. A replica could also refuse its data folder as corrupt after a legal loss of power, and then follow the committed log for good.

Cause: files survive a kill whether or not they were synced, so a start counted as durable what a killed process had written only. The replica voted and acknowledged with that state, and continued in a new segment behind a record that a loss of power could still remove.

Change: FileReplicaStorage.open syncs the names before it reads anything, the last segment after it, and the parent before an identity is created. Earlier segments were synced before a later one was created. The cost of a start is one sync of the folder and one of a file; nothing is rewritten. DurableFiles uses FileOperations, which LocalFiles implements on the file system. REPLICA_OPENED names the size of the segment that was synced.

Why this works: nothing leaves a replica before open returns, and all that open returns is covered by a sync of this process. A disk that refuses the sync makes open fail with FILE_ACCESS, so that the replica does not vote.

Not covered: a sync that failed in a process that was killed before it reopened the storage. An operating system may then report a later sync of the same file as successful. SegmentedLog.open says so.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/DurableFiles.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/DurableFiles.java
@@ -1,60 +1,52 @@
 package org.teaseltrestle.consensus;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.Files;
-import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.List;
-import java.util.stream.Stream;
+import org.teaseltrestle.consensus.FileOperations.OpenFile;
+import org.teaseltrestle.consensus.FileOperations.OpenMode;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
 
 /**
- * File operations in one folder. Creating, replacing and appending are durable on return; a
- * deletion is durable after {@link #sync}.
+ * Durable operations on the files of one folder. Creating, replacing and appending are durable on
+ * return; a deletion is durable after {@link #syncNames}.
  */
 final class DurableFiles {
 
   private static final String TEMPORARY_SUFFIX = ".tmp";
 
-  private final Path folder;
+  private final FileOperations operations;
   private final long maximumBytes;
 
-  DurableFiles(Path folder, long maximumBytes) {
-    this.folder = folder;
+  DurableFiles(FileOperations operations, long maximumBytes) {
+    this.operations = operations;
     this.maximumBytes = maximumBytes;
   }
 
-  Path path(String name) {
-    return folder.resolve(name);
-  }
-
-  /** Creates the folder and deletes temporary files of interrupted replacements. */
+  /**
+   * Creates the folder, makes its names durable as a process may have left them that ended between
+   * a change and its sync, and deletes temporary files of interrupted replacements.
+   */
   void prepare() throws IOException {
-    if (!Files.isDirectory(folder)) {
-      Files.createDirectories(folder);
-      Path parent = folder.toAbsolutePath().getParent();
-      if (parent != null) {
-        syncFolder(parent);
-      }
-    }
+    operations.createFolder();
+    operations.syncFolder();
     for (String name : names("", TEMPORARY_SUFFIX)) {
-      Files.delete(path(name));
+      operations.delete(name);
     }
   }
 
+  /** Locks the folder against other processes until the result is closed. */
+  Closeable lock(String name) throws IOException {
+    return operations.lock(name);
+  }
+
   /** Returns the sorted names of files with a prefix and a suffix. */
   List<String> names(String prefix, String suffix) throws IOException {
-    try (Stream<Path> files = Files.list(folder)) {
-      return files
-          .map(file -> file.getFileName().toString())
-          .filter(name -> name.startsWith(prefix) && name.endsWith(suffix))
-          .sorted()
-          .toList();
-    }
+    return operations.names().stream()
+        .filter(name -> name.startsWith(prefix) && name.endsWith(suffix))
+        .toList();
   }
 
   /** Replaces a file atomically: a crash leaves either the old or the new content. */
@@ -64,40 +56,52 @@
 
   /** Replaces a file atomically by content that is already encoded. */
   void replaceContent(String name, ByteBuffer content) throws IOException {
-    Path temporary = path(name + TEMPORARY_SUFFIX);
+    String temporary = name + TEMPORARY_SUFFIX;
     checkSpace(content.remaining());
-    try (FileChannel channel =
-        FileChannel.open(
-            temporary,
-            StandardOpenOption.CREATE,
-            StandardOpenOption.TRUNCATE_EXISTING,
-            StandardOpenOption.WRITE)) {
-      writeFully(channel, content);
-      channel.force(true);
+    try (OpenFile file = operations.open(temporary, OpenMode.EMPTY)) {
+      file.write(content);
+      file.sync();
     }
-    Files.move(temporary, path(name), StandardCopyOption.ATOMIC_MOVE);
-    syncFolder(folder);
+    operations.rename(temporary, name);
+    operations.syncFolder();
   }
 
-  FileChannel create(String name) throws IOException {
-    FileChannel channel =
-        FileChannel.open(path(name), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
-    syncFolder(folder);
-    return channel;
+  OpenFile create(String name) throws IOException {
+    OpenFile file = operations.open(name, OpenMode.NEW);
+    operations.syncFolder();
+    return file;
   }
 
-  void append(FileChannel channel, ByteBuffer record) throws IOException {
+  void append(OpenFile file, ByteBuffer record) throws IOException {
     checkSpace(record.remaining());
-    writeFully(channel, record);
-    channel.force(false);
+    file.write(record);
+    file.sync();
+  }
+
+  void truncate(String name, long size) throws IOException {
+    try (OpenFile file = operations.open(name, OpenMode.EXISTING)) {
+      file.truncate(size);
+      file.sync();
+    }
   }
 
   void delete(String name) throws IOException {
-    Files.deleteIfExists(path(name));
+    operations.delete(name);
+  }
+
+  void syncContent(String name) throws IOException {
+    try (OpenFile file = operations.open(name, OpenMode.EXISTING)) {
+      file.sync();
+    }
   }
 
-  void sync() throws IOException {
-    syncFolder(folder);
+  void syncNames() throws IOException {
+    operations.syncFolder();
+  }
+
+  /** Makes the name of the folder itself durable. */
+  void syncParent() throws IOException {
+    operations.syncParent();
   }
 
   /** Reads a file written by {@link #replace}. */
@@ -109,14 +113,12 @@
     return scan.payloads().get(0);
   }
 
-  byte[] readAll(String name) throws IOException {
-    return Files.readAllBytes(path(name));
+  long size(String name) throws IOException {
+    return operations.size(name);
   }
 
-  private static void writeFully(FileChannel channel, ByteBuffer bytes) throws IOException {
-    while (bytes.hasRemaining()) {
-      channel.write(bytes);
-    }
+  byte[] readAll(String name) throws IOException {
+    return operations.read(name);
   }
 
   private void checkSpace(long bytes) throws IOException {
@@ -124,17 +126,11 @@
       return;
     }
     long used = 0;
-    for (String name : names("", "")) {
-      used += Files.size(path(name));
+    for (String name : operations.names()) {
+      used += operations.size(name);
     }
     if (used + bytes > maximumBytes) {
       throw new IOException("the data folder would exceed its limit of " + maximumBytes + " bytes");
     }
   }
-
-  private static void syncFolder(Path path) throws IOException {
-    try (FileChannel channel = FileChannel.open(path, StandardOpenOption.READ)) {
-      channel.force(true);
-    }
-  }
 }
--- a/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
@@ -1,11 +1,8 @@
 package org.teaseltrestle.consensus;
 
+import java.io.Closeable;
 import java.io.IOException;
-import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
-import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -27,7 +24,7 @@
 
   private final DurableFiles files;
   private final SegmentedLog log;
-  private final FileChannel lockChannel;
+  private final Closeable lock;
   private final ReplicaId identity;
   private final RecoverySummary recoverySummary;
   private RecoveredState recovered;
@@ -40,18 +37,18 @@
   }
 
   private FileReplicaStorage(
-      DurableFiles files, FileChannel lockChannel, ReplicaId identity, SegmentedLog log)
-      throws IOException {
+      DurableFiles files, Closeable lock, ReplicaId identity, SegmentedLog log) throws IOException {
     this.files = files;
-    this.lockChannel = lockChannel;
+    this.lock = lock;
     this.identity = identity;
     this.log = log;
     this.recovered = recover();
-    this.recoverySummary = RecoverySummary.of(recovered, log.truncatedBytes());
+    this.recoverySummary = RecoverySummary.of(recovered, log.truncatedBytes(), log.syncedBytes());
   }
 
   /**
-   * Opens or creates a data folder.
+   * Opens or creates a data folder. All that it recovers is durable on return, also if an earlier
+   * process ended before it could sync it.
    *
    * @param newIncarnation random incarnation, used only if the folder is new
    * @param maximumBytes maximum size of the folder in bytes, {@link Long#MAX_VALUE} for no limit
@@ -61,22 +58,27 @@
    */
   public static FileReplicaStorage open(
       Path folder, InstanceId instance, long newIncarnation, long maximumBytes) {
-    FileChannel lockChannel = null;
+    return open(new LocalFiles(folder), instance, newIncarnation, maximumBytes);
+  }
+
+  static FileReplicaStorage open(
+      FileOperations operations, InstanceId instance, long newIncarnation, long maximumBytes) {
+    Closeable lock = null;
     boolean opened = false;
     try {
-      DurableFiles files = new DurableFiles(folder, maximumBytes);
+      DurableFiles files = new DurableFiles(operations, maximumBytes);
       files.prepare();
-      lockChannel = lock(files);
+      lock = files.lock(LOCK_FILE);
       ReplicaId identity = loadIdentity(files, new ReplicaId(instance, newIncarnation));
       FileReplicaStorage storage =
-          new FileReplicaStorage(files, lockChannel, identity, new SegmentedLog(files));
+          new FileReplicaStorage(files, lock, identity, new SegmentedLog(files));
       opened = true;
       return storage;
     } catch (IOException e) {
-      throw fileAccessException("cannot open the data folder " + folder, e);
+      throw fileAccessException("cannot open " + operations, e);
     } finally {
       if (!opened) {
-        closeQuietly(lockChannel);
+        closeQuietly(lock);
       }
     }
   }
@@ -90,13 +92,18 @@
    */
   public static FileReplicaStorage reopen(
       Path folder, InstanceId instance, long newIncarnation, long maximumBytes) {
-    FileReplicaStorage storage = open(folder, instance, newIncarnation, maximumBytes);
+    return reopen(new LocalFiles(folder), instance, newIncarnation, maximumBytes);
+  }
+
+  static FileReplicaStorage reopen(
+      FileOperations operations, InstanceId instance, long newIncarnation, long maximumBytes) {
+    FileReplicaStorage storage = open(operations, instance, newIncarnation, maximumBytes);
     try {
       storage.rewriteLatest();
       return storage;
     } catch (IOException e) {
       storage.close();
-      throw fileAccessException("cannot write to the data folder " + folder, e);
+      throw fileAccessException("cannot write to " + operations, e);
     }
   }
 
@@ -157,28 +164,8 @@
     } catch (IOException e) {
       throw fileAccessException("cannot close the log", e);
     } finally {
-      closeQuietly(lockChannel);
-    }
-  }
-
-  private static FileChannel lock(DurableFiles files) throws IOException {
-    FileChannel channel =
-        FileChannel.open(
-            files.path(LOCK_FILE), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-    FileLock lock = null;
-    try {
-      lock = channel.tryLock();
-    } catch (OverlappingFileLockException e) {
-      throw new IOException("the data folder is in use by this process", e);
-    } finally {
-      if (lock == null) {
-        channel.close();
-      }
+      closeQuietly(lock);
     }
-    if (lock == null) {
-      throw new IOException("the data folder is in use by another process");
-    }
-    return channel;
   }
 
   private static ReplicaId loadIdentity(DurableFiles files, ReplicaId newIdentity)
@@ -196,6 +183,8 @@
       throw new TrestleException(
           ErrorCode.DATA_CORRUPTED, "the data folder holds files but no identity");
     }
+    // Before the identity exists nothing counts as stored, and afterwards the folder is durable.
+    files.syncParent();
     files.replace(IDENTITY_FILE, StorageCodec.encodeIdentity(newIdentity));
     return newIdentity;
   }
@@ -263,12 +252,12 @@
     return new TrestleException(ErrorCode.FILE_ACCESS, message + ": " + cause.getMessage(), cause);
   }
 
-  private static void closeQuietly(@Nullable FileChannel channel) {
-    if (channel == null) {
+  private static void closeQuietly(@Nullable Closeable lock) {
+    if (lock == null) {
       return;
     }
     try {
-      channel.close();
+      lock.close();
     } catch (IOException e) {
       // The lock is released when the process exits, and the data is already synced.
       return;
--- a/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaStorage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaStorage.java
@@ -15,7 +15,10 @@
   /** Returns the identity that was created together with the storage. */
   ReplicaId identity();
 
-  /** Returns the state that was stored when the storage was opened, until it is released. */
+  /**
+   * Returns the state that was stored when the storage was opened, until it is released. All of it
+   * is durable, so that the replica may acknowledge it.
+   */
   RecoveredState recovered();
 
   /** Releases the recovered state, whose entries would otherwise stay in memory. */
--- a/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -2,12 +2,11 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.FileOperations.OpenFile;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
 
@@ -23,9 +22,10 @@
 
   private final DurableFiles files;
   private final List<Segment> segments = new ArrayList<>();
-  private @Nullable FileChannel channel;
+  private @Nullable OpenFile file;
   private long nextNumber;
   private long truncatedBytes;
+  private long syncedBytes;
 
   private static final class Segment {
     final String name;
@@ -40,7 +40,15 @@
     this.files = files;
   }
 
-  /** Reads the entries after the snapshot and truncates an incomplete last record. */
+  /**
+   * Reads the entries after the snapshot, truncates an incomplete last record and makes the last
+   * segment durable: a process that was killed may not have synced its last record. Earlier
+   * segments are durable, because a segment is created only after the previous one was synced.
+   *
+   * <p>The sync covers what was written but not synced. It need not cover a write whose sync has
+   * failed, after which a storage is opened by {@link FileReplicaStorage#reopen}; if the process is
+   * killed before that, the last record may be read here although the disk did not store it.
+   */
   List<LogEntry> open(@Nullable Snapshot snapshot) throws IOException {
     List<LogEntry> entries = new ArrayList<>();
     List<String> names = files.names(PREFIX, SUFFIX);
@@ -49,6 +57,11 @@
       readSegment(name, last, entries, snapshot == null ? 0 : snapshot.index());
       nextNumber = Long.parseLong(name.substring(PREFIX.length(), name.indexOf('.'))) + 1;
     }
+    if (!names.isEmpty()) {
+      String last = names.get(names.size() - 1);
+      files.syncContent(last);
+      syncedBytes = files.size(last);
+    }
     List<LogEntry> usable = usableEntries(entries, snapshot);
     if (usable.isEmpty()) {
       discard();
@@ -61,12 +74,17 @@
     return truncatedBytes;
   }
 
+  /** Returns the size of the segment that {@link #open} made durable. */
+  long syncedBytes() {
+    return syncedBytes;
+  }
+
   void append(List<LogEntry> entries) throws IOException {
-    FileChannel current = channel;
+    OpenFile current = file;
     if (current == null) {
       String name = String.format(Locale.ROOT, "%s%020d%s", PREFIX, nextNumber++, SUFFIX);
       current = files.create(name);
-      channel = current;
+      file = current;
       segments.add(new Segment(name));
     }
     files.append(current, RecordFormat.encode(StorageCodec.encodeEntries(entries)));
@@ -83,7 +101,7 @@
     while (!segments.isEmpty() && segments.get(0).lastIndex < firstRetainedIndex) {
       files.delete(segments.remove(0).name);
     }
-    files.sync();
+    files.syncNames();
   }
 
   /** Deletes all segments, last first, so that a crash leaves no gap that looks like corruption. */
@@ -91,7 +109,7 @@
     closeSegment();
     while (!segments.isEmpty()) {
       files.delete(segments.remove(segments.size() - 1).name);
-      files.sync();
+      files.syncNames();
     }
   }
 
@@ -109,9 +127,9 @@
   }
 
   private void closeSegment() throws IOException {
-    if (channel != null) {
-      channel.close();
-      channel = null;
+    if (file != null) {
+      file.close();
+      file = null;
     }
   }
 
@@ -125,7 +143,7 @@
             ErrorCode.DATA_CORRUPTED,
             name + " ends in an incomplete record but is not the last segment");
       }
-      truncateFile(name, scan.validBytes());
+      files.truncate(name, scan.validBytes());
       truncatedBytes += content.length - scan.validBytes();
     }
     Segment segment = new Segment(name);
@@ -168,11 +186,4 @@
         ? List.of()
         : entries.stream().filter(entry -> entry.index() > snapshot.index()).toList();
   }
-
-  private void truncateFile(String name, long validBytes) throws IOException {
-    try (FileChannel file = FileChannel.open(files.path(name), StandardOpenOption.WRITE)) {
-      file.truncate(validBytes);
-      file.force(true);
-    }
-  }
 }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
@@ -163,15 +163,16 @@
     @Test
     public void isReportedWithWhatWasRecovered() throws IOException {
       fill(folder, 6);
+      long size = Files.size(segment(folder));
       try (FileReplicaStorage storage = open(folder)) {
         storage.saveSnapshot(new Snapshot(2, 1, VOTERS, new byte[0]), StoredEntries.PRUNE, 1);
         storage.releaseRecovered();
-        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 0, 6, 0));
+        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 0, 6, 0, size));
       }
       byte[] content = Files.readAllBytes(segment(folder));
       Files.write(segment(folder), Arrays.copyOf(content, content.length + 5));
       try (FileReplicaStorage storage = open(folder)) {
-        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 2, 6, 5));
+        assertEquals(storage.recoverySummary(), new RecoverySummary(1, 2, 6, 5, size));
       }
     }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -134,7 +134,9 @@
         "lastIndex",
         found.lastIndex(),
         "truncatedBytes",
-        found.truncatedBytes());
+        found.truncatedBytes(),
+        "syncedBytes",
+        found.syncedBytes());
     new ReplicaMessageHandler(settings, inbox, driver, leaderOperations, leaseRenewer)
         .register(context.messageHandlers(), this::onBundle);
     duty.start();
