Count what a node knows as unknown until it has news

Callers saw, or could see: below a voter that restarts inside a cut, an entry node obeys an old configuration for up to the root timeout (2.8 s) after the restart, so beyond the contact time of 3 s after the cut (rule CONFIG, not in force in time).

Cause: ReplicaService dated its news of a leader with its own start, ParentSelector did the same at its start, and again when it selected another parent after a root timeout, so that a follower passed on an age near zero after hearing nothing.

Change: KnownState is what a node knows up to an index as of a time; unknown is a value of its own, older than every limit. It begins unknown in every new ReplicaService and FollowService, thus also after reopening and on an instance that follows while its replica is stopped, and only news makes it newer. The message to a child has a flag for unknown; a process without it reads a year. A node leaves a parent that says it knows nothing or that is older than the root timeout; a new parent has half a second to show better news once it has told its age, the time of a silent one before. The bound to leave stays 2.8 s for a stale and 1.8 s for a silent parent.

ChildFeedsTest passes a KnownState instead of the age 0.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.transport.PeerTransport;
@@ -46,7 +46,7 @@
   private final PeerTransport transport;
   private final PeerAddresses addresses;
   private final MonotonicClock clock;
-  private final LongSupplier rootAgeMillis;
+  private final Supplier<KnownState> known;
   private final Map<String, Child> children = new HashMap<>();
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
@@ -71,8 +71,8 @@
       PeerTransport transport,
       PeerAddresses addresses,
       MonotonicClock clock,
-      LongSupplier rootAgeMillis) {
-    this.rootAgeMillis = rootAgeMillis;
+      Supplier<KnownState> known) {
+    this.known = known;
     this.transport = transport;
     this.addresses = addresses;
     this.clock = clock;
@@ -206,13 +206,10 @@
   }
 
   private boolean sendCommands(Child child, List<LoggedCommand> commands, long appliedIndex) {
-    CommittedCommands message =
-        CommittedCommands.newBuilder()
-            .addAllCommands(commands)
-            .setAppliedIndex(appliedIndex)
-            .setRootAgeMillis(rootAgeMillis.getAsLong())
-            .build();
-    return send(child, FollowMessage.COMMANDS, message.toByteArray());
+    CommittedCommands.Builder message =
+        CommittedCommands.newBuilder().addAllCommands(commands).setAppliedIndex(appliedIndex);
+    known.get().writeTo(message, clock.nowNanos());
+    return send(child, FollowMessage.COMMANDS, message.build().toByteArray());
   }
 
   private boolean send(Child child, FollowMessage message, byte[] body) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -47,6 +47,7 @@
   private final ParentSelector parentSelector;
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
+  private KnownState known = KnownState.UNKNOWN;
   private long publishedIndex;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
@@ -63,8 +64,7 @@
     long now = context.clock().nowNanos();
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
-    this.children =
-        new ChildFeeds(context.transport(), addresses, context.clock(), this::rootAgeMillis);
+    this.children = new ChildFeeds(context.transport(), addresses, context.clock(), () -> known);
     this.leaseRenewer =
         new LeaseRenewer(
             settings,
@@ -224,7 +224,9 @@
 
   private void onCommands(String sender, CommittedCommands message) {
     long now = context.clock().nowNanos();
-    parentSelector.messageReceived(sender, message.getRootAgeMillis(), now);
+    KnownState news = KnownState.received(message, now);
+    parentSelector.newsReceived(sender, news, now);
+    known = known.newerOf(news);
     apply(message.getCommandsList());
     logGap(sender, message);
     if (!message.getCommandsList().isEmpty() && state.appliedIndex() < message.getAppliedIndex()) {
@@ -266,7 +268,7 @@
 
   private void onState(String sender, CommittedState message) {
     long now = context.clock().nowNanos();
-    parentSelector.messageReceived(sender, parentSelector.rootAgeMillis(now), now);
+    parentSelector.messageReceived(sender, now);
     if (message.getAppliedIndex() > state.appliedIndex()) {
       state.restore(message.getAppliedIndex(), message.getSnapshot().toByteArray());
       LOG.info(ReplicaEvent.STATE_RESTORED, "index", message.getAppliedIndex());
@@ -282,8 +284,4 @@
     }
     children.feed(state);
   }
-
-  private long rootAgeMillis() {
-    return parentSelector.rootAgeMillis(context.clock().nowNanos());
-  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -7,25 +7,31 @@
 import org.teaseltrestle.kernel.EventLog;
 
 /**
- * Selects the parent in the dissemination tree; selects another one if the parent times out or has
- * no recent news of a leader.
+ * Selects the parent in the dissemination tree; selects another one if the parent times out, has no
+ * recent news of a leader or does not know any.
  */
 final class ParentSelector {
 
   private static final EventLog LOG = EventLog.of(ParentSelector.class);
   private static final long FAILED_PARENT_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
+  /** Limits the rate of changes while no parent has recent news. */
+  private static final long MINIMUM_STAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
   private List<String> candidates = List.of();
   private String parent = "";
   private final DisseminationTreeSettings tree;
   private long parentContactNanos;
-  private long rootContactNanos;
+  private KnownState parentNews = KnownState.UNKNOWN;
+  private long earliestChangeNanos;
+  private long newsDueNanos;
 
   ParentSelector(DisseminationTreeSettings tree, long nowNanos) {
     this.tree = tree;
     this.parentContactNanos = nowNanos;
-    this.rootContactNanos = nowNanos;
+    this.earliestChangeNanos = nowNanos;
+    this.newsDueNanos = nowNanos;
   }
 
   String parent() {
@@ -37,36 +43,38 @@
     candidates = List.copyOf(newCandidates);
   }
 
-  /** Returns the age of the latest news of a leader, in milliseconds. */
-  long rootAgeMillis(long nowNanos) {
-    return TimeUnit.NANOSECONDS.toMillis(nowNanos - rootContactNanos);
+  /** Records a message without news of a leader; ignored unless the current parent sent it. */
+  void messageReceived(String sender, long nowNanos) {
+    if (sender.equals(parent)) {
+      parentContactNanos = nowNanos;
+    }
   }
 
-  /** Records a message; ignored unless the current parent sent it. */
-  void messageReceived(String sender, long rootAgeMillis, long nowNanos) {
-    if (!sender.equals(parent)) {
-      return;
-    }
-    parentContactNanos = nowNanos;
-    long rootContact = nowNanos - TimeUnit.MILLISECONDS.toNanos(rootAgeMillis);
-    if (rootContact - rootContactNanos > 0) {
-      rootContactNanos = rootContact;
+  /** Records what a parent knows; ignored unless the current parent sent it. */
+  void newsReceived(String sender, KnownState news, long nowNanos) {
+    if (sender.equals(parent)) {
+      parentContactNanos = nowNanos;
+      parentNews = news;
+      newsDueNanos = earliestChangeNanos;
     }
   }
 
   /** Returns the monotonic time after which the parent has timed out unless it sends a message. */
   long timeoutNanos() {
-    long parentTimeout = parentContactNanos + tree.parentTimeoutNanos();
-    long rootTimeout = rootContactNanos + tree.rootTimeoutNanos();
-    return parentTimeout - rootTimeout < 0 ? parentTimeout : rootTimeout;
+    long silentAt = parentContactNanos + tree.parentTimeoutNanos();
+    long staleAt = parentNews.asOfNanos().orElse(newsDueNanos) + tree.rootTimeoutNanos();
+    long withoutNewsAt =
+        !parentNews.isKnown() || staleAt - newsDueNanos < 0 ? newsDueNanos : staleAt;
+    return silentAt - withoutNewsAt < 0 ? silentAt : withoutNewsAt;
   }
 
   /** Selects the parent; returns whether it has changed or the previous one timed out. */
   boolean update(long appliedIndex, long nowNanos) {
-    boolean parentTimedOut = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
+    boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
     // Two nodes that are each other's parent receive messages, but no news of a leader.
-    boolean rootTimedOut = nowNanos - rootContactNanos > tree.rootTimeoutNanos();
-    if (!parent.isEmpty() && (parentTimedOut || rootTimedOut)) {
+    boolean withoutNews =
+        nowNanos - newsDueNanos > 0 && parentNews.isOlderThan(tree.rootTimeoutNanos(), nowNanos);
+    if (!parent.isEmpty() && (silent || withoutNews)) {
       avoidedUntilNanos.put(parent, nowNanos + FAILED_PARENT_AVOIDANCE_NANOS);
     }
     avoidedUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
@@ -78,9 +86,19 @@
             .filter(candidate -> !avoidedUntilNanos.containsKey(candidate))
             .findFirst()
             .orElse("");
-    if (selected.equals(parent) && !parentTimedOut && !rootTimedOut) {
+    if (selected.equals(parent) && !silent && !withoutNews) {
       return false;
     }
+    logChange(selected, reason(silent, withoutNews), appliedIndex, nowNanos);
+    parent = selected;
+    parentContactNanos = nowNanos;
+    parentNews = KnownState.UNKNOWN;
+    earliestChangeNanos = nowNanos + MINIMUM_STAY_NANOS;
+    newsDueNanos = nowNanos + tree.rootTimeoutNanos();
+    return true;
+  }
+
+  private void logChange(String selected, String reason, long appliedIndex, long nowNanos) {
     LOG.info(
         ReplicaEvent.PARENT_CHANGED,
         "from",
@@ -88,23 +106,19 @@
         "to",
         selected,
         "reason",
-        reason(parentTimedOut, rootTimedOut),
+        reason,
         "parentAgeMillis",
         TimeUnit.NANOSECONDS.toMillis(nowNanos - parentContactNanos),
         "rootAgeMillis",
-        rootAgeMillis(nowNanos),
+        parentNews.isKnown() ? parentNews.ageMillis(nowNanos) : "unknown",
         "appliedIndex",
         appliedIndex);
-    parent = selected;
-    parentContactNanos = nowNanos;
-    rootContactNanos = rootTimedOut ? nowNanos : rootContactNanos;
-    return true;
   }
 
-  private static String reason(boolean parentTimedOut, boolean rootTimedOut) {
-    if (parentTimedOut) {
+  private static String reason(boolean silent, boolean withoutNews) {
+    if (silent) {
       return "parent-silent";
     }
-    return rootTimedOut ? "no-news-of-leader" : "preferred";
+    return withoutNews ? "no-news-of-leader" : "preferred";
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -61,7 +62,7 @@
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private long publishedIndex;
-  private long leaderKnownAtNanos;
+  private KnownState known = KnownState.UNKNOWN;
   private volatile boolean stopped;
   private volatile ControlStatus status = new ControlStatus("follower", 0, "", List.of(), 0, 0);
 
@@ -81,7 +82,6 @@
     this.settings = settings;
     this.context = context;
     this.random = random;
-    this.leaderKnownAtNanos = context.clock().nowNanos();
     this.storage = storage;
     this.stopListener = stopListener;
     this.addresses = new PeerAddresses(settings);
@@ -103,8 +103,7 @@
             settings, context.transport(), addresses, context.clock(), this::serveLocally);
     this.leader = new LeaderClient(leaderCalls, context.clock());
     this.lease = new KeyLease(settings, context.clock());
-    this.children =
-        new ChildFeeds(context.transport(), addresses, context.clock(), this::leaderAgeMillis);
+    this.children = new ChildFeeds(context.transport(), addresses, context.clock(), () -> known);
     this.leaseRenewer =
         new LeaseRenewer(
             settings,
@@ -238,6 +237,7 @@
       publishedIndex = state.appliedIndex();
       addresses.update(state.view());
     }
+    updateKnown();
     children.feed(state);
     publishStatus();
   }
@@ -300,17 +300,14 @@
     }
   }
 
-  private long leaderAgeMillis() {
-    return TimeUnit.NANOSECONDS.toMillis(context.clock().nowNanos() - leaderKnownAtNanos);
+  private void updateKnown() {
+    OptionalLong leaderKnownAtNanos = driver.core().leaderKnownAtNanos();
+    known = known.newerOf(new KnownState(state.appliedIndex(), leaderKnownAtNanos));
   }
 
   private void publishStatus() {
     RaftCore core = driver.core();
     ReplicaId currentLeader = core.leader();
-    long known = core.leaderKnownAtNanos().orElse(leaderKnownAtNanos);
-    if (known - leaderKnownAtNanos > 0) {
-      leaderKnownAtNanos = known;
-    }
     String name = currentLeader == null ? "" : currentLeader.instance().value();
     List<ReplicaId> voters = core.configuration().voters();
     String role = core.role().name().toLowerCase(Locale.ROOT);
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -168,7 +168,8 @@
             100,
             1_000,
             1_000);
-    return new ChildFeeds(new RecordingTransport(), new PeerAddresses(settings), clock, () -> 0L);
+    return new ChildFeeds(
+        new RecordingTransport(), new PeerAddresses(settings), clock, () -> KnownState.asOf(0, 0));
   }
 
   private void replaceLists() {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,21 +23,29 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.RaftSettings;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.ClientAccount;
+import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.settings.VoterSettings;
+import org.teaseltrestle.transport.MessageHandler;
 import org.teaseltrestle.transport.NettyPeerTransport;
+import org.teaseltrestle.transport.PeerTransport;
 import org.teaseltrestle.transport.TransportConfiguration;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.CommittedCommands;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.PublishConfiguration;
 import org.teaseltrestle.wire.RegisterInstance;
+import org.teaseltrestle.wire.RenewalBundle;
 
 /** Control planes of several nodes in one process, connected through the loopback interface. */
 final class LoopbackCluster implements AutoCloseable {
@@ -50,6 +59,8 @@
   private final Path folder;
   private final List<VoterSettings> voters = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom();
+  private final DisseminationTreeSettings tree;
+  private final Set<InetSocketAddress> cutOff = ConcurrentHashMap.newKeySet();
 
   /** One node's control plane with its transport. */
   record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
@@ -63,6 +74,11 @@
   }
 
   LoopbackCluster(int voterCount) {
+    this(voterCount, DisseminationTreeSettings.DEEP);
+  }
+
+  LoopbackCluster(int voterCount, DisseminationTreeSettings tree) {
+    this.tree = tree;
     try {
       folder = Files.createTempDirectory("control-plane");
     } catch (IOException e) {
@@ -79,11 +95,7 @@
   }
 
   Node startVoter(String instance, long maximumDataBytes) {
-    VoterSettings voter =
-        voters.stream()
-            .filter(candidate -> candidate.instance().value().equals(instance))
-            .findFirst()
-            .get();
+    VoterSettings voter = voter(instance);
     return start(instance, voter.failureDomain(), voter.peerAddress(), maximumDataBytes);
   }
 
@@ -91,6 +103,91 @@
     return start(instance, DOMAIN, freeAddress(), -1);
   }
 
+  /** Starts a non-voter in the failure domain of a voter, which is then its preferred parent. */
+  Node startNonVoterBelow(String voter, String instance) {
+    return start(instance, voter(voter).failureDomain(), freeAddress(), -1);
+  }
+
+  private VoterSettings voter(String instance) {
+    return voters.stream()
+        .filter(candidate -> candidate.instance().value().equals(instance))
+        .findFirst()
+        .get();
+  }
+
+  /** Loses all messages between a voter and the other voters from now on. */
+  void cutVoterOff(String instance) {
+    cutOff.add(voter(instance).peerAddress());
+  }
+
+  /** Subscribes to a voter as a child that lacks no entries and returns its first message. */
+  CommittedCommands askForNews(String voter) {
+    InetSocketAddress address = freeAddress();
+    CompletableFuture<CommittedCommands> news = new CompletableFuture<>();
+    try (NettyPeerTransport transport = transport("child", random.nextLong(), address)) {
+      transport.register(
+          FollowMessage.SERVICE,
+          (message, reply) ->
+              news.complete(MessageHandlerRegistry.parse(message, CommittedCommands.parser())));
+      byte[] subscription =
+          RenewalBundle.newBuilder()
+              .setInstance("child")
+              .setReplyAddress(PeerAddresses.format(address))
+              .setAppliedIndex(Long.MAX_VALUE)
+              .setFollows(true)
+              .build()
+              .toByteArray();
+      await(
+          "news from " + voter,
+          () -> {
+            transport.send(
+                voter(voter).peerAddress(),
+                FollowMessage.SERVICE,
+                FollowMessage.RENEWALS.kind(),
+                subscription);
+            return news.isDone();
+          });
+      return news.join();
+    }
+  }
+
+  private boolean isCut(InetSocketAddress from, InetSocketAddress to) {
+    boolean bothVote =
+        Stream.of(from, to)
+            .allMatch(each -> voters.stream().anyMatch(v -> v.peerAddress().equals(each)));
+    return bothVote && (cutOff.contains(from) || cutOff.contains(to));
+  }
+
+  /** Transport that loses the messages to nodes that are cut off. */
+  private record LossyTransport(
+      NettyPeerTransport delegate, Predicate<InetSocketAddress> losesMessagesTo)
+      implements PeerTransport {
+
+    @Override
+    public void register(String service, MessageHandler handler) {
+      delegate.register(service, handler);
+    }
+
+    @Override
+    public boolean send(InetSocketAddress peer, String service, int kind, byte[] body) {
+      return losesMessagesTo.test(peer) || delegate.send(peer, service, kind, body);
+    }
+
+    @Override
+    public CompletableFuture<byte[]> call(
+        InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
+      return losesMessagesTo.test(peer)
+          ? CompletableFuture.failedFuture(
+              new TrestleException(ErrorCode.UNREACHABLE, "the voter is cut off"))
+          : delegate.call(peer, service, kind, body, deadlineNanos);
+    }
+
+    @Override
+    public void close() {
+      delegate.close();
+    }
+  }
+
   void stop(String instance) {
     Node node = nodes.remove(instance);
     if (node != null) {
@@ -227,14 +324,7 @@
   private Node start(
       String instance, FailureDomain domain, InetSocketAddress address, long maximumDataBytes) {
     long boot = random.nextLong();
-    NettyPeerTransport transport =
-        new NettyPeerTransport(
-            TransportConfiguration.builder()
-                .instance(new InstanceId(instance))
-                .boot(boot)
-                .listenAddress(address)
-                .build(),
-            MonotonicClock.SYSTEM);
+    NettyPeerTransport transport = transport(instance, boot, address);
     ControlPlaneSettings settings =
         new ControlPlaneSettings(
             new InstanceId(instance),
@@ -248,11 +338,13 @@
             Map.of(),
             40,
             400,
-            KEY_LEASE_MILLISECONDS);
+            KEY_LEASE_MILLISECONDS,
+            RaftSettings.Membership.INITIAL_VOTERS,
+            tree);
     Map<ClientAccount, Double> shares = new ConcurrentHashMap<>();
     ControlPlaneContext context =
         new ControlPlaneContext(
-            transport,
+            new LossyTransport(transport, peer -> isCut(address, peer)),
             new MessageHandlerRegistry(transport),
             MonotonicClock.SYSTEM,
             WallClock.SYSTEM,
@@ -263,6 +355,17 @@
     return node;
   }
 
+  private static NettyPeerTransport transport(
+      String instance, long boot, InetSocketAddress address) {
+    return new NettyPeerTransport(
+        TransportConfiguration.builder()
+            .instance(new InstanceId(instance))
+            .boot(boot)
+            .listenAddress(address)
+            .build(),
+        MonotonicClock.SYSTEM);
+  }
+
   private static InetSocketAddress freeAddress() {
     try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -115,6 +115,21 @@
     return rootAgeMillis_;
   }
 
+  public static final int ROOT_AGE_UNKNOWN_FIELD_NUMBER = 4;
+  private boolean rootAgeUnknown_ = false;
+  /**
+   * <pre>
+   * Whether the sender never heard from a leader; old processes never set it.
+   * </pre>
+   *
+   * <code>bool root_age_unknown = 4;</code>
+   * @return The rootAgeUnknown.
+   */
+  @java.lang.Override
+  public boolean getRootAgeUnknown() {
+    return rootAgeUnknown_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -138,6 +153,9 @@
     if (rootAgeMillis_ != 0L) {
       output.writeUInt64(3, rootAgeMillis_);
     }
+    if (rootAgeUnknown_ != false) {
+      output.writeBool(4, rootAgeUnknown_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -159,6 +177,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(3, rootAgeMillis_);
     }
+    if (rootAgeUnknown_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, rootAgeUnknown_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -180,6 +202,8 @@
         != other.getAppliedIndex()) return false;
     if (getRootAgeMillis()
         != other.getRootAgeMillis()) return false;
+    if (getRootAgeUnknown()
+        != other.getRootAgeUnknown()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -201,6 +225,9 @@
     hash = (37 * hash) + ROOT_AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRootAgeMillis());
+    hash = (37 * hash) + ROOT_AGE_UNKNOWN_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRootAgeUnknown());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -345,6 +372,7 @@
       bitField0_ = (bitField0_ & ~0x00000001);
       appliedIndex_ = 0L;
       rootAgeMillis_ = 0L;
+      rootAgeUnknown_ = false;
       return this;
     }
 
@@ -397,6 +425,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.rootAgeMillis_ = rootAgeMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.rootAgeUnknown_ = rootAgeUnknown_;
+      }
     }
 
     @java.lang.Override
@@ -443,6 +474,9 @@
       if (other.getRootAgeMillis() != 0L) {
         setRootAgeMillis(other.getRootAgeMillis());
       }
+      if (other.getRootAgeUnknown() != false) {
+        setRootAgeUnknown(other.getRootAgeUnknown());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -492,6 +526,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              rootAgeUnknown_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -825,6 +864,50 @@
       return this;
     }
 
+    private boolean rootAgeUnknown_ ;
+    /**
+     * <pre>
+     * Whether the sender never heard from a leader; old processes never set it.
+     * </pre>
+     *
+     * <code>bool root_age_unknown = 4;</code>
+     * @return The rootAgeUnknown.
+     */
+    @java.lang.Override
+    public boolean getRootAgeUnknown() {
+      return rootAgeUnknown_;
+    }
+    /**
+     * <pre>
+     * Whether the sender never heard from a leader; old processes never set it.
+     * </pre>
+     *
+     * <code>bool root_age_unknown = 4;</code>
+     * @param value The rootAgeUnknown to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRootAgeUnknown(boolean value) {
+
+      rootAgeUnknown_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender never heard from a leader; old processes never set it.
+     * </pre>
+     *
+     * <code>bool root_age_unknown = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRootAgeUnknown() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      rootAgeUnknown_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommittedCommands)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -49,4 +49,14 @@
    * @return The rootAgeMillis.
    */
   long getRootAgeMillis();
+
+  /**
+   * <pre>
+   * Whether the sender never heard from a leader; old processes never set it.
+   * </pre>
+   *
+   * <code>bool root_age_unknown = 4;</code>
+   * @return The rootAgeUnknown.
+   */
+  boolean getRootAgeUnknown();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -126,12 +126,12 @@
       "nt\022,\n\014total_demand\030\002 \003(\0132\026.trestle.Accou" +
       "ntDemand\022\034\n\024registered_instances\030\003 \001(\r\"/" +
       "\n\rLoggedCommand\022\r\n\005index\030\001 \001(\004\022\017\n\007comman" +
-      "d\030\002 \001(\014\"m\n\021CommittedCommands\022(\n\010commands" +
-      "\030\001 \003(\0132\026.trestle.LoggedCommand\022\025\n\rapplie" +
-      "d_index\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\"9" +
-      "\n\016CommittedState\022\025\n\rapplied_index\030\001 \001(\004\022" +
-      "\020\n\010snapshot\030\002 \001(\014B\032\n\026org.teaseltrestle.w" +
-      "ireP\001b\006proto3"
+      "d\030\002 \001(\014\"\207\001\n\021CommittedCommands\022(\n\010command" +
+      "s\030\001 \003(\0132\026.trestle.LoggedCommand\022\025\n\rappli" +
+      "ed_index\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\022" +
+      "\030\n\020root_age_unknown\030\004 \001(\010\"9\n\016CommittedSt" +
+      "ate\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010snapshot\030\002" +
+      " \001(\014B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -203,7 +203,7 @@
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
-        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", });
+        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", });
     internal_static_trestle_CommittedState_descriptor =
       getDescriptor().getMessageTypes().get(11);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
