Keep the view of a reopened voter from going back

Callers saw: on a voter whose replica is opened again, a read of the configuration could for a moment be older than one before (rule CONFIG, came back older).

Cause: FallbackControlPlane read the view of the new delegate and then, in a second step, whether the delegate had caught up. If it caught up in between, the retained view was dropped and the older view already read was returned. Readiness and the end of the key lease had the same order.

Evidence: ControlPlaneTest$VotersTest#votersVoteAgainAfterFullDisksOneAfterTheOther failed once in three runs with "the view went back", beside other work; that this race is the cause of that failure is suspected, not traced, as the log has no views.

Change: delegate and retained state are one immutable value that a reader takes once, and each read combines the two. The supervisor is passed as a Runnable, so that the plane can be tested.

Why this works: a reader that holds the retained state compares with it, whatever the delegate does meanwhile; one that holds none took it after the delegate had caught up.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -18,16 +18,28 @@
  */
 final class FallbackControlPlane implements ControlPlane {
 
-  private volatile @Nullable ControlPlane delegate;
-  private final AtomicReference<@Nullable Retained> retained = new AtomicReference<>();
-  private final ReplicaSupervisor supervisor;
+  private final AtomicReference<@Nullable Current> current = new AtomicReference<>();
+  private final Runnable closeSupervisor;
   private boolean closed;
 
-  /** Creates the plane; {@code supervisor} is closed before the delegate. */
-  FallbackControlPlane(ReplicaSupervisor supervisor) {
-    this.supervisor = supervisor;
+  /**
+   * Creates the plane.
+   *
+   * @param closeSupervisor called before the delegate is closed
+   */
+  FallbackControlPlane(Runnable closeSupervisor) {
+    this.closeSupervisor = closeSupervisor;
   }
 
+  /**
+   * The delegate and what it does not know yet, which change together: a reader that took one
+   * without the other would miss what was known before.
+   *
+   * @param delegate control plane in use
+   * @param retained state before the replacement, null once the delegate knows as much
+   */
+  private record Current(ControlPlane delegate, @Nullable Retained retained) {}
+
   /**
    * State of this instance when its delegate was replaced.
    *
@@ -47,38 +59,40 @@
     if (closed) {
       return false;
     }
-    if (delegate != null) {
-      retained.set(new Retained(view(), isReady(), keyLeaseEndsAtNanos()));
-    }
+    Retained retained =
+        current.get() == null ? null : new Retained(view(), isReady(), keyLeaseEndsAtNanos());
     start.run();
-    delegate = newDelegate;
+    current.set(new Current(newDelegate, retained));
     return true;
   }
 
   @Override
   public ControlView view() {
-    ControlView currentView = current().view();
-    Retained earlier = retained();
-    return earlier == null || currentView.appliedIndex() >= earlier.view().appliedIndex()
-        ? currentView
+    Current now = current();
+    ControlView view = now.delegate().view();
+    Retained earlier = now.retained();
+    return earlier == null || view.appliedIndex() >= earlier.view().appliedIndex()
+        ? view
         : earlier.view();
   }
 
   @Override
   public CompletableFuture<CommandAnswer> propose(Command command) {
-    return current().propose(command);
+    return current().delegate().propose(command);
   }
 
   @Override
   public boolean isReady() {
-    Retained earlier = retained();
-    return current().isReady() || (earlier != null && earlier.ready());
+    Current now = current();
+    Retained earlier = now.retained();
+    return now.delegate().isReady() || (earlier != null && earlier.ready());
   }
 
   @Override
   public long keyLeaseEndsAtNanos() {
-    long end = current().keyLeaseEndsAtNanos();
-    Retained earlier = retained();
+    Current now = current();
+    long end = now.delegate().keyLeaseEndsAtNanos();
+    Retained earlier = now.retained();
     return earlier != null && earlier.keyLeaseEndsAtNanos() - end > 0
         ? earlier.keyLeaseEndsAtNanos()
         : end;
@@ -86,37 +100,37 @@
 
   @Override
   public Optional<Authority> authority() {
-    return current().authority();
+    return current().delegate().authority();
   }
 
   @Override
   public CompletableFuture<Long> confirmedIndex() {
-    return current().confirmedIndex();
+    return current().delegate().confirmedIndex();
   }
 
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
-    return current().withdrawalReport(index);
+    return current().delegate().withdrawalReport(index);
   }
 
   @Override
   public List<PoolDemand> poolDemand() {
-    return current().poolDemand();
+    return current().delegate().poolDemand();
   }
 
   @Override
   public void retireRemovedInstances(Set<String> instances) {
-    current().retireRemovedInstances(instances);
+    current().delegate().retireRemovedInstances(instances);
   }
 
   @Override
   public ControlStatus status() {
-    return current().status();
+    return current().delegate().status();
   }
 
   @Override
   public void close() {
-    supervisor.close();
+    closeSupervisor.run();
     ControlPlane last = stopReplacing();
     if (last != null) {
       last.close();
@@ -125,31 +139,27 @@
 
   private synchronized @Nullable ControlPlane stopReplacing() {
     closed = true;
-    return delegate;
+    Current last = current.get();
+    return last == null ? null : last.delegate();
   }
 
-  /** Returns what the current delegate does not know yet, null if it knows everything. */
-  private @Nullable Retained retained() {
-    Retained earlier = retained.get();
-    if (earlier == null) {
-      return null;
+  private Current current() {
+    Current now = current.get();
+    if (now == null) {
+      throw new IllegalStateException("the control plane has not been started");
     }
-    ControlPlane plane = current();
-    boolean superseded =
-        plane.view().appliedIndex() >= earlier.view().appliedIndex()
-            && (plane.isReady() || !earlier.ready())
-            && plane.keyLeaseEndsAtNanos() - earlier.keyLeaseEndsAtNanos() >= 0;
-    if (superseded && retained.compareAndSet(earlier, null)) {
-      return null;
+    Retained earlier = now.retained();
+    if (earlier == null || !knowsAsMuch(now.delegate(), earlier)) {
+      return now;
     }
-    return earlier;
+    Current superseded = new Current(now.delegate(), null);
+    current.compareAndSet(now, superseded);
+    return superseded;
   }
 
-  private ControlPlane current() {
-    ControlPlane currentDelegate = delegate;
-    if (currentDelegate == null) {
-      throw new IllegalStateException("the control plane has not been started");
-    }
-    return currentDelegate;
+  private static boolean knowsAsMuch(ControlPlane plane, Retained earlier) {
+    return plane.view().appliedIndex() >= earlier.view().appliedIndex()
+        && (plane.isReady() || !earlier.ready())
+        && plane.keyLeaseEndsAtNanos() - earlier.keyLeaseEndsAtNanos() >= 0;
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
@@ -42,7 +42,7 @@
     this.context = context;
     this.random = random;
     this.folder = folder;
-    this.plane = new FallbackControlPlane(this);
+    this.plane = new FallbackControlPlane(this::close);
     this.schedule = new ReopenSchedule(context.clock().nowNanos());
     this.duty =
         new DutyThread<>(
