Date what a node knows by the entries that it has applied

Cause: the age belonged to the last message. A follower of the tree took its parent's age before it applied the message, also after a gap and for a part.

Change: the core records the time as of which it knows all committed entries: on an append request after which it holds the leader's commit index, if that entry is of the leader's term; on the leader, its confirmed rounds once it has committed in its term. A parent is still left by what it tells.

Evidence: on the code before three new tests of LeaderAgeTest failed: followerThatIsBehindItsLeaderHasNoNews (5 ms expected, 20 ms found), followerThatReceivesSnapshotHasNoNews and leaderThatHasCommittedNothingInItsTermMakesNoNews (empty expected, 5 ms found).

newsOfFollowerIsAsOldAsTheLastMessageOfTheLeader used a heartbeat of a leader that had committed nothing in its term, which is no news; its leader now commits an entry of its term in that message. What it asserts is the same.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
@@ -39,6 +39,7 @@
       appendNewEntries(request.entries());
       long match = previous + request.entries().size();
       context.advanceCommit(Math.min(request.commitIndex(), match));
+      recordCommittedKnown(request);
       sendAppendResponse(from, true, match, request.sentAtNanos());
     }
   }
@@ -62,6 +63,14 @@
         from, new SnapshotResponse(context.term, chunk.index(), nextOffset, chunk.sentAtNanos()));
   }
 
+  /** A new leader may not know that entries of earlier terms are committed. */
+  private void recordCommittedKnown(AppendRequest request) {
+    if (context.commitIndex >= request.commitIndex()
+        && context.log.termAt(context.commitIndex) == request.term()) {
+      context.recordCommittedKnown(context.nowNanos);
+    }
+  }
+
   private void acceptLeader(ReplicaId from, long term) {
     if (term > context.term) {
       context.follow(term, from);
--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
@@ -58,6 +58,10 @@
     } else {
       onLocalRequest(event);
     }
+    Leadership leadership = context.leadership;
+    if (leadership != null && leadership.hasCommittedInTerm()) {
+      leadership.lastQuorumRoundSentAtNanos().ifPresent(context::recordCommittedKnown);
+    }
     return context.takeActions();
   }
 
@@ -116,15 +120,13 @@
   }
 
   /**
-   * Returns the monotonic time of this replica at which a leader was last known to lead: the send
-   * of the latest round that a quorum acknowledged if this replica leads, otherwise the latest
-   * message of a leader. A leader that is cut off still counts itself as the leader for a while.
+   * Returns the monotonic time of this replica as of which it knows all committed entries, or empty
+   * if it never did: the send of the latest round that a quorum acknowledged if this replica leads,
+   * otherwise the latest message of a leader whose committed entries are all here. A leader counts
+   * once it has committed an entry of its own term, and may be cut off without knowing it.
    */
   public OptionalLong leaderKnownAtNanos() {
-    Leadership leadership = context.leadership;
-    OptionalLong confirmed =
-        leadership == null ? OptionalLong.empty() : leadership.lastQuorumRoundSentAtNanos();
-    return confirmed.isPresent() ? confirmed : context.leaderContactNanos;
+    return context.committedKnownAtNanos();
   }
 
   RaftLog log() {
--- a/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaContext.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/ReplicaContext.java
@@ -26,8 +26,8 @@
   long commitIndex;
   long electionDeadlineNanos;
 
-  /** Time of the latest message of a leader of the term then current. */
-  OptionalLong leaderContactNanos = OptionalLong.empty();
+  /** Time as of which all committed entries are known here; empty if never. */
+  private OptionalLong committedKnownAtNanos = OptionalLong.empty();
 
   /** No vote is granted before this time, because a leader may hold an authority lease. */
   long refuseVotesUntilNanos;
@@ -115,10 +115,20 @@
       follow(term, from);
     }
     refuseVotesUntilNanos = nowNanos + settings.electionMinimumNanos();
-    leaderContactNanos = OptionalLong.of(nowNanos);
     resetElectionDeadline();
   }
 
+  OptionalLong committedKnownAtNanos() {
+    return committedKnownAtNanos;
+  }
+
+  /** Records that this replica knows all entries that were committed up to a time. */
+  void recordCommittedKnown(long atNanos) {
+    if (committedKnownAtNanos.isEmpty() || atNanos - committedKnownAtNanos.getAsLong() > 0) {
+      committedKnownAtNanos = OptionalLong.of(atNanos);
+    }
+  }
+
   boolean refusesVotes() {
     return role == RaftRole.LEADER || nowNanos - refuseVotesUntilNanos < 0;
   }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
@@ -59,10 +59,53 @@
   @Test
   public void newsOfFollowerIsAsOldAsTheLastMessageOfTheLeader() {
     RaftCore core = core(RaftSettings.builder().build());
-    RaftMessage heartbeat = new RaftMessage.AppendRequest(2, 1, 1, List.of(), 1, 0);
-    core.handle(received(heartbeat), 5 * MILLISECOND);
+    core.handle(received(request(1, List.of(entry(2, 2)), 2)), 5 * MILLISECOND);
     core.handle(new RaftEvent.Tick(0), 400 * MILLISECOND);
     assertEquals(core.leader(), SECOND);
     assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
   }
+
+  /** Guards against a follower that counts as fresh while it lacks what the leader committed. */
+  @Test
+  public void followerThatIsBehindItsLeaderHasNoNews() {
+    RaftCore core = core(RaftSettings.builder().build());
+    core.handle(received(request(1, List.of(entry(2, 2)), 2)), 5 * MILLISECOND);
+    // The entries before the fortieth are missing, then those after the third.
+    core.handle(received(request(40, List.of(entry(41, 2)), 41)), 10 * MILLISECOND);
+    core.handle(received(request(2, List.of(entry(3, 2)), 41)), 20 * MILLISECOND);
+    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
+    core.handle(received(request(3, List.of(entry(4, 2)), 4)), 30 * MILLISECOND);
+    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(30 * MILLISECOND));
+  }
+
+  /** Guards against a follower that counts as fresh while it receives a snapshot. */
+  @Test
+  public void followerThatReceivesSnapshotHasNoNews() {
+    RaftCore core = core(RaftSettings.builder().build());
+    RaftMessage chunk =
+        new RaftMessage.SnapshotChunk(2, 40, 2, VOTERS, 10, 0, new byte[5], 5 * MILLISECOND);
+    core.handle(received(chunk), 5 * MILLISECOND);
+    assertEquals(core.leader(), SECOND);
+    assertEquals(core.leaderKnownAtNanos(), OptionalLong.empty());
+  }
+
+  /** Guards against news of a new leader, which may not know all committed entries yet. */
+  @Test
+  public void leaderThatHasCommittedNothingInItsTermMakesNoNews() {
+    RaftCore core = core(RaftSettings.builder().build());
+    core.handle(received(request(1, List.of(entry(2, 2)), 1)), 5 * MILLISECOND);
+    assertEquals(core.leader(), SECOND);
+    assertEquals(core.leaderKnownAtNanos(), OptionalLong.empty());
+    core.handle(received(request(2, List.of(), 2)), 6 * MILLISECOND);
+    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(6 * MILLISECOND));
+  }
+
+  private static LogEntry entry(long index, long term) {
+    return new LogEntry(index, term, EntryKind.NO_OP, new byte[0]);
+  }
+
+  private static RaftMessage request(long previous, List<LogEntry> entries, long commitIndex) {
+    return new RaftMessage.AppendRequest(
+        2, previous, previous == 1 ? 1 : 2, entries, commitIndex, 0);
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -47,7 +47,7 @@
   private final ParentSelector parentSelector;
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
-  private KnownState known = KnownState.UNKNOWN;
+  private final FollowerKnowledge knowledge = new FollowerKnowledge();
   private long publishedIndex;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
@@ -64,7 +64,8 @@
     long now = context.clock().nowNanos();
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
-    this.children = new ChildFeeds(context.transport(), addresses, context.clock(), () -> known);
+    this.children =
+        new ChildFeeds(context.transport(), addresses, context.clock(), knowledge::known);
     this.leaseRenewer =
         new LeaseRenewer(
             settings,
@@ -226,8 +227,8 @@
     long now = context.clock().nowNanos();
     KnownState news = KnownState.received(message, now);
     parentSelector.newsReceived(sender, news, now);
-    known = known.newerOf(news);
     apply(message.getCommandsList());
+    knowledge.received(news, state.appliedIndex());
     logGap(sender, message);
     if (!message.getCommandsList().isEmpty() && state.appliedIndex() < message.getAppliedIndex()) {
       leaseRenewer.makeDueNow(now);
@@ -274,6 +275,7 @@
       LOG.info(ReplicaEvent.STATE_RESTORED, "index", message.getAppliedIndex());
       leaseRenewer.makeDueNow(now);
     }
+    knowledge.applied(state.appliedIndex());
     publishApplied();
   }
 
