Chunk responses of unknown length whatever the Connection field says

Callers saw: a stream that broke off ended like a complete one if the caller had sent "Connection: close" (HTTP/1.1, no length, no chunks, an ordinary end of the connection).

Cause: Undertow chunks a body of unknown length only on a persistent connection. CallerResponse reset an aborted response only for HTTP/1.0, so this one was closed in the ordinary way, which is its regular end.

Change: start() asks for chunks itself for HTTP/1.1 responses with a body; abort() resets whenever the response has neither a length nor chunks, read from its own fields. E5027 names each started response that is aborted.

Why this works: an explicit transfer coding is used by Undertow whether or not the connection persists, also where a drain makes it not persistent; a chunked body without its last chunk is incomplete however the connection ends.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -1,8 +1,10 @@
 package org.teaseltrestle.node.relay;
 
+import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.time.Duration;
@@ -12,6 +14,7 @@
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.node.port.ResponseFraming;
 import org.xnio.IoUtils;
 import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
@@ -33,7 +36,8 @@
   private enum State {
     NOT_STARTED,
     STARTED,
-    FINISHED
+    FINISHED,
+    ABORTED
   }
 
   private final HttpServerExchange exchange;
@@ -43,6 +47,7 @@
   private final ByteBudget.Reservation memory;
   private @Nullable StreamSinkChannel channel;
   private State state = State.NOT_STARTED;
+  private long bodyBytes;
 
   CallerResponse(
       HttpServerExchange exchange,
@@ -92,6 +97,9 @@
     }
     if (contentLength >= 0) {
       exchange.setResponseContentLength(contentLength);
+    } else if (acceptsChunks()) {
+      // Undertow would end the body of a response that is not persistent with the connection.
+      exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
     }
     channel = exchange.getResponseChannel();
     if (channel == null) {
@@ -110,6 +118,7 @@
   /** Writes body bytes; they may stay in the connection's buffer until {@link #flush()}. */
   void write(byte[] bytes, int length) {
     ByteBuffer buffer = ByteBuffer.wrap(bytes, 0, length);
+    bodyBytes += length;
     StreamSinkChannel sink = startedChannel();
     long deadlineNanos = deadline();
     try {
@@ -163,22 +172,40 @@
    * response is left alone, because its connection may already carry the next request.
    */
   void abort() {
-    if (isFinished()) {
+    if (isFinished() || state == State.ABORTED) {
       return;
     }
-    if (endsWithConnection()) {
+    ResponseFraming framing = framing();
+    if (isStarted()) {
+      LOG.info(
+          RelayEvent.RESPONSE_ABORTED, "request", request, "framing", framing, "bytes", bodyBytes);
+    }
+    if (isStarted() && framing == ResponseFraming.CONNECTION) {
       try {
         exchange.getConnection().setOption(Options.CLOSE_ABORT, true);
       } catch (IOException e) {
         LOG.warn(RelayEvent.RESET_FAILED, "request", request, "reason", e);
       }
     }
+    state = State.ABORTED;
     IoUtils.safeClose(exchange.getConnection());
   }
 
-  /** Returns whether only the end of the connection ends the body; HTTP/1.0 has no chunks. */
-  private boolean endsWithConnection() {
-    return isStarted() && exchange.isHttp10() && exchange.getResponseContentLength() < 0;
+  /** Returns whether the caller understands chunks and the response may have a body. */
+  private boolean acceptsChunks() {
+    return exchange.isHttp11()
+        && !exchange.getRequestMethod().equals(Methods.HEAD)
+        && Connectors.isEntityBodyAllowed(exchange);
+  }
+
+  /** Returns what ends the body for the caller. */
+  private ResponseFraming framing() {
+    if (exchange.getResponseHeaders().contains(Headers.TRANSFER_ENCODING)) {
+      return ResponseFraming.CHUNKS;
+    }
+    return exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+        ? ResponseFraming.LENGTH
+        : ResponseFraming.CONNECTION;
   }
 
   private void closeIfOpen() {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -30,7 +30,8 @@
   PROMPT_PARTS_DROPPED(5023, "prompt parts were not reported, too many are waiting"),
   SUSPECT_PARTS_CHANGED(5024, "suspected prompt parts changed"),
   SERVER_PAUSES(5025, "backend server wants no requests of this instance for a time"),
-  FAILURE_AFTER_RESPONSE(5026, "failure after the end of a response; the caller has its answer");
+  FAILURE_AFTER_RESPONSE(5026, "failure after the end of a response; the caller has its answer"),
+  RESPONSE_ABORTED(5027, "started response was aborted; the caller sees that it is incomplete");
 
   private final int number;
   private final String text;
