Log a committed configuration that an instance cannot parse

A node at which a committed document cannot be parsed answered 500 to each request, and no line named the version. E7105 names the version, its size, the version in force and the applied index; it is written once for each version, not for each request.

--- a/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationView.java
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationView.java
@@ -15,6 +15,7 @@
   private final ControlGateway control;
   private final Function<byte[], ServingConfiguration> parser;
   private volatile @Nullable ServingConfiguration current;
+  private long unreadableVersion;
 
   /**
    * Creates a view without a configuration.
@@ -38,7 +39,7 @@
   private synchronized @Nullable ServingConfiguration update(ServingDocument document) {
     ServingConfiguration latest = current;
     if (latest == null || latest.version() < document.version()) {
-      latest = parser.apply(document.document().toByteArray());
+      latest = parse(document);
       current = latest;
       LOG.info(
           ServingEvent.CONFIGURATION_IN_FORCE,
@@ -51,4 +52,27 @@
     }
     return latest;
   }
+
+  private ServingConfiguration parse(ServingDocument document) {
+    try {
+      return parser.apply(document.document().toByteArray());
+    } catch (RuntimeException e) {
+      if (unreadableVersion != document.version()) {
+        unreadableVersion = document.version();
+        ServingConfiguration inForce = current;
+        LOG.error(
+            ServingEvent.CONFIGURATION_UNREADABLE,
+            e,
+            "version",
+            document.version(),
+            "bytes",
+            document.document().size(),
+            "inForce",
+            inForce == null ? 0 : inForce.version(),
+            "applied",
+            control.view().appliedIndex());
+      }
+      throw e;
+    }
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/serving/ServingEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingEvent.java
@@ -7,7 +7,8 @@
   CONFIGURATION_IN_FORCE(7101, "serving configuration is active on this instance"),
   CONFIGURATION_ANSWERED(7102, "change of the serving configuration processed"),
   CONFIGURATION_REFUSED(7103, "invalid serving configuration rejected"),
-  READ_ANSWERED(7104, "read of the serving configuration processed");
+  READ_ANSWERED(7104, "read of the serving configuration processed"),
+  CONFIGURATION_UNREADABLE(7105, "committed serving configuration cannot be parsed");
 
   private final int number;
   private final String text;
