Send the age of a leader's knowledge with its append requests

Callers could see: a node below a follower that still hears a leader which has just lost its quorum obeys an old configuration for up to one election timeout longer than the root timeout says (rule CONFIG, not in force in time).

Cause: the follower counted each append request as news as of its arrival, although the leader itself knew only that a quorum had confirmed it some time before.

Change: an append request carries the time since the latest round that a quorum acknowledged, and the follower takes it off. Unknown is the largest value on the wire and makes no news; a leader of an earlier version sends none and counts as before.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FollowerLog.java
@@ -67,7 +67,9 @@
   private void recordCommittedKnown(AppendRequest request) {
     if (context.commitIndex >= request.commitIndex()
         && context.log.termAt(context.commitIndex) == request.term()) {
-      context.recordCommittedKnown(context.nowNanos);
+      request
+          .knownAgeNanos()
+          .ifPresent(age -> context.recordCommittedKnown(context.nowNanos - age));
     }
   }
 
--- a/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
@@ -257,7 +257,20 @@
             ? log.batch(peer.nextIndex, context.settings.maximumAppendBytes())
             : List.of();
     return new AppendRequest(
-        context.term, previous, log.termAt(previous), batch, context.commitIndex, context.nowNanos);
+        context.term,
+        previous,
+        log.termAt(previous),
+        batch,
+        context.commitIndex,
+        context.nowNanos,
+        knownAgeNanos());
+  }
+
+  private OptionalLong knownAgeNanos() {
+    OptionalLong confirmed = lastQuorumRoundSentAtNanos();
+    return confirmed.isPresent()
+        ? OptionalLong.of(context.nowNanos - confirmed.getAsLong())
+        : confirmed;
   }
 
   private SnapshotChunk nextChunk(PeerProgress peer, Snapshot snapshot) {
--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
@@ -122,8 +122,8 @@
   /**
    * Returns the monotonic time of this replica as of which it knows all committed entries, or empty
    * if it never did: the send of the latest round that a quorum acknowledged if this replica leads,
-   * otherwise the latest message of a leader whose committed entries are all here. A leader counts
-   * once it has committed an entry of its own term, and may be cut off without knowing it.
+   * otherwise the latest message of a leader whose committed entries are all here, less the age of
+   * that round. A leader counts once it has committed an entry of its own term.
    */
   public OptionalLong leaderKnownAtNanos() {
     return context.committedKnownAtNanos();
--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftMessage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftMessage.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.consensus;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.ReplicaId;
 
@@ -42,6 +43,8 @@
    * Heartbeat of the leader, with log entries if there are new ones.
    *
    * @param sentAtNanos leader's monotonic time at the send; the response returns it
+   * @param knownAgeNanos time since the send of the latest round that a quorum acknowledged, empty
+   *     if there is none
    */
   record AppendRequest(
       long term,
@@ -49,7 +52,8 @@
       long previousTerm,
       List<LogEntry> entries,
       long commitIndex,
-      long sentAtNanos)
+      long sentAtNanos,
+      OptionalLong knownAgeNanos)
       implements RaftMessage {}
 
   /**
--- a/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -20,9 +21,13 @@
       new Configuration(List.of(SELF, SECOND, THIRD), List.of());
 
   private static RaftCore core(RaftSettings settings) {
+    return core(SELF, settings);
+  }
+
+  private static RaftCore core(ReplicaId self, RaftSettings settings) {
     Snapshot formed = new Snapshot(1, 1, VOTERS, new byte[0]);
     return new RaftCore(
-        SELF, settings, new RecoveredState(new HardState(1, null), formed, List.of()), 0);
+        self, settings, new RecoveredState(new HardState(1, null), formed, List.of()), 0);
   }
 
   private static RaftEvent received(RaftMessage message) {
@@ -100,12 +105,53 @@
     assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(6 * MILLISECOND));
   }
 
+  /**
+   * Guards against a follower that counts as fresh while it hears a leader which has lost its
+   * quorum: the nodes below it obey an old configuration for an election timeout longer.
+   */
+  @Test
+  public void newsOfFollowerIsNotNewerThanThatOfItsLeader() {
+    RaftSettings settings = RaftSettings.builder().build();
+    RaftCore leader = core(settings);
+    RaftCore follower = core(SECOND, settings);
+    long elected = settings.electionMaximumNanos() + 1;
+    leader.handle(new RaftEvent.Tick(0), elected);
+    leader.handle(
+        received(new RaftMessage.VoteResponse(2, RaftMessage.VoteKind.PRE_VOTE, true)), elected);
+    List<RaftAction> actions =
+        leader.handle(
+            received(new RaftMessage.VoteResponse(2, RaftMessage.VoteKind.VOTE, true)), elected);
+    while (!actions.isEmpty()) {
+      actions = deliver(deliver(actions, follower, elected), leader, elected);
+    }
+    assertEquals(follower.leaderKnownAtNanos(), OptionalLong.of(elected));
+    // From here on the responses are lost.
+    for (long millis = 100; millis <= 900; millis += 100) {
+      long now = elected + millis * MILLISECOND;
+      deliver(leader.handle(new RaftEvent.Tick(0), now), follower, now);
+      assertEquals(leader.role(), RaftRole.LEADER);
+      assertEquals(follower.leader(), SELF);
+      assertEquals(follower.leaderKnownAtNanos(), OptionalLong.of(elected));
+    }
+  }
+
+  private static List<RaftAction> deliver(List<RaftAction> actions, RaftCore receiver, long now) {
+    List<RaftAction> results = new ArrayList<>();
+    for (RaftAction action : actions) {
+      if (action instanceof RaftAction.Send send
+          && send.envelope().instance().equals(receiver.self().instance())) {
+        results.addAll(receiver.handle(new RaftEvent.Received(send.envelope()), now));
+      }
+    }
+    return results;
+  }
+
   private static LogEntry entry(long index, long term) {
     return new LogEntry(index, term, EntryKind.NO_OP, new byte[0]);
   }
 
   private static RaftMessage request(long previous, List<LogEntry> entries, long commitIndex) {
     return new RaftMessage.AppendRequest(
-        2, previous, previous == 1 ? 1 : 2, entries, commitIndex, 0);
+        2, previous, previous == 1 ? 1 : 2, entries, commitIndex, 0, OptionalLong.of(0));
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/RaftWireCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/RaftWireCodec.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
+import java.util.OptionalLong;
 import org.teaseltrestle.consensus.Configuration;
 import org.teaseltrestle.consensus.EntryKind;
 import org.teaseltrestle.consensus.LogEntry;
@@ -37,6 +38,8 @@
 /** Encodes and decodes the messages of the Raft core. */
 final class RaftWireCodec {
 
+  private static final long UNKNOWN_AGE_NANOS = Long.MAX_VALUE;
+
   private RaftWireCodec() {}
 
   static byte[] encode(RaftEnvelope envelope) {
@@ -115,7 +118,8 @@
             .setPreviousIndex(request.previousIndex())
             .setPreviousTerm(request.previousTerm())
             .setCommitIndex(request.commitIndex())
-            .setSentAtNanos(request.sentAtNanos());
+            .setSentAtNanos(request.sentAtNanos())
+            .setKnownAgeNanos(request.knownAgeNanos().orElse(UNKNOWN_AGE_NANOS));
     for (LogEntry entry : request.entries()) {
       builder.addEntries(
           RaftLogEntry.newBuilder()
@@ -196,7 +200,14 @@
         request.getPreviousTerm(),
         entries,
         request.getCommitIndex(),
-        request.getSentAtNanos());
+        request.getSentAtNanos(),
+        decodeAge(request.getKnownAgeNanos()));
+  }
+
+  private static OptionalLong decodeAge(long ageNanos) {
+    return ageNanos < 0 || ageNanos == UNKNOWN_AGE_NANOS
+        ? OptionalLong.empty()
+        : OptionalLong.of(ageNanos);
   }
 
   private static RaftMessage decodeAppendAnswer(RaftAppendAnswer answer) {
--- a/wire/src/main/java/org/teaseltrestle/wire/Raft.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Raft.java
@@ -113,27 +113,28 @@
       "erm\030\002 \001(\004\022(\n\004kind\030\003 \001(\0162\032.trestle.RaftLo" +
       "gEntry.Kind\022\017\n\007payload\030\004 \001(\014\"1\n\004Kind\022\t\n\005" +
       "NO_OP\020\000\022\013\n\007COMMAND\020\001\022\021\n\rCONFIGURATION\020\002\"" +
-      "\245\001\n\021RaftAppendRequest\022\014\n\004term\030\001 \001(\004\022\026\n\016p" +
+      "\276\001\n\021RaftAppendRequest\022\014\n\004term\030\001 \001(\004\022\026\n\016p" +
       "revious_index\030\002 \001(\004\022\025\n\rprevious_term\030\003 \001" +
       "(\004\022&\n\007entries\030\004 \003(\0132\025.trestle.RaftLogEnt" +
       "ry\022\024\n\014commit_index\030\005 \001(\004\022\025\n\rsent_at_nano" +
-      "s\030\006 \001(\020\"`\n\020RaftAppendAnswer\022\014\n\004term\030\001 \001(" +
-      "\004\022\022\n\nsuccessful\030\002 \001(\010\022\023\n\013match_index\030\003 \001" +
-      "(\004\022\025\n\rsent_at_nanos\030\004 \001(\020\"\246\001\n\021RaftSnapsh" +
-      "otChunk\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030\002 \001(\004\022\022\n\n" +
-      "index_term\030\003 \001(\004\022\025\n\rconfiguration\030\004 \001(\014\022" +
-      "\024\n\014total_length\030\005 \001(\r\022\016\n\006offset\030\006 \001(\r\022\014\n" +
-      "\004data\030\007 \001(\014\022\025\n\rsent_at_nanos\030\010 \001(\020\"]\n\022Ra" +
-      "ftSnapshotAnswer\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030" +
-      "\002 \001(\004\022\023\n\013next_offset\030\003 \001(\r\022\025\n\rsent_at_na" +
-      "nos\030\004 \001(\020\"\316\001\n\rRaftFormation\022)\n\004step\030\001 \001(" +
-      "\0162\033.trestle.RaftFormation.Step\022\016\n\006formed" +
-      "\030\002 \001(\010\022(\n\006leader\030\003 \001(\0132\030.trestle.Replica" +
-      "Identity\"X\n\004Step\022\017\n\013UNSPECIFIED\020\000\022\t\n\005PRO" +
-      "BE\020\001\022\020\n\014PROBE_ANSWER\020\002\022\013\n\007PREPARE\020\003\022\013\n\007P" +
-      "ROMISE\020\004\022\010\n\004JOIN\020\005\"/\n\026RaftFirstConfigura" +
-      "tion\022\025\n\rconfiguration\030\001 \001(\014B\032\n\026org.tease" +
-      "ltrestle.wireP\001b\006proto3"
+      "s\030\006 \001(\020\022\027\n\017known_age_nanos\030\007 \001(\004\"`\n\020Raft" +
+      "AppendAnswer\022\014\n\004term\030\001 \001(\004\022\022\n\nsuccessful" +
+      "\030\002 \001(\010\022\023\n\013match_index\030\003 \001(\004\022\025\n\rsent_at_n" +
+      "anos\030\004 \001(\020\"\246\001\n\021RaftSnapshotChunk\022\014\n\004term" +
+      "\030\001 \001(\004\022\r\n\005index\030\002 \001(\004\022\022\n\nindex_term\030\003 \001(" +
+      "\004\022\025\n\rconfiguration\030\004 \001(\014\022\024\n\014total_length" +
+      "\030\005 \001(\r\022\016\n\006offset\030\006 \001(\r\022\014\n\004data\030\007 \001(\014\022\025\n\r" +
+      "sent_at_nanos\030\010 \001(\020\"]\n\022RaftSnapshotAnswe" +
+      "r\022\014\n\004term\030\001 \001(\004\022\r\n\005index\030\002 \001(\004\022\023\n\013next_o" +
+      "ffset\030\003 \001(\r\022\025\n\rsent_at_nanos\030\004 \001(\020\"\316\001\n\rR" +
+      "aftFormation\022)\n\004step\030\001 \001(\0162\033.trestle.Raf" +
+      "tFormation.Step\022\016\n\006formed\030\002 \001(\010\022(\n\006leade" +
+      "r\030\003 \001(\0132\030.trestle.ReplicaIdentity\"X\n\004Ste" +
+      "p\022\017\n\013UNSPECIFIED\020\000\022\t\n\005PROBE\020\001\022\020\n\014PROBE_A" +
+      "NSWER\020\002\022\013\n\007PREPARE\020\003\022\013\n\007PROMISE\020\004\022\010\n\004JOI" +
+      "N\020\005\"/\n\026RaftFirstConfiguration\022\025\n\rconfigu" +
+      "ration\030\001 \001(\014B\032\n\026org.teaseltrestle.wireP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -174,7 +175,7 @@
     internal_static_trestle_RaftAppendRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RaftAppendRequest_descriptor,
-        new java.lang.String[] { "Term", "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "SentAtNanos", });
+        new java.lang.String[] { "Term", "PreviousIndex", "PreviousTerm", "Entries", "CommitIndex", "SentAtNanos", "KnownAgeNanos", });
     internal_static_trestle_RaftAppendAnswer_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_trestle_RaftAppendAnswer_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/RaftAppendRequest.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RaftAppendRequest.java
@@ -144,6 +144,21 @@
     return sentAtNanos_;
   }
 
+  public static final int KNOWN_AGE_NANOS_FIELD_NUMBER = 7;
+  private long knownAgeNanos_ = 0L;
+  /**
+   * <pre>
+   * Time since a quorum last confirmed the sender, the largest int64 if unknown; 0 from old processes.
+   * </pre>
+   *
+   * <code>uint64 known_age_nanos = 7;</code>
+   * @return The knownAgeNanos.
+   */
+  @java.lang.Override
+  public long getKnownAgeNanos() {
+    return knownAgeNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -176,6 +191,9 @@
     if (sentAtNanos_ != 0L) {
       output.writeSFixed64(6, sentAtNanos_);
     }
+    if (knownAgeNanos_ != 0L) {
+      output.writeUInt64(7, knownAgeNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -209,6 +227,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(6, sentAtNanos_);
     }
+    if (knownAgeNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, knownAgeNanos_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -236,6 +258,8 @@
         != other.getCommitIndex()) return false;
     if (getSentAtNanos()
         != other.getSentAtNanos()) return false;
+    if (getKnownAgeNanos()
+        != other.getKnownAgeNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -266,6 +290,9 @@
     hash = (37 * hash) + SENT_AT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentAtNanos());
+    hash = (37 * hash) + KNOWN_AGE_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getKnownAgeNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -409,6 +436,7 @@
       bitField0_ = (bitField0_ & ~0x00000008);
       commitIndex_ = 0L;
       sentAtNanos_ = 0L;
+      knownAgeNanos_ = 0L;
       return this;
     }
 
@@ -470,6 +498,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.sentAtNanos_ = sentAtNanos_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.knownAgeNanos_ = knownAgeNanos_;
+      }
     }
 
     @java.lang.Override
@@ -525,6 +556,9 @@
       if (other.getSentAtNanos() != 0L) {
         setSentAtNanos(other.getSentAtNanos());
       }
+      if (other.getKnownAgeNanos() != 0L) {
+        setKnownAgeNanos(other.getKnownAgeNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -589,6 +623,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 49
+            case 56: {
+              knownAgeNanos_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1018,6 +1057,50 @@
       return this;
     }
 
+    private long knownAgeNanos_ ;
+    /**
+     * <pre>
+     * Time since a quorum last confirmed the sender, the largest int64 if unknown; 0 from old processes.
+     * </pre>
+     *
+     * <code>uint64 known_age_nanos = 7;</code>
+     * @return The knownAgeNanos.
+     */
+    @java.lang.Override
+    public long getKnownAgeNanos() {
+      return knownAgeNanos_;
+    }
+    /**
+     * <pre>
+     * Time since a quorum last confirmed the sender, the largest int64 if unknown; 0 from old processes.
+     * </pre>
+     *
+     * <code>uint64 known_age_nanos = 7;</code>
+     * @param value The knownAgeNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKnownAgeNanos(long value) {
+
+      knownAgeNanos_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time since a quorum last confirmed the sender, the largest int64 if unknown; 0 from old processes.
+     * </pre>
+     *
+     * <code>uint64 known_age_nanos = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKnownAgeNanos() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      knownAgeNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RaftAppendRequest)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RaftAppendRequestOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RaftAppendRequestOrBuilder.java
@@ -67,4 +67,14 @@
    * @return The sentAtNanos.
    */
   long getSentAtNanos();
+
+  /**
+   * <pre>
+   * Time since a quorum last confirmed the sender, the largest int64 if unknown; 0 from old processes.
+   * </pre>
+   *
+   * <code>uint64 known_age_nanos = 7;</code>
+   * @return The knownAgeNanos.
+   */
+  long getKnownAgeNanos();
 }
