Continue a started stream only with the rest of the same stream

Callers saw: after a resumable stream broke off, the next server's text in the middle of it (200 with another content type), or events twice (a server that repeats the last event or starts anew; a stream without identifiers, which was resumed from its start). The stream then ended as complete.

Cause: whether an attempt starts a response or continues one was not a state of the code. Any 200 on a streaming route was forwarded as events; other statuses took the way of a first answer, stopped only by an exception of the HTTP server. The first identifier was not compared with the one after which the stream was resumed.

Change: an attempt on a started response is checked before a byte is forwarded: status 200, the same media type, an increasing identifier. Otherwise it is a failed attempt. A stream whose last event with data has no identifier isn't resumed. CallerResponse refuses a second start and late header fields.

Why this works: there is one way by which bytes reach a started stream, and it now begins with that check.

A server that skips events isn't noticed, since identifiers need not be consecutive.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -81,6 +81,7 @@
   }
 
   void header(String name, String value) {
+    requireNotStarted();
     exchange.getResponseHeaders().add(new HttpString(name), value);
   }
 
@@ -88,8 +89,10 @@
    * Starts the response.
    *
    * @param contentLength body length in bytes, -1 if unknown
+   * @throws IllegalStateException if it has already been started
    */
   void start(int status, @Nullable String contentType, long contentLength) {
+    requireNotStarted();
     exchange.setStatusCode(status);
     exchange.getResponseHeaders().put(REQUEST_ID, request.value());
     if (contentType != null) {
@@ -214,6 +217,12 @@
     }
   }
 
+  private void requireNotStarted() {
+    if (isStarted()) {
+      throw new IllegalStateException("response has already been started");
+    }
+  }
+
   private StreamSinkChannel startedChannel() {
     StreamSinkChannel sink = channel;
     if (sink == null) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/EventSplitter.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.relay;
 
 import java.io.ByteArrayOutputStream;
+import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import org.jspecify.annotations.Nullable;
@@ -19,16 +20,30 @@
   static final int MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
   private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
+  private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.UTF_8);
 
+  private final @Nullable String previousEventId;
   private byte[] pending = new byte[0];
   private @Nullable String lastEventId;
   private int identifiedEvents;
   private boolean hasEvents;
+  private boolean endsIdentified = true;
+
+  /** Creates a splitter for a whole stream. */
+  EventSplitter() {
+    this(null);
+  }
+
+  /** Creates a splitter for a stream that must continue after an event, unless it is null. */
+  EventSplitter(@Nullable String previousEventId) {
+    this.previousEventId = previousEventId;
+  }
 
   /**
    * Adds bytes and returns those of all events that are now complete, possibly empty.
    *
-   * @throws AttemptFailure if an event is longer than {@link #MAXIMUM_EVENT_BYTES}
+   * @throws AttemptFailure if an event is longer than {@link #MAXIMUM_EVENT_BYTES}, or if the first
+   *     one does not follow the event after which the stream must continue
    */
   byte[] split(byte[] bytes, int length) {
     byte[] joined = Arrays.copyOf(pending, pending.length + length);
@@ -82,23 +97,55 @@
     return identifiedEvents;
   }
 
+  /** Returns whether the stream can be resumed: its last event with data has an identifier. */
+  boolean endsIdentified() {
+    return endsIdentified;
+  }
+
   private void recordEventId(byte[] bytes, int from, int to) {
     int lineStart = from;
+    int identifiedBefore = identifiedEvents;
+    boolean hasData = false;
     for (int i = from; i < to; i++) {
       if (bytes[i] == '\n') {
-        if (startsWithId(bytes, lineStart, i)) {
+        hasData |= startsWith(DATA_FIELD, bytes, lineStart, i);
+        if (startsWith(ID_FIELD, bytes, lineStart, i)) {
           ByteArrayOutputStream value = new ByteArrayOutputStream();
           value.write(bytes, lineStart + ID_FIELD.length, i - lineStart - ID_FIELD.length);
           lastEventId = value.toString(StandardCharsets.UTF_8).strip();
+          checkFollows(lastEventId);
           identifiedEvents++;
         }
         lineStart = i + 1;
       }
     }
+    boolean identified = identifiedEvents > identifiedBefore;
+    endsIdentified = identified || (endsIdentified && !hasData);
+  }
+
+  /** Checks that the first event follows the previous one; identifiers are increasing numbers. */
+  private void checkFollows(String eventId) {
+    if (identifiedEvents > 0 || previousEventId == null) {
+      return;
+    }
+    boolean numbers = isNumber(eventId) && isNumber(previousEventId);
+    if (numbers ? !isGreater(eventId, previousEventId) : eventId.equals(previousEventId)) {
+      throw new AttemptFailure(
+          FailureKind.ANSWER_MISMATCH,
+          "stream continues with event " + eventId + " after event " + previousEventId);
+    }
+  }
+
+  private static boolean isNumber(String text) {
+    return !text.isEmpty() && text.chars().allMatch(digit -> digit >= '0' && digit <= '9');
+  }
+
+  private static boolean isGreater(String number, String other) {
+    return new BigInteger(number).compareTo(new BigInteger(other)) > 0;
   }
 
-  private static boolean startsWithId(byte[] bytes, int from, int to) {
-    return to - from >= ID_FIELD.length
-        && Arrays.equals(bytes, from, from + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length);
+  private static boolean startsWith(byte[] field, byte[] bytes, int from, int to) {
+    return to - from >= field.length
+        && Arrays.equals(bytes, from, from + field.length, field, 0, field.length);
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -264,6 +264,8 @@
         request.account(),
         "attempts",
         run.attempts(),
+        "events",
+        run.events(),
         "outcome",
         outcome,
         "firstMillis",
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
@@ -46,6 +47,8 @@
   private @Nullable BufferedResponse lastServerError;
   private @Nullable String lastEventId;
   private int attempts;
+  private int identifiedEvents;
+  private boolean resumable = true;
   private boolean responseStarted;
   private long firstByteNanos;
 
@@ -102,6 +105,11 @@
     return attempts;
   }
 
+  /** Returns the number of events with an identifier that were forwarded. */
+  int events() {
+    return identifiedEvents;
+  }
+
   /** Returns the time from arrival to the first byte of the response, 0 if there was none. */
   long firstByteNanos() {
     return firstByteNanos;
@@ -130,6 +138,10 @@
     response.finish();
   }
 
+  private static String mediaType(@Nullable String contentType) {
+    return contentType == null ? "" : contentType.split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
+  }
+
   private void recordResponseStart() {
     long now = context.clock().nowNanos();
     if (!responseStarted) {
@@ -160,7 +172,8 @@
 
     private final AdmissionAction.Dispatch dispatch;
     private final AttemptHandle handle = new AttemptHandle();
-    private final EventSplitter splitter = new EventSplitter();
+    private final EventSplitter splitter =
+        new EventSplitter(response.isStarted() ? lastEventId : null);
     private long startNanos = context.clock().nowNanos();
     private long attemptFirstByteNanos;
     private int forwardedEvents;
@@ -233,6 +246,9 @@
                     request.incoming().callerRequestId(),
                     server.id(),
                     header));
+        if (response.isStarted()) {
+          checkContinuation(backendResponse);
+        }
         attemptFirstByteNanos = Math.max(1, context.clock().nowNanos() - startNanos);
         if (request.route().kind() == ServingRoute.Kind.STREAM && backendResponse.status() == OK) {
           forwardEvents(backendResponse);
@@ -245,6 +261,20 @@
       return true;
     }
 
+    /** Checks that a started stream is followed by nothing but the rest of the same stream. */
+    private void checkContinuation(ServiceResponse backendResponse) {
+      int status = backendResponse.status();
+      String startedType = mediaType(response.contentType());
+      String type =
+          mediaType(ResponseVerdicts.lookup(backendResponse.headers()).apply("Content-Type"));
+      if (status != OK || !type.equals(startedType)) {
+        throw new AttemptFailure(
+            status >= FIRST_SERVER_ERROR ? FailureKind.SERVER_ERROR : FailureKind.ANSWER_MISMATCH,
+            "response with status " + status + " and type " + type + " does not continue a stream",
+            status);
+      }
+    }
+
     /** Returns the remote prefill of this attempt, or null if it has none. */
     private @Nullable RemotePrefill remotePrefill() {
       if (dispatch.prefillEngine() == null) {
@@ -335,9 +365,11 @@
       if (splitter.lastEventId() != null) {
         lastEventId = splitter.lastEventId();
       }
+      resumable = splitter.endsIdentified();
       int newEvents = splitter.identifiedEvents() - forwardedEvents;
       forwardedEvents = splitter.identifiedEvents();
       if (newEvents > 0) {
+        identifiedEvents += newEvents;
         lifecycle.reportTokens(newEvents);
       }
     }
@@ -397,7 +429,7 @@
         throw lifecycle.refusal(
             RefusalCode.BACKEND_TIMEOUT, "the deadline of the request has passed", null);
       }
-      if (response.isStarted() && !request.route().allowsReexecution()) {
+      if (response.isStarted() && !(request.route().allowsReexecution() && resumable)) {
         throw lifecycle.refusal(RefusalCode.ANSWER_CUT, "the response was truncated", null);
       }
     }
--- a/node/src/test/java/org/teaseltrestle/node/relay/FakeServer.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/FakeServer.java
@@ -26,6 +26,11 @@
     boolean respond(Received request, OutputStream output) throws IOException;
   }
 
+  /** Thrown by a behaviour to end the connection with a reset. */
+  static final class ResetException extends IOException {
+    private static final long serialVersionUID = 1;
+  }
+
   /** Request as received. */
   record Received(String method, String target, Map<String, String> headers, String body) {
 
@@ -157,6 +162,15 @@
 
   private void serve(Socket socket) {
     try (socket) {
+      serveUntilClose(socket);
+    } catch (IOException e) {
+      // The relay closed the connection, which some tests provoke.
+      return;
+    }
+  }
+
+  private void serveUntilClose(Socket socket) throws IOException {
+    try {
       InputStream input = new BufferedInputStream(socket.getInputStream());
       OutputStream output = socket.getOutputStream();
       Received request = read(input);
@@ -167,9 +181,8 @@
         }
         request = read(input);
       }
-    } catch (IOException e) {
-      // The relay closed the connection, which some tests provoke.
-      return;
+    } catch (ResetException e) {
+      socket.setSoLinger(true, 0);
     }
   }
 
