Decide whose response it is before its status counts

Cause: PlatformRequestCodec.classifyResponse returned "not run" for 421, 503 and 429 before it compared the request identifier. The native clients compared only the last of several identifiers. Remote prefills with status 200 were not compared at all.

Change: ResponseIdentity compares all identifiers of a response. The relay decides it before it reads anything else, also for remote prefills; both native clients use the same type. A response that names another request ends the attempt with ANSWER_MISMATCH, which counts as may have run, so that an at-most-once request ends there. Event 5028 and the counter relay.responses_of_other_requests.

Why this works: a refusal can only end as "not run" after its identifiers were compared.

--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpEngineClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpEngineClient.java
@@ -14,13 +14,12 @@
 import org.teaseltrestle.node.port.EngineClient;
 import org.teaseltrestle.node.port.EngineLoad;
 import org.teaseltrestle.node.port.EngineStream;
+import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.policy.FailureKind;
 
 /** Calls engines over HTTP. */
 public final class HttpEngineClient implements EngineClient {
 
-  private static final String REQUEST_ID = "X-Request-Id";
-
   private final BackendHttp http;
   private final StatusReader statusReader;
 
@@ -40,7 +39,7 @@
             .header("Accept", "text/event-stream")
             .header("Accept-Encoding", "identity")
             .header("User-Agent", "teaseltrestle")
-            .header(REQUEST_ID, call.request().value())
+            .header(ResponseIdentities.REQUEST_ID, call.request().value())
             .header("X-Trestle-Attempt", Integer.toString(call.attempt()))
             .header("X-Trestle-Priority", Integer.toString(call.priority()))
             .tag(AttemptProgress.class, progress)
@@ -49,7 +48,7 @@
     Call httpCall = http.fresh(call.answerTimeout()).newCall(request);
     call.handle().onCancel(httpCall::cancel);
     try {
-      return openStream(call, httpCall.execute(), progress);
+      return openStream(httpCall.execute(), progress);
     } catch (IOException e) {
       throw progress.failure(e);
     }
@@ -60,7 +59,7 @@
     Request cancel =
         new Request.Builder()
             .url(BackendAddress.url(address, "/v1/cancel/" + request.value()))
-            .header(REQUEST_ID, request.value())
+            .header(ResponseIdentities.REQUEST_ID, request.value())
             .post(new OneShotBody(new byte[0]))
             .build();
     try {
@@ -86,12 +85,12 @@
     return statusReader.cachePrefixes(address);
   }
 
-  private static EngineStream openStream(
-      EngineCall call, Response response, AttemptProgress progress) throws IOException {
+  private static EngineStream openStream(Response response, AttemptProgress progress)
+      throws IOException {
     @Nullable AttemptFailure failure;
     try {
-      failure = failureOf(call, response);
-    } catch (IOException e) {
+      failure = failureOf(response);
+    } catch (IOException | AttemptFailure e) {
       response.close();
       throw e;
     }
@@ -105,13 +104,8 @@
     return new EventStreamReader(response, body, progress);
   }
 
-  private static @Nullable AttemptFailure failureOf(EngineCall call, Response response)
-      throws IOException {
-    String returnedId = response.header(REQUEST_ID);
-    if (returnedId != null && !returnedId.equals(call.request().value())) {
-      return new AttemptFailure(
-          FailureKind.ANSWER_MISMATCH, "response has the identifier of another request");
-    }
+  private static @Nullable AttemptFailure failureOf(Response response) throws IOException {
+    ResponseIdentity identity = ResponseIdentities.check(response);
     if (response.code() != 200) {
       FailureKind refusal = BackendRefusal.of(response);
       return new AttemptFailure(
@@ -119,7 +113,7 @@
           "engine responded with status " + response.code(),
           response.code());
     }
-    if (returnedId == null) {
+    if (identity == ResponseIdentity.MISSING) {
       return new AttemptFailure(
           FailureKind.ANSWER_MISMATCH, "response has no request identifier", response.code());
     }
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpServiceClient.java
@@ -19,8 +19,6 @@
 /** Calls replicas of plain services over HTTP. */
 public final class HttpServiceClient implements ServiceClient {
 
-  private static final String REQUEST_ID = "X-Request-Id";
-
   private final BackendHttp http;
   private final StatusReader statusReader;
 
@@ -83,7 +81,7 @@
     AttemptFailure failure;
     try {
       failure = failureOf(response);
-    } catch (IOException e) {
+    } catch (IOException | AttemptFailure e) {
       response.close();
       throw e;
     }
@@ -95,11 +93,7 @@
   }
 
   private static @Nullable AttemptFailure failureOf(Response response) throws IOException {
-    String returnedId = response.header(REQUEST_ID);
-    if (returnedId != null && !returnedId.equals(response.request().header(REQUEST_ID))) {
-      return new AttemptFailure(
-          FailureKind.ANSWER_MISMATCH, "response has the identifier of another request");
-    }
+    ResponseIdentities.check(response);
     // Only this refusal reports that nothing was run; any other status is passed to the caller.
     return BackendRefusal.of(response) == FailureKind.REFUSED_LEAVING
         ? new AttemptFailure(
--- a/node/src/main/java/org/teaseltrestle/node/port/AttemptFailure.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/AttemptFailure.java
@@ -1,6 +1,8 @@
 package org.teaseltrestle.node.port;
 
+import java.util.List;
 import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.Identifiers;
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.policy.FailureKind;
 
@@ -8,9 +10,11 @@
 public final class AttemptFailure extends TrestleException {
 
   private static final long serialVersionUID = 1L;
+  private static final int MAXIMUM_LOGGED_IDS = 4;
 
   private final FailureKind kind;
   private final int httpStatus;
+  private final boolean foreignResponse;
 
   /** Creates a failure of an attempt that received no HTTP response. */
   public AttemptFailure(FailureKind kind, String message) {
@@ -23,9 +27,36 @@
    * @param httpStatus status of the backend server's response, 0 if there was none
    */
   public AttemptFailure(FailureKind kind, String message, int httpStatus) {
+    this(kind, message, httpStatus, false);
+  }
+
+  private AttemptFailure(
+      FailureKind kind, String message, int httpStatus, boolean foreignResponse) {
     super(ErrorCode.UNREACHABLE, message);
     this.kind = kind;
     this.httpStatus = httpStatus;
+    this.foreignResponse = foreignResponse;
+  }
+
+  /**
+   * Returns the failure of an attempt whose connection delivered the response to another request.
+   * It has no HTTP status, since that status says nothing about this request.
+   */
+  public static AttemptFailure foreignResponse(
+      String requestId, List<String> received, int statusOfOther) {
+    String message =
+        "asked="
+            + Identifiers.forLog(requestId)
+            + " received="
+            + received.stream().limit(MAXIMUM_LOGGED_IDS).map(Identifiers::forLog).toList()
+            + " status="
+            + statusOfOther;
+    return new AttemptFailure(FailureKind.ANSWER_MISMATCH, message, 0, true);
+  }
+
+  /** Returns whether the attempt received the response to another request. */
+  public boolean isForeignResponse() {
+    return foreignResponse;
   }
 
   /** Returns how the attempt ended. */
--- a/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
@@ -18,16 +18,19 @@
   /** Returns the header fields of an attempt, derived from those that the caller sent. */
   List<HeaderField> attemptHeaders(List<HeaderField> received, AttemptOptions options);
 
+  /** Returns the identifiers of requests that the header fields of a response carry. */
+  List<String> requestIds(List<HeaderField> response);
+
   /**
-   * Classifies a response by its status and header.
+   * Classifies a response by its identity, and then by its status and header.
    *
-   * @param callerRequestId identifier that the caller gave to the request, empty if none
+   * @param identity whether the response names the request
    * @param target backend server that the request was sent to
    * @param header returns the first value of a header field of the response, or null
    */
   ResponseVerdict classifyResponse(
       int status,
-      String callerRequestId,
+      ResponseIdentity identity,
       BackendServerId target,
       Function<String, @Nullable String> header);
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayCounters.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayCounters.java
@@ -17,6 +17,7 @@
   private final Map<FailureKind, Counter> failures = new EnumMap<>(FailureKind.class);
   private final Counter resumed;
   private final Counter requests;
+  private final Counter foreignResponses;
 
   RelayCounters(MetricRegistry metrics) {
     for (RefusalCode code : RefusalCode.values()) {
@@ -29,6 +30,7 @@
     }
     resumed = metrics.counter("relay.resumed_streams");
     requests = metrics.counter("relay.requests");
+    foreignResponses = metrics.counter("relay.responses_of_other_requests");
   }
 
   void requestRefused(RefusalCode code) {
@@ -47,6 +49,10 @@
     resumed.inc();
   }
 
+  void foreignResponseReceived() {
+    foreignResponses.inc();
+  }
+
   void requestReceived() {
     requests.inc();
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -31,7 +31,9 @@
   SUSPECT_PARTS_CHANGED(5024, "suspected prompt parts changed"),
   SERVER_PAUSES(5025, "backend server wants no requests of this instance for a time"),
   FAILURE_AFTER_RESPONSE(5026, "failure after the end of a response; the caller has its answer"),
-  RESPONSE_ABORTED(5027, "started response was aborted; the caller sees that it is incomplete");
+  RESPONSE_ABORTED(5027, "started response was aborted; the caller sees that it is incomplete"),
+  RESPONSE_OF_OTHER_REQUEST(
+      5028, "backend server responded to another request; the attempt may have run");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.AttemptOptions;
 import org.teaseltrestle.node.port.ReportedLoad;
+import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.AdmissionAction;
@@ -91,6 +92,7 @@
       cacheHandle = readCacheHandle(prefillResponse);
     } catch (AttemptFailure e) {
       failure = e.kind();
+      ResponseVerdicts.reportForeignResponse(context, id, prefillEngine.id(), e);
     }
     reportEnd(startNanos, failure);
     if (attemptHandle.isCancelled()) {
@@ -152,6 +154,9 @@
   }
 
   private String readCacheHandle(ServiceResponse prefillResponse) {
+    ResponseIdentity identity =
+        ResponseVerdicts.identify(
+            dependencies, request.incoming().callerRequestId(), prefillResponse);
     Function<String, @Nullable String> header = ResponseVerdicts.lookup(prefillResponse.headers());
     load =
         ResponseVerdicts.reportServer(
@@ -160,11 +165,7 @@
       ResponseVerdicts.check(
           dependencies
               .codec()
-              .classifyResponse(
-                  prefillResponse.status(),
-                  request.incoming().callerRequestId(),
-                  prefillEngine.id(),
-                  header));
+              .classifyResponse(prefillResponse.status(), identity, prefillEngine.id(), header));
       throw new AttemptFailure(
           FailureKind.SERVER_ERROR,
           "prefill engine responded with status " + prefillResponse.status(),
--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
@@ -119,6 +119,7 @@
     FailureKind kind = failure.kind();
     updateNotRun(kind, tokens);
     context.counters().attemptFailed(kind);
+    ResponseVerdicts.reportForeignResponse(context, dispatch.request(), dispatch.server(), failure);
     if (kind != FailureKind.CANCELLED) {
       LOG.warn(
           RelayEvent.ATTEMPT_FAILED,
--- a/node/src/main/java/org/teaseltrestle/node/relay/ResponseVerdicts.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ResponseVerdicts.java
@@ -6,10 +6,14 @@
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.RequestId;
 import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.HeaderField;
 import org.teaseltrestle.node.port.ReportedLoad;
+import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.node.port.ResponseVerdict;
+import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.EngineRole;
@@ -43,14 +47,42 @@
       case UNVERIFIED_REFUSAL ->
           throw new AttemptFailure(
               FailureKind.SERVER_ERROR, "backend server refused a request that it may have run");
-      case MISMATCHED_RESPONSE -> throw foreignResponse();
+      case MISMATCHED_RESPONSE ->
+          throw new AttemptFailure(
+              FailureKind.ANSWER_MISMATCH, "response does not belong to the request");
       default -> throw new IllegalArgumentException(verdict.name());
     }
   }
 
-  private static AttemptFailure foreignResponse() {
-    return new AttemptFailure(
-        FailureKind.ANSWER_MISMATCH, "response does not belong to the request");
+  /**
+   * Returns whether a response names the request. Nothing else in a response counts before this.
+   *
+   * @throws AttemptFailure if the response names another request
+   */
+  static ResponseIdentity identify(
+      RoutedRelayDependencies dependencies, String callerRequestId, ServiceResponse response) {
+    List<String> received = dependencies.codec().requestIds(response.headers());
+    ResponseIdentity identity = ResponseIdentity.of(callerRequestId, received);
+    if (identity == ResponseIdentity.OTHER) {
+      throw AttemptFailure.foreignResponse(callerRequestId, received, response.status());
+    }
+    return identity;
+  }
+
+  /** Logs and counts a failure if it is due to the response to another request. */
+  static void reportForeignResponse(
+      RelayContext context, RequestId request, BackendServerId server, AttemptFailure failure) {
+    if (failure.isForeignResponse()) {
+      context.counters().foreignResponseReceived();
+      LOG.warn(
+          RelayEvent.RESPONSE_OF_OTHER_REQUEST,
+          "request",
+          request,
+          "server",
+          server,
+          "reason",
+          String.valueOf(failure.getMessage()));
+    }
   }
 
   /**
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -16,6 +16,7 @@
 import org.teaseltrestle.node.port.HeaderField;
 import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.RequestUsage;
+import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.AdmissionAction;
@@ -217,6 +218,9 @@
           prefill == null ? new AttemptOptions.FullExecution() : prefill.run();
       startNanos = context.clock().nowNanos();
       try (ServiceResponse backendResponse = openOrRelease(server, work, prefill)) {
+        ResponseIdentity identity =
+            ResponseVerdicts.identify(
+                dependencies, request.incoming().callerRequestId(), backendResponse);
         Function<String, @Nullable String> header =
             ResponseVerdicts.lookup(backendResponse.headers());
         ReportedLoad load =
@@ -241,11 +245,7 @@
         ResponseVerdicts.check(
             dependencies
                 .codec()
-                .classifyResponse(
-                    backendResponse.status(),
-                    request.incoming().callerRequestId(),
-                    server.id(),
-                    header));
+                .classifyResponse(backendResponse.status(), identity, server.id(), header));
         if (response.isStarted()) {
           checkContinuation(backendResponse);
         }
--- a/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
@@ -12,6 +12,7 @@
 import org.teaseltrestle.node.port.PromptPart;
 import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.RequestCodec;
+import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.node.port.ResponseVerdict;
 
 /** Codec with few fields and plain names. */
@@ -50,10 +51,18 @@
     return fields;
   }
 
+  @Override
+  public List<String> requestIds(List<HeaderField> response) {
+    return response.stream()
+        .filter(field -> field.name().equalsIgnoreCase("Request-Id"))
+        .map(HeaderField::value)
+        .toList();
+  }
+
   @Override
   public ResponseVerdict classifyResponse(
       int status,
-      String callerRequestId,
+      ResponseIdentity identity,
       BackendServerId asked,
       Function<String, @Nullable String> header) {
     return status == 503 && header.apply("Not-Run") != null
