Reject responses that do not state unambiguously where they end

Callers received a body that the head did not delimit: with a length and a transfer encoding, two lengths, a length that is no number, or an unknown transfer encoding, and a 101 was forwarded. Two interim responses in a row ended with an unexpected exception.

Cause: OkHttp picks one of several framings, and reads an unreadable one until the connection closes.

Change: ResponseHeads checks every head before any client sees it; such an attempt ends with ANSWER_MISMATCH, which counts as may have run.

Why this works: a body is only read by a framing that is the only one, and well-formed.

--- a/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
@@ -96,6 +96,9 @@
     if (cause instanceof InterruptedIOException) {
       return FailureKind.TIMED_OUT;
     }
+    if (cause instanceof ResponseHeads.AmbiguousResponseException) {
+      return FailureKind.ANSWER_MISMATCH;
+    }
     return responseStarted ? FailureKind.LOST_DURING_ANSWER : FailureKind.LOST_BEFORE_ANSWER;
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
@@ -65,6 +65,7 @@
                 new BoundedSocketFactory(MonotonicClock.SYSTEM, MAXIMUM_UNDELIVERED_BYTES))
             .eventListenerFactory(AttemptProgress.LISTENER_FACTORY)
             .addNetworkInterceptor(BackendHttp::hideRetryAfter)
+            .addNetworkInterceptor(ResponseHeads::receive)
             .build();
     this.withoutReadTimeout = fresh.newBuilder().readTimeout(Duration.ZERO).build();
     this.shortCalls =
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/backend/ResponseHeads.java
@@ -0,0 +1,68 @@
+package org.teaseltrestle.node.backend;
+
+import java.io.IOException;
+import java.net.ProtocolException;
+import java.util.List;
+import okhttp3.Interceptor;
+import okhttp3.Response;
+
+/** Rejects heads of responses that do not state unambiguously where the response ends. */
+final class ResponseHeads {
+
+  private static final int FIRST_FINAL_STATUS = 200;
+  private static final int MAXIMUM_LENGTH_DIGITS = 18;
+
+  private ResponseHeads() {}
+
+  /** Thrown for a response whose end cannot be determined. */
+  static final class AmbiguousResponseException extends ProtocolException {
+
+    private static final long serialVersionUID = 1L;
+
+    AmbiguousResponseException(String message) {
+      super(message);
+    }
+  }
+
+  /**
+   * Receives the head of a response and checks it.
+   *
+   * @throws AmbiguousResponseException if the response is interim or its framing is contradictory
+   */
+  static Response receive(Interceptor.Chain chain) throws IOException {
+    Response response;
+    try {
+      response = chain.proceed(chain.request());
+    } catch (IllegalStateException e) {
+      // OkHttp skips one interim response and fails this way at the next.
+      throw new AmbiguousResponseException("more than one interim response");
+    }
+    check(response);
+    return response;
+  }
+
+  private static void check(Response response) throws AmbiguousResponseException {
+    if (response.code() < FIRST_FINAL_STATUS) {
+      throw new AmbiguousResponseException("interim response with status " + response.code());
+    }
+    List<String> lengths = response.headers("Content-Length");
+    List<String> encodings = response.headers("Transfer-Encoding");
+    boolean hasValidLength =
+        lengths.stream().distinct().count() <= 1
+            && lengths.stream().allMatch(ResponseHeads::isLength);
+    boolean hasValidEncoding =
+        encodings.isEmpty()
+            || (encodings.size() == 1 && encodings.get(0).equalsIgnoreCase("chunked"));
+    boolean hasBoth = !lengths.isEmpty() && !encodings.isEmpty();
+    if (!hasValidLength || !hasValidEncoding || hasBoth) {
+      throw new AmbiguousResponseException(
+          "response has " + lengths.size() + " lengths and " + encodings.size() + " encodings");
+    }
+  }
+
+  private static boolean isLength(String value) {
+    return !value.isEmpty()
+        && value.length() <= MAXIMUM_LENGTH_DIGITS
+        && value.chars().allMatch(character -> character >= '0' && character <= '9');
+  }
+}
