Discard a replica's log by a durable record, not by the order of deletions

What callers saw: nothing that we know of.

Cause: a segment may hold entries that a later segment replaced.

Change: a record without entries discards all entries before it. discard() writes it to a new segment and deletes the others after it is durable, in any order. A start that finds no usable entries deletes nothing; the next segment begins with such a record, and the old ones go when the log is pruned. Gaps are judged once all segments are read, because segments before such a record may be gone in any order.

Why this works: after the record is durable, whatever a crash leaves of the earlier segments has no effect.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -12,7 +12,8 @@
 
 /**
  * Log in numbered, append-only segment files. An appended entry replaces a stored entry of the same
- * index and all later ones, so a conflict needs no rewriting.
+ * index and all later ones, so a conflict needs no rewriting. A record without entries discards all
+ * entries before it.
  */
 final class SegmentedLog {
 
@@ -25,6 +26,10 @@
   private @Nullable OpenFile file;
   private long nextNumber;
   private long truncatedBytes;
+
+  /** Whether the next segment begins with a record that discards all entries before it. */
+  private boolean discardsEarlier;
+
   private long syncedBytes;
 
   private static final class Segment {
@@ -54,7 +59,7 @@
     List<String> names = files.names(PREFIX, SUFFIX);
     for (String name : names) {
       boolean last = name.equals(names.get(names.size() - 1));
-      readSegment(name, last, entries, snapshot == null ? 0 : snapshot.index());
+      readSegment(name, last, entries);
       nextNumber = Long.parseLong(name.substring(PREFIX.length(), name.indexOf('.'))) + 1;
     }
     if (!names.isEmpty()) {
@@ -62,10 +67,9 @@
       files.syncContent(last);
       syncedBytes = files.size(last);
     }
+    checkNoGap(entries, snapshot);
     List<LogEntry> usable = usableEntries(entries, snapshot);
-    if (usable.isEmpty()) {
-      discard();
-    }
+    discardsEarlier = usable.isEmpty() && !names.isEmpty();
     return usable;
   }
 
@@ -86,8 +90,12 @@
       current = files.create(name);
       file = current;
       segments.add(new Segment(name));
+      if (discardsEarlier) {
+        writeRecord(current, List.of());
+        discardsEarlier = false;
+      }
     }
-    files.append(current, RecordFormat.encode(StorageCodec.encodeEntries(entries)));
+    writeRecord(current, entries);
     Segment segment = segments.get(segments.size() - 1);
     entries.forEach(entry -> segment.lastIndex = Math.max(segment.lastIndex, entry.index()));
     if (current.size() > SEGMENT_BYTES) {
@@ -104,13 +112,23 @@
     files.syncNames();
   }
 
-  /** Deletes all segments, last first, so that a crash leaves no gap that looks like corruption. */
+  /**
+   * Discards all entries and deletes their segments. The record that discards them is durable
+   * first, because a crash may leave any of the segments, and with them entries that deleted
+   * segments had replaced.
+   */
   void discard() throws IOException {
     closeSegment();
-    while (!segments.isEmpty()) {
-      files.delete(segments.remove(segments.size() - 1).name);
-      files.syncNames();
+    List<Segment> discarded = new ArrayList<>(segments);
+    if (discarded.isEmpty()) {
+      return;
     }
+    append(List.of());
+    segments.removeAll(discarded);
+    for (Segment segment : discarded) {
+      files.delete(segment.name);
+    }
+    files.syncNames();
   }
 
   /** Writes the last segment anew, so that all entries that it holds are durable. */
@@ -126,6 +144,10 @@
     closeSegment();
   }
 
+  private void writeRecord(OpenFile target, List<LogEntry> entries) throws IOException {
+    files.append(target, RecordFormat.encode(StorageCodec.encodeEntries(entries)));
+  }
+
   private void closeSegment() throws IOException {
     if (file != null) {
       file.close();
@@ -133,8 +155,7 @@
     }
   }
 
-  private void readSegment(String name, boolean last, List<LogEntry> entries, long snapshotIndex)
-      throws IOException {
+  private void readSegment(String name, boolean last, List<LogEntry> entries) throws IOException {
     byte[] content = files.readAll(name);
     RecordFormat.Scan scan = RecordFormat.scan(name, ByteBuffer.wrap(content));
     if (scan.validBytes() < content.length) {
@@ -149,31 +170,38 @@
     Segment segment = new Segment(name);
     segments.add(segment);
     for (byte[] payload : scan.payloads()) {
-      for (LogEntry entry : StorageCodec.decodeEntries(payload)) {
+      List<LogEntry> added = StorageCodec.decodeEntries(payload);
+      if (added.isEmpty()) {
+        entries.clear();
+      }
+      for (LogEntry entry : added) {
         segment.lastIndex = Math.max(segment.lastIndex, entry.index());
-        addEntry(name, entries, entry, snapshotIndex);
+        addEntry(entries, entry);
       }
     }
   }
 
-  private static void addEntry(
-      String name, List<LogEntry> entries, LogEntry entry, long snapshotIndex) {
+  private static void addEntry(List<LogEntry> entries, LogEntry entry) {
     while (!entries.isEmpty() && entries.get(entries.size() - 1).index() >= entry.index()) {
       entries.remove(entries.size() - 1);
     }
     boolean follows =
         !entries.isEmpty() && entries.get(entries.size() - 1).index() == entry.index() - 1;
     if (!follows) {
-      // Pruning and discarding leave a gap only where the snapshot covers the missing entries.
-      if (entry.index() > snapshotIndex + 1) {
-        throw new TrestleException(
-            ErrorCode.DATA_CORRUPTED, name + " has a gap before entry " + entry.index());
-      }
       entries.clear();
     }
     entries.add(entry);
   }
 
+  /** Checks that the snapshot covers all entries before the first one. */
+  private static void checkNoGap(List<LogEntry> entries, @Nullable Snapshot snapshot) {
+    long covered = snapshot == null ? 0 : snapshot.index();
+    if (!entries.isEmpty() && entries.get(0).index() > covered + 1) {
+      throw new TrestleException(
+          ErrorCode.DATA_CORRUPTED, "the log has a gap before entry " + entries.get(0).index());
+    }
+  }
+
   private static List<LogEntry> usableEntries(List<LogEntry> entries, @Nullable Snapshot snapshot) {
     if (snapshot == null) {
       return entries;
--- a/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
@@ -1,9 +1,16 @@
 package org.teaseltrestle.consensus;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 import static org.testng.Assert.expectThrows;
 
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import org.teaseltrestle.consensus.RaftAction.StoredEntries;
+import org.teaseltrestle.consensus.SimulatedDisk.Killed;
 import org.teaseltrestle.consensus.SimulatedDisk.SyncTarget;
+import org.teaseltrestle.model.InstanceId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -31,6 +38,57 @@
     assertTrue(powerLosses > SEEDS && killedStarts > SEEDS, "too few faults");
   }
 
+  /**
+   * Guards against a kill that brings replaced entries back behind a snapshot: with them a replica
+   * votes for a candidate that lacks committed entries.
+   */
+  @Test
+  public void killedStartRestoresNoReplacedEntries() {
+    for (int operations = 0; operations < 20; operations++) {
+      SimulatedDisk disk = new SimulatedDisk(new Random(operations));
+      store(disk, 1, 1, 3);
+      store(disk, 1, 4, 5);
+      store(disk, 2, 2, 3);
+      try (FileReplicaStorage storage = open(disk)) {
+        Configuration voters = new Configuration(List.of(storage.identity()), List.of());
+        storage.saveSnapshot(new Snapshot(3, 2, voters, new byte[0]), StoredEntries.PRUNE, 4);
+      }
+      disk.killAfter(operations);
+      try (FileReplicaStorage storage = open(disk)) {
+        assertEquals(storage.recovered().entries(), List.of());
+      } catch (Killed e) {
+        disk.kill();
+      }
+      disk.killAfter(Integer.MAX_VALUE);
+      try (FileReplicaStorage storage = open(disk)) {
+        assertEquals(storage.recovered().entries(), List.of(), "killed after " + operations);
+        storage.append(entries(2, 4, 4));
+        storage.sync();
+      }
+      try (FileReplicaStorage storage = open(disk)) {
+        assertEquals(storage.recovered().entries().size(), 1, "killed after " + operations);
+      }
+    }
+  }
+
+  private static FileReplicaStorage open(SimulatedDisk disk) {
+    return FileReplicaStorage.open(disk, new InstanceId("voter-1"), 7, Long.MAX_VALUE);
+  }
+
+  private static void store(SimulatedDisk disk, long term, long first, long last) {
+    try (FileReplicaStorage storage = open(disk)) {
+      storage.saveHardState(new HardState(term, null));
+      storage.append(entries(term, first, last));
+      storage.sync();
+    }
+  }
+
+  private static List<LogEntry> entries(long term, long first, long last) {
+    return LongStream.rangeClosed(first, last)
+        .mapToObj(index -> new LogEntry(index, term, EntryKind.COMMAND, new byte[0]))
+        .toList();
+  }
+
   @DataProvider
   private static Object[][] syncTargets() {
     return new Object[][] {{SyncTarget.FILE}, {SyncTarget.NAMES}, {SyncTarget.FOLDER}};
