Let the simulated disk refuse writes and syncs

StorageDurabilityTest did not cover FileReplicaStorage.reopen. The disk now refuses some operations, and a file whose sync failed is not made durable by a later sync of the same process, as operating systems behave. A refused storage is closed and reopened until the disk accepts writes.

Not modelled: a process killed between a failed sync and its reopening.

--- a/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
@@ -42,6 +42,9 @@
     byte[] written = new byte[0];
     byte[] durable = new byte[0];
     List<Change> changes = new ArrayList<>();
+
+    /** Whether a sync failed, after which later ones succeed without an effect. */
+    boolean syncFailed;
   }
 
   /**
@@ -58,6 +61,7 @@
   private boolean locked;
   private @Nullable SyncTarget ignoredSyncs;
   private int operationsUntilKill = Integer.MAX_VALUE;
+  private int operationsUntilRefusal;
   private int refusedOperations;
 
   SimulatedDisk(Random random) {
@@ -69,9 +73,10 @@
     operationsUntilKill = operations;
   }
 
-  /** Refuses the next changes and syncs, as a full disk does. */
-  void refuse(int operations) {
-    refusedOperations = operations;
+  /** Refuses some changes and syncs, as a full disk does, after others were accepted. */
+  void refuseAfter(int accepted, int refused) {
+    operationsUntilRefusal = accepted;
+    refusedOperations = refused;
   }
 
   /** Gives syncs of a target no effect, as if the process left them out. */
@@ -79,9 +84,10 @@
     ignoredSyncs = target;
   }
 
-  /** Ends the process; its files stay as they are. */
+  /** Ends the process; its files stay as they are, and another process can sync them. */
   void kill() {
     locked = false;
+    written.values().forEach(content -> content.syncFailed = false);
     operationsUntilKill = Integer.MAX_VALUE;
     refusedOperations = 0;
   }
@@ -229,7 +235,7 @@
   }
 
   private void refuseIfFull() throws IOException {
-    if (refusedOperations > 0) {
+    if (refusedOperations > 0 && --operationsUntilRefusal < 0) {
       refusedOperations--;
       throw new IOException("the simulated disk is full");
     }
@@ -249,6 +255,7 @@
       }
     }
     content.changes.clear();
+    content.syncFailed = false;
     content.durable = kept;
     content.written = kept;
   }
@@ -318,12 +325,12 @@
 
     @Override
     public void sync() throws IOException {
-      SimulatedDisk.this.sync(
-          SyncTarget.FILE,
-          () -> {
-            content.durable = content.written;
-            content.changes.clear();
-          });
+      try {
+        SimulatedDisk.this.sync(SyncTarget.FILE, this::storeUnlessFailed);
+      } catch (IOException e) {
+        content.syncFailed = true;
+        throw e;
+      }
     }
 
     @Override
@@ -331,6 +338,13 @@
       // Closing a file changes nothing on a disk.
     }
 
+    private void storeUnlessFailed() {
+      if (!content.syncFailed) {
+        content.durable = content.written;
+        content.changes.clear();
+      }
+    }
+
     private void add(Change change) {
       content.written = applied(change, content.written);
       content.changes.add(change);
--- a/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
@@ -26,16 +26,18 @@
   public void nothingAcknowledgedIsLost() {
     long powerLosses = 0;
     long killedStarts = 0;
+    long refusals = 0;
     for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
       StorageSchedule schedule = new StorageSchedule(seed, null);
       schedule.run();
       powerLosses += schedule.powerLosses();
       killedStarts += schedule.killedStarts();
+      refusals += schedule.refusals();
     }
     System.out.printf(
-        "storage schedules: %d, losses of power: %d, killed starts: %d%n",
-        SEEDS, powerLosses, killedStarts);
-    assertTrue(powerLosses > SEEDS && killedStarts > SEEDS, "too few faults");
+        "storage schedules: %d, losses of power: %d, killed starts: %d, refusals: %d%n",
+        SEEDS, powerLosses, killedStarts, refusals);
+    assertTrue(powerLosses > SEEDS && killedStarts > SEEDS && refusals > SEEDS, "too few faults");
   }
 
   /**
--- a/consensus/src/test/java/org/teaseltrestle/consensus/StorageSchedule.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/StorageSchedule.java
@@ -7,6 +7,7 @@
 import org.teaseltrestle.consensus.RaftAction.StoredEntries;
 import org.teaseltrestle.consensus.SimulatedDisk.Killed;
 import org.teaseltrestle.consensus.SimulatedDisk.SyncTarget;
+import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.model.ReplicaId;
 import org.teaseltrestle.model.TrestleException;
@@ -39,6 +40,7 @@
   private long incarnation;
   private long powerLosses;
   private long killedStarts;
+  private long refusals;
 
   /**
    * Creates a schedule.
@@ -61,12 +63,16 @@
     return killedStarts;
   }
 
+  long refusals() {
+    return refusals;
+  }
+
   void run() {
     try {
       for (int round = 0; round < ROUNDS; round++) {
         FileReplicaStorage storage = start();
         if (storage != null) {
-          write(storage);
+          writeUntilKilled(storage);
         }
         end(random.nextInt(3) == 0);
       }
@@ -108,6 +114,22 @@
     }
   }
 
+  private void reopen() {
+    FileReplicaStorage storage = null;
+    while (storage == null) {
+      try {
+        storage = FileReplicaStorage.reopen(disk, INSTANCE, ++incarnation, Long.MAX_VALUE);
+      } catch (TrestleException e) {
+        if (e.code() != ErrorCode.FILE_ACCESS) {
+          throw e;
+        }
+        steps.append("; reopening refused");
+      }
+    }
+    check(storage);
+    write(storage);
+  }
+
   private FileReplicaStorage open() {
     return FileReplicaStorage.open(disk, INSTANCE, ++incarnation, Long.MAX_VALUE);
   }
@@ -153,15 +175,33 @@
     return possible.get(possible.size() - 1);
   }
 
-  private void write(FileReplicaStorage storage) {
+  private void writeUntilKilled(FileReplicaStorage storage) {
     disk.killAfter(random.nextInt(60));
+    try {
+      write(storage);
+    } catch (Killed e) {
+      steps.append(" interrupted");
+    }
+  }
+
+  /** Writes, and reopens the storage if the disk refuses that, as a process does. */
+  private void write(FileReplicaStorage storage) {
+    if (random.nextInt(4) == 0) {
+      disk.refuseAfter(random.nextInt(20), 1 + random.nextInt(3));
+    }
     try {
       for (int step = random.nextInt(8); step > 0; step--) {
         saveAll(storage);
         acknowledge(known());
       }
-    } catch (Killed e) {
-      steps.append(" interrupted");
+    } catch (TrestleException e) {
+      if (e.code() != ErrorCode.FILE_ACCESS) {
+        throw e;
+      }
+      refusals++;
+      steps.append(" refused");
+      storage.close();
+      reopen();
     }
   }
 
