Keep queues and servers of models apart from those of services

What callers saw: after one request with a model named like a service, plain routes to that service got 503 at this node until the next change of the fleet list; after a plain call, requests for a model that nothing runs were sent.

Cause: Fleet keeps the servers of a QueueKey of pool and item, but which servers may run a request also depends on the kind of work, and callers choose the name of the model. Each unknown name was kept as well until the next fleet change.

Evidence: in ServedItemsTest, modelNamedAfterPoolDoesNotHideServers ("a call needs no model expected [true] but found [false]") and callDoesNotMakeServersRunUnknownModel failed before.

Change: the key contains the kind of work, and an empty list is not kept.

Why this works: all requests of one key need the same of a server, as the comment of QueueKey says.

--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -232,15 +232,29 @@
 
   /** Returns the listed servers that run a request's model or service, sorted by identifier. */
   List<ServerState> serving(RequestState request) {
-    return serversByKey.computeIfAbsent(
-        request.queueKey, key -> findServing(key, request.work.kind()));
+    List<ServerState> known = serversByKey.get(request.queueKey);
+    if (known != null) {
+      return known;
+    }
+    List<ServerState> serving = findServing(request.queueKey);
+    // Callers choose the name of the model, so names that no server knows are not retained.
+    if (!serving.isEmpty()) {
+      serversByKey.put(request.queueKey, serving);
+    }
+    return serving;
+  }
+
+  /** Returns the number of pools and models whose servers are retained. */
+  int retainedKeys() {
+    return serversByKey.size();
   }
 
-  private List<ServerState> findServing(QueueKey key, WorkKind kind) {
+  private List<ServerState> findServing(QueueKey key) {
     List<ServerState> serving = new ArrayList<>();
     for (ServerState state : servers.values()) {
       BackendServer server = state.server;
-      boolean runsItem = kind == WorkKind.SERVICE_CALL || server.models().contains(key.item());
+      boolean runsItem =
+          key.kind() == WorkKind.SERVICE_CALL || server.models().contains(key.item());
       if (state.listed && server.pool().equals(key.pool()) && runsItem) {
         serving.add(state);
       }
--- a/policy/src/main/java/org/teaseltrestle/policy/QueueKey.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/QueueKey.java
@@ -8,5 +8,6 @@
  *
  * @param pool pool of backend servers
  * @param item model or service
+ * @param kind kind of work; a model may have the name of a service
  */
-record QueueKey(PoolId pool, ItemName item) {}
+record QueueKey(PoolId pool, ItemName item, WorkRequest.WorkKind kind) {}
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -72,7 +72,7 @@
     this.work = work;
     this.limits = limits;
     this.sequence = sequence;
-    this.queueKey = new QueueKey(work.pool(), work.item());
+    this.queueKey = new QueueKey(work.pool(), work.item(), work.kind());
     this.queueDeadlineNanos = queueDeadlineNanos;
     this.prefix = PrefixIndex.parseHashes(work.prefixHashes());
   }
