Check type and range of each field of the configuration

What callers saw: a document whose fields were missing or of another type was acknowledged and in force with defaults ("an invalid one was taken"): timeoutMs as "5" or true, attempts as 1, version as 7, limits or engine as a string, a weight without a number as 0, malformed UTF-8, two services or tenants of one name. Weights 0.5 and 0.5 were rounded to 0, so a valid document was refused; a weight sum above 2^31 overflowed.

Cause: the codec used Jackson's lenient conversions (asInt, asLong, asText), which replace or truncate what does not fit, and let it detect the encoding.

Evidence: ConfigurationFieldsTest, a table over all fields, failed in 54 of 90 cases before, for example "/routes/0/timeoutMs: lists don't have the same size expected [0] but found [2]"; ConfigurationServerTest .invalidDocumentLeavesPreviousVersion got 200 for a timeoutMs of "4000".

Change: JsonField converts values strictly and names the path, what was found and what is allowed; ranges (ValueRange) and checks across values (ConfigurationCheck) are in model/serving. Weights are scaled to whole numbers with up to 6 decimals. The host of a route is compared without its port, as that of a request is. docs/platform.md lists all fields.

Why this works: there is no conversion left that replaces a value, and unknown fields are still passed over. E7103 and the answer now name paths.

--- a/model/src/main/java/org/teaseltrestle/model/serving/ServingConfiguration.java
+++ b/model/src/main/java/org/teaseltrestle/model/serving/ServingConfiguration.java
@@ -1,13 +1,10 @@
 package org.teaseltrestle.model.serving;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.PoolId;
@@ -17,6 +14,7 @@
 
   private final long version;
   private final List<ServingRoute> routes;
+  private final List<ServedPool> listedPools;
   private final Map<PoolId, ServedPool> pools;
   private final Access access;
   private final List<ServedAccount> accounts;
@@ -55,13 +53,14 @@
     this.routes = List.copyOf(routes);
     this.accounts = List.copyOf(accounts);
     this.limits = limits;
+    this.listedPools = List.copyOf(pools);
     this.pools = new HashMap<>();
     pools.forEach(pool -> this.pools.put(pool.pool(), pool));
     // Sorted by decreasing prefix length, so that the first match is the longest one.
     this.routesByHost =
         routes.stream()
             .sorted(Comparator.comparing(route -> -route.pathPrefix().length()))
-            .collect(Collectors.groupingBy(route -> route.host().toLowerCase(Locale.ROOT)));
+            .collect(Collectors.groupingBy(route -> normalizedHost(route.host())));
     this.accountByKey = new HashMap<>();
     accounts.forEach(account -> account.keys().forEach(key -> accountByKey.put(key, account)));
   }
@@ -108,8 +107,7 @@
    * @param path path without the query
    */
   public @Nullable ServingRoute route(String host, String path) {
-    String name = removePort(host).toLowerCase(Locale.ROOT);
-    for (ServingRoute route : routesByHost.getOrDefault(name, List.of())) {
+    for (ServingRoute route : routesByHost.getOrDefault(normalizedHost(host), List.of())) {
       if (path.startsWith(route.pathPrefix())) {
         return route;
       }
@@ -118,49 +116,14 @@
   }
 
   /** Returns the errors for which this configuration must not be applied; empty if it is valid. */
-  public List<String> problems() {
-    List<String> problems = new ArrayList<>();
-    if (version <= 0) {
-      problems.add("the version must be above 0, but is " + version);
-    }
-    Set<String> hostsAndPrefixes = new HashSet<>();
-    for (ServingRoute route : routes) {
-      check(route, hostsAndPrefixes, problems);
-    }
-    Set<String> keys = new HashSet<>();
-    for (ServedAccount account : accounts) {
-      for (String key : account.keys()) {
-        if (!keys.add(key)) {
-          problems.add("account " + account.account() + " shares a key with another account");
-        }
-      }
-    }
-    return problems;
-  }
-
-  private void check(ServingRoute route, Set<String> hostsAndPrefixes, List<String> problems) {
-    String name = "route " + route.name();
-    if (!hostsAndPrefixes.add(route.host().toLowerCase(Locale.ROOT) + ' ' + route.pathPrefix())) {
-      problems.add(name + " has the same host and prefix as another route");
-    }
-    if (route.totalWeight() <= 0) {
-      problems.add(name + " has no pool with a weight above 0");
-    }
-    if (route.requestTimeoutMillis() <= 0) {
-      problems.add(name + " has no timeout above 0");
-    }
-    for (WeightedPool weightedPool : route.weightedPools()) {
-      if (!pools.containsKey(weightedPool.pool())) {
-        problems.add(name + " refers to an unknown service " + weightedPool.pool());
-      }
-      if (weightedPool.weight() < 0) {
-        problems.add(name + " has a weight below 0");
-      }
-    }
+  public List<ConfigurationProblem> problems() {
+    return ConfigurationCheck.check(version, routes, listedPools, accounts);
   }
 
-  private static String removePort(String host) {
+  /** Returns a host as it is compared: without a port and in lower case. */
+  static String normalizedHost(String host) {
     int colon = host.lastIndexOf(':');
-    return colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    String name = colon > host.lastIndexOf(']') ? host.substring(0, colon) : host;
+    return name.toLowerCase(Locale.ROOT);
   }
 }
--- a/model/src/main/java/org/teaseltrestle/model/serving/ServingRoute.java
+++ b/model/src/main/java/org/teaseltrestle/model/serving/ServingRoute.java
@@ -70,8 +70,8 @@
   }
 
   /** Returns the sum of the weights. */
-  public int totalWeight() {
-    return weightedPools.stream().mapToInt(WeightedPool::weight).sum();
+  public long totalWeight() {
+    return weightedPools.stream().mapToLong(WeightedPool::weight).sum();
   }
 
   /**
--- a/model/src/main/java/org/teaseltrestle/model/serving/WeightedPool.java
+++ b/model/src/main/java/org/teaseltrestle/model/serving/WeightedPool.java
@@ -8,4 +8,4 @@
  * @param pool pool of backend servers
  * @param weight weight relative to the route's other pools
  */
-public record WeightedPool(PoolId pool, int weight) {}
+public record WeightedPool(PoolId pool, long weight) {}
--- a/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationService.java
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationService.java
@@ -16,6 +16,7 @@
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.model.serving.ConfigurationProblem;
 import org.teaseltrestle.model.serving.ServingConfiguration;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
@@ -29,6 +30,7 @@
 
   private final ControlGateway control;
   private final Function<byte[], ServingConfiguration> parser;
+  private final Function<ConfigurationProblem, String> describer;
   private final MonotonicClock clock;
   private final WallClock wallClock;
   private final long responseTimeoutNanos;
@@ -60,16 +62,19 @@
    * Creates the service.
    *
    * @param parser parses a document; throws a {@link TrestleException} if any part cannot be parsed
+   * @param describer describes a problem with the path of the field in the document
    * @param responseTimeoutNanos longest time that a call waits for a quorum, in nanoseconds
    */
   public ServingConfigurationService(
       ControlGateway control,
       Function<byte[], ServingConfiguration> parser,
+      Function<ConfigurationProblem, String> describer,
       MonotonicClock clock,
       WallClock wallClock,
       long responseTimeoutNanos) {
     this.control = control;
     this.parser = parser;
+    this.describer = describer;
     this.clock = clock;
     this.wallClock = wallClock;
     this.responseTimeoutNanos = responseTimeoutNanos;
@@ -83,7 +88,7 @@
     } catch (TrestleException e) {
       return invalid(0, List.of(String.valueOf(e.getMessage())));
     }
-    List<String> problems = parsed.problems();
+    List<String> problems = parsed.problems().stream().map(describer).toList();
     if (!problems.isEmpty()) {
       return invalid(parsed.version(), problems);
     }
