Resume resumable streams of routes that describe no prompts

Callers saw: a resumable stream on a route without sessionAffinity was cut when its server broke off, though another one could have continued it.

Cause: one flag (CARRIES_PREFIX_HASHES) decides whether a request is a MODEL_COMPLETION or a SERVICE_CALL, and the admission core resumed completions only.

Evidence: ResumedStreamTest#streamOfRouteWithoutPrefixHashesIsContinued failed in 4 of 4 rows before the change: no second attempt was sent ("expected [true] but found [false]").

Change: the admission core resumes whatever may be repeated and has reported progress. The check of a stream's continuation moves to StreamContinuation.

Why this works: the relay reports progress for numbered pieces only (tokens, events with an identifier); calls of plain services report none and never reach RESUME, and a stream that must not be repeated ends before that.

Conclusion: 4 of 4 rows hold; the budget of resumes applies as before.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.List;
-import java.util.Locale;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
@@ -139,10 +138,6 @@
     response.finish();
   }
 
-  private static String mediaType(@Nullable String contentType) {
-    return contentType == null ? "" : contentType.split(";", 2)[0].strip().toLowerCase(Locale.ROOT);
-  }
-
   private void recordResponseStart() {
     long now = context.clock().nowNanos();
     if (!responseStarted) {
@@ -247,7 +242,7 @@
                 .codec()
                 .classifyResponse(backendResponse.status(), identity, server.id(), header));
         if (response.isStarted()) {
-          checkContinuation(backendResponse);
+          StreamContinuation.check(backendResponse, response.contentType());
         }
         attemptFirstByteNanos = Math.max(1, context.clock().nowNanos() - startNanos);
         if (request.route().kind() == ServingRoute.Kind.STREAM && backendResponse.status() == OK) {
@@ -261,20 +256,6 @@
       return true;
     }
 
-    /** Checks that a started stream is followed by nothing but the rest of the same stream. */
-    private void checkContinuation(ServiceResponse backendResponse) {
-      int status = backendResponse.status();
-      String startedType = mediaType(response.contentType());
-      String type =
-          mediaType(ResponseVerdicts.lookup(backendResponse.headers()).apply("Content-Type"));
-      if (status != OK || !type.equals(startedType)) {
-        throw new AttemptFailure(
-            status >= FIRST_SERVER_ERROR ? FailureKind.SERVER_ERROR : FailureKind.ANSWER_MISMATCH,
-            "response with status " + status + " and type " + type + " does not continue a stream",
-            status);
-      }
-    }
-
     /** Returns the remote prefill of this attempt, or null if it has none. */
     private @Nullable RemotePrefill remotePrefill() {
       if (dispatch.prefillEngine() == null) {
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
@@ -128,6 +128,15 @@
     assertEquals(response.body(), events(1, EVENTS));
   }
 
+  /** Guards against a resumable stream that is cut because its route describes no prompts. */
+  @Test(dataProvider = "breaks")
+  public void streamOfRouteWithoutPrefixHashesIsContinued(Break kind) throws Exception {
+    RawCaller.Response response =
+        stream("/plain/x", kind, stream(200, events(EVENTS_BEFORE_BREAK + 1, EVENTS)));
+    assertEquals(response.end(), RawCaller.End.COMPLETE);
+    assertEquals(response.body(), events(1, EVENTS));
+  }
+
   /** Guards against events that come twice because the ones before the break have no identifier. */
   @Test
   public void streamWithoutIdentifiersIsNotResumed() throws Exception {
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -39,7 +39,7 @@
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.PolicyConfiguration;
 
-/** Relay with three routes in front of fake servers that are called round robin. */
+/** Relay with several routes in front of fake servers that are called round robin. */
 final class RoutedHarness implements AutoCloseable, ServerDirectory {
 
   private final StubControl control;
@@ -138,6 +138,8 @@
                 "/single/",
                 ServingRoute.Kind.STREAM,
                 Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
+            route("/plain/", ServingRoute.Kind.STREAM, Set.of(ServingRoute.Feature.RESUMABLE)),
+            route("/safe/", ServingRoute.Kind.IDEMPOTENT, Set.of()),
             route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
         List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
         accounts,
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -265,18 +265,12 @@
     return switch (action) {
       case RETRY_UNCOUNTED, RETRY_UNSENT -> true;
       case RETRY -> retryBudget.takeRetry();
-      case RESUME -> isResumable(request) && retryBudget.takeResume();
+      // Only responses of numbered pieces report progress, and those can be continued.
+      case RESUME -> retryBudget.takeResume();
       case END -> false;
     };
   }
 
-  /**
-   * Returns whether another server can continue a partial response; it cannot for a service call.
-   */
-  private static boolean isResumable(RequestState request) {
-    return request.work.kind() == WorkRequest.WorkKind.MODEL_COMPLETION;
-  }
-
   private void countTokens(AdmissionEvent.TokensReceived event) {
     RequestState request = requests.get(event.request());
     if (request != null && request.phase == Phase.RUNNING) {
