Don't run an idempotent call again once its response has started

Callers saw: nothing wrong, but servers ran such a call once more for nothing: a long response that is forwarded as it arrives broke off, a second server ran the call, and its answer was discarded by an exception because the response had started.

Cause: whether a started response may be followed by another attempt depended on the route's kind alone. Only streams can be continued.

Evidence: ResumedStreamTest#startedResponseOfIdempotentCallIsNotRepeated failed before with "expected [1] but found [2]" requests at the server.

Change: a response that is forwarded unbuffered is marked as not resumable, so that its failure ends the request.

Why this works: the same flag already guards streams without identifiers, and is checked before the next dispatch is awaited.

Conclusion: the caller's connection is aborted at once, and nothing runs twice.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -391,6 +391,7 @@
         List<HeaderField> headers,
         byte[] buffered,
         byte[] buffer) {
+      resumable = false;
       headers.forEach(field -> response.header(field.name(), field.value()));
       response.start(backendResponse.status(), null, -1);
       response.write(buffered, buffered.length);
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
@@ -137,6 +137,28 @@
     assertEquals(response.body(), events(1, EVENTS));
   }
 
+  /** Guards against a second run of a call whose response has started and cannot be continued. */
+  @Test
+  public void startedResponseOfIdempotentCallIsNotRepeated() throws Exception {
+    try (FakeServer server =
+            new FakeServer(
+                (request, output) -> {
+                  String head = "HTTP/1.1 200 x\r\nX-Request-Id: id-1\r\n";
+                  output.write(
+                      (head + "Transfer-Encoding: chunked\r\n\r\n")
+                          .getBytes(StandardCharsets.UTF_8));
+                  writeChunk(output, LARGE);
+                  return false;
+                });
+        RoutedHarness relay = new RoutedHarness(server, server);
+        RawCaller caller = new RawCaller(relay.port())) {
+      RawCaller.Response response = caller.request("GET /safe/x HTTP/1.1").read("GET");
+      assertEquals(response.status(), 200);
+      assertEquals(response.end(), RawCaller.End.BROKEN);
+      assertEquals(server.received.size(), 1);
+    }
+  }
+
   /** Guards against events that come twice because the ones before the break have no identifier. */
   @Test
   public void streamWithoutIdentifiersIsNotResumed() throws Exception {
