--- a/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResumedStreamTest.java
@@ -101,7 +101,7 @@
    */
   @Test(dataProvider = "answers")
   public void onlyTheSameStreamFollows(Break kind, String name, String answer) throws Exception {
-    RawCaller.Response response = stream("/stream/x", kind, answer);
+    RawCaller.Response response = receive("/stream/x", kind, answer);
     assertEquals(response.status(), 200);
     assertEquals(response.end(), RawCaller.End.BROKEN);
     assertTrue(events(1, EVENTS).startsWith(response.body()), response.body());
@@ -123,7 +123,7 @@
   @Test(dataProvider = "breaks")
   public void continuedStreamIsComplete(Break kind) throws Exception {
     RawCaller.Response response =
-        stream("/stream/x", kind, stream(200, events(EVENTS_BEFORE_BREAK + 1, EVENTS)));
+        receive("/stream/x", kind, stream(200, events(EVENTS_BEFORE_BREAK + 1, EVENTS)));
     assertEquals(response.end(), RawCaller.End.COMPLETE);
     assertEquals(response.body(), events(1, EVENTS));
   }
@@ -132,7 +132,7 @@
   @Test(dataProvider = "breaks")
   public void streamOfRouteWithoutPrefixHashesIsContinued(Break kind) throws Exception {
     RawCaller.Response response =
-        stream("/plain/x", kind, stream(200, events(EVENTS_BEFORE_BREAK + 1, EVENTS)));
+        receive("/plain/x", kind, stream(200, events(EVENTS_BEFORE_BREAK + 1, EVENTS)));
     assertEquals(response.end(), RawCaller.End.COMPLETE);
     assertEquals(response.body(), events(1, EVENTS));
   }
@@ -178,7 +178,7 @@
     }
   }
 
-  private static RawCaller.Response stream(String path, Break kind, String continuation)
+  private static RawCaller.Response receive(String path, Break kind, String continuation)
       throws IOException {
     FakeServer.Behaviour behaviour =
         (request, output) -> {
