Fail a connection whose server sends bytes before the request

Cause: the client reads whatever its connection holds once the request is sent.

Evidence: ConnectionTurnsTest.bytesBeforeTheRequestBelongToNoRequest failed on the code before: "Expected IOException to be thrown, but nothing was thrown".

Change: BoundedSocket checks before the first byte of a request that nothing has arrived. Reads fail too, since OkHttp reads a response also after it failed to send. The attempt counts as not sent.

Why this works: the check precedes the first byte, so nothing ran, and no byte is read afterwards. Bytes that arrive after this check and before the request still look like a response; their identifiers decide.

--- a/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
@@ -81,7 +81,7 @@
   }
 
   private FailureKind kindOf(IOException cause) {
-    if (!requestMayHaveBeenSent) {
+    if (!requestMayHaveBeenSent || cause instanceof BoundedSocket.EarlyResponseException) {
       return handle.isCancelled() && !handle.isExpired()
           ? FailureKind.CANCELLED
           : FailureKind.CONNECT_FAILED;
--- a/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
@@ -1,8 +1,10 @@
 package org.teaseltrestle.node.backend;
 
 import java.io.FilterInputStream;
+import java.io.FilterOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.ProtocolException;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -13,7 +15,8 @@
 /**
  * Socket that bounds how much a backend server may send without delivering any part of a response
  * body: heads, chunk extensions and trailers without end, and heads that never become complete.
- * Without a bound such bytes fill the memory or occupy a thread forever.
+ * Without a bound such bytes fill the memory or occupy a thread forever. Bytes that arrive before
+ * the request belong to no request, so the connection fails.
  */
 final class BoundedSocket extends Socket {
 
@@ -21,6 +24,8 @@
   private final int maximumUndeliveredBytes;
   private final Object lock = new Object();
   private boolean bounded;
+  private boolean requestStarted;
+  private boolean receivedEarlyBytes;
   private int undeliveredBytes;
   private boolean headComplete;
   private long headDeadlineNanos;
@@ -40,6 +45,7 @@
   void startResponse(Duration headTimeout) {
     synchronized (lock) {
       bounded = true;
+      requestStarted = false;
       undeliveredBytes = 0;
       headComplete = false;
       headDeadlineNanos = clock.nowNanos() + headTimeout.toNanos();
@@ -70,6 +76,31 @@
     }
   }
 
+  @Override
+  public OutputStream getOutputStream() throws IOException {
+    return new RequestOutputStream(super.getOutputStream());
+  }
+
+  /** Checks, before the first byte of a request, that the server has not sent anything yet. */
+  private void startRequest() throws IOException {
+    synchronized (lock) {
+      if (bounded && !requestStarted) {
+        requestStarted = true;
+        receivedEarlyBytes = getInputStream().available() > 0;
+      }
+    }
+    checkNoEarlyBytes();
+  }
+
+  /** OkHttp also reads a response after it failed to send the request. */
+  private void checkNoEarlyBytes() throws EarlyResponseException {
+    synchronized (lock) {
+      if (receivedEarlyBytes) {
+        throw new EarlyResponseException();
+      }
+    }
+  }
+
   private void checkHeadDeadline() throws SocketTimeoutException {
     synchronized (lock) {
       if (bounded && !headComplete && clock.nowNanos() - headDeadlineNanos > 0) {
@@ -88,6 +119,35 @@
     }
   }
 
+  /** Thrown before any byte of a request is sent, if the server has already sent some. */
+  static final class EarlyResponseException extends ProtocolException {
+
+    private static final long serialVersionUID = 1L;
+
+    EarlyResponseException() {
+      super("server sent bytes before the request");
+    }
+  }
+
+  private final class RequestOutputStream extends FilterOutputStream {
+
+    RequestOutputStream(OutputStream output) {
+      super(output);
+    }
+
+    @Override
+    public void write(int value) throws IOException {
+      startRequest();
+      out.write(value);
+    }
+
+    @Override
+    public void write(byte[] bytes, int offset, int length) throws IOException {
+      startRequest();
+      out.write(bytes, offset, length);
+    }
+  }
+
   private final class BoundedInputStream extends FilterInputStream {
 
     BoundedInputStream(InputStream input) {
@@ -96,6 +156,7 @@
 
     @Override
     public int read() throws IOException {
+      checkNoEarlyBytes();
       checkHeadDeadline();
       int value = super.read();
       count(value < 0 ? 0 : 1);
@@ -104,6 +165,7 @@
 
     @Override
     public int read(byte[] bytes, int offset, int length) throws IOException {
+      checkNoEarlyBytes();
       checkHeadDeadline();
       int count = super.read(bytes, offset, length);
       count(count);
