Read each status on a connection of its own

No caller saw this directly. A load report could be read from a late copy of another status, which says that a busy server has nothing to do, and every later status of the connection was that of the read before (native interface).

Cause: status reads reused connections, and nothing in a status says which read it belongs to. The comment in BackendHttp took the copy for an earlier status of the same kind.

Evidence: ResponseIdentityTest.ShortCalls.lateCopyOfOtherStatusIsNotReadAsLoad failed on the code before: "expected [7] but found [0]".

Change: status reads open a connection for each call, as requests and orders do.

Why this works: a connection that is asked one thing can only be read for it. The cost is one connection for each read; it was not measured.

--- a/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BackendHttp.java
@@ -19,9 +19,8 @@
  * first two, but not the third, so a network interceptor hides that header from OkHttp's retry
  * logic.
  *
- * <p>Requests and orders open a connection for each call. On a reused connection a late second copy
- * of a response would be read as that of the next call. Only {@link #polling()} reuses connections:
- * the worst that a late copy can do there is to repeat an earlier status of the same server.
+ * <p>Each call opens a connection. On a reused connection a late second copy of a response would be
+ * read as that of the next call, and every later response as that of the call after its own.
  */
 public final class BackendHttp implements AutoCloseable {
 
@@ -32,13 +31,10 @@
   static final int MAXIMUM_UNDELIVERED_BYTES = 128 * 1024;
 
   private static final int MAXIMUM_SHORT_RESPONSE_BYTES = 4 * 1024 * 1024;
-  private static final int MAXIMUM_IDLE_CONNECTIONS = 256;
-  private static final long KEEP_ALIVE_SECONDS = 30;
   private static final Duration SHORT_CALL_TIMEOUT = Duration.ofMillis(800);
 
   private final OkHttpClient fresh;
   private final OkHttpClient shortCalls;
-  private final OkHttpClient polling;
   private final OkHttpClient withoutReadTimeout;
 
   // By read timeout. Timeouts are settings, so there are few; a client for each call would be
@@ -75,12 +71,6 @@
             .socketFactory(
                 new BoundedSocketFactory(MonotonicClock.SYSTEM, MAXIMUM_SHORT_RESPONSE_BYTES))
             .build();
-    this.polling =
-        shortCalls
-            .newBuilder()
-            .connectionPool(
-                new ConnectionPool(MAXIMUM_IDLE_CONNECTIONS, KEEP_ALIVE_SECONDS, TimeUnit.SECONDS))
-            .build();
   }
 
   /** Returns the client that opens a connection for each call, with a timeout for each read. */
@@ -98,21 +88,16 @@
   }
 
   /**
-   * Returns the client for orders and other short calls, each on a connection of its own, with a
-   * timeout for the complete call.
+   * Returns the client for orders, status reads and other short calls, each on a connection of its
+   * own, with a timeout for the complete call.
    */
   OkHttpClient shortCalls() {
     return shortCalls;
   }
 
-  /** Returns the client for reads of a server's status, with a timeout for the complete call. */
-  OkHttpClient polling() {
-    return polling;
-  }
-
   @Override
   public void close() {
-    polling.connectionPool().evictAll();
+    fresh.connectionPool().evictAll();
   }
 
   private static Response hideRetryAfter(Interceptor.Chain chain) throws java.io.IOException {
--- a/node/src/main/java/org/teaseltrestle/node/backend/StatusReader.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/StatusReader.java
@@ -93,7 +93,7 @@
             .header("Accept", "application/json")
             .tag(AttemptProgress.class, progress)
             .build();
-    try (Response response = http.polling().newCall(request).execute()) {
+    try (Response response = http.shortCalls().newCall(request).execute()) {
       ResponseBody body = response.body();
       if (response.code() != 200 || body == null) {
         throw new AttemptFailure(
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResponseIdentityTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResponseIdentityTest.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
@@ -17,6 +18,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.teaseltrestle.node.backend.BackendHttp;
+import org.teaseltrestle.node.backend.HttpEngineClient;
 import org.teaseltrestle.node.port.ResponseIdentity;
 import org.testng.annotations.Test;
 
@@ -180,4 +183,33 @@
       assertEquals(status("/services/iard/lots", "services", true), 502);
     }
   }
+
+  /** Status reads. */
+  public static final class ShortCalls {
+
+    private static final String LOAD = "{\"role\":\"mixed\",\"running\":7}";
+
+    private static BackendHttp http() {
+      return new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(1));
+    }
+
+    /** Guards against a load report that is read from a late copy of another status. */
+    @Test
+    public void lateCopyOfOtherStatusIsNotReadAsLoad() {
+      Map<OutputStream, String> previous = new ConcurrentHashMap<>();
+      FakeServer.Behaviour repeatsResponses =
+          (request, output) -> {
+            String body = request.target().equals("/load") ? LOAD : "{\"events\":[]}";
+            String copy = previous.put(output, body);
+            FakeServer.send(output, 200, "", copy == null ? body : copy);
+            return true;
+          };
+      try (FakeServer engine = new FakeServer(repeatsResponses);
+          BackendHttp http = http()) {
+        HttpEngineClient client = new HttpEngineClient(http);
+        client.cacheEvents(engine.address(), 0);
+        assertEquals(client.load(engine.address()).running(), 7);
+      }
+    }
+  }
 }
