Ignore responses to requests in status reads and orders

Cause: these calls did not look at the identity of a response.

Change: status reads of servers and orders to servers, on both interfaces, check the identity first. Such an order has an unknown outcome. Calls to the platform are not checked: it is no backend server.

Why this works: both use the check of the requests, before the status.

--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpExternalClients.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpExternalClients.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import okhttp3.MediaType;
 import okhttp3.Request;
 import okhttp3.Response;
@@ -18,6 +19,7 @@
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.node.fleet.FleetEvent;
 import org.teaseltrestle.node.orders.ExternalClients;
+import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.AttemptHandle;
 import org.teaseltrestle.node.port.EngineOrderClient;
 import org.teaseltrestle.node.port.EntryInstances;
@@ -70,19 +72,24 @@
   /** Returns the client that sends orders to engines. */
   public EngineOrderClient engineOrders() {
     return (address, order) ->
-        post(address, "/orders", engineOrderBody(order), order.getFencingNumber());
+        post(
+            address,
+            "/orders",
+            engineOrderBody(order),
+            order.getFencingNumber(),
+            ResponseIdentities::check);
   }
 
   /** Returns the client that sends orders to the platform. */
   public PlatformOrderClient platformOrders() {
     return (order, fencingNumber) ->
-        post(platformAddress, "/orders", platformOrderBody(order), fencingNumber);
+        postToPlatform("/orders", platformOrderBody(order), fencingNumber);
   }
 
   /** Returns the client that sends usage reports to the platform. */
   public PlatformUsageClient platformUsage() {
     return (window, fencingNumber) ->
-        post(platformAddress, "/usage", usageReportBody(window, fencingNumber), fencingNumber);
+        postToPlatform("/usage", usageReportBody(window, fencingNumber), fencingNumber);
   }
 
   /** Returns the client that reads the platform's list of this system's own instances. */
@@ -188,7 +195,16 @@
     return body;
   }
 
-  private OrderResponse post(String address, String path, ObjectNode body, long fencingNumber) {
+  private OrderResponse postToPlatform(String path, ObjectNode body, long fencingNumber) {
+    return post(platformAddress, path, body, fencingNumber, response -> {});
+  }
+
+  private OrderResponse post(
+      String address,
+      String path,
+      ObjectNode body,
+      long fencingNumber,
+      Consumer<Response> identityCheck) {
     try {
       Request request =
           new Request.Builder()
@@ -198,9 +214,10 @@
               .tag(AttemptProgress.class, new AttemptProgress(new AttemptHandle()))
               .build();
       try (Response response = http.shortCalls().newCall(request).execute()) {
+        identityCheck.accept(response);
         return orderResponse(response);
       }
-    } catch (IOException e) {
+    } catch (IOException | AttemptFailure e) {
       return new OrderResponse(Kind.UNKNOWN, String.valueOf(e.getMessage()));
     }
   }
--- a/node/src/main/java/org/teaseltrestle/node/backend/JsonHttpClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/JsonHttpClient.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.function.Consumer;
 import okhttp3.MediaType;
 import okhttp3.Request;
 import okhttp3.RequestBody;
@@ -39,7 +40,7 @@
    *     time
    */
   public Reply get(String address, String target) {
-    return send("GET", address, target, List.of(), null);
+    return send("GET", address, target, List.of(), null, response -> {});
   }
 
   /**
@@ -50,7 +51,18 @@
    *     time
    */
   public Reply post(String address, String target, List<HeaderField> headers, byte[] body) {
-    return send("POST", address, target, headers, new OneShotBody(body, JSON));
+    return send("POST", address, target, headers, new OneShotBody(body, JSON), response -> {});
+  }
+
+  /**
+   * Sends a POST request that has no identifier to a backend server.
+   *
+   * @throws TrestleException with {@link ErrorCode#UNREACHABLE} if no complete response arrives in
+   *     time, or the response names a request
+   */
+  public Reply postToServer(String address, String target, List<HeaderField> headers, byte[] body) {
+    return send(
+        "POST", address, target, headers, new OneShotBody(body, JSON), ResponseIdentities::check);
   }
 
   private Reply send(
@@ -58,11 +70,13 @@
       String address,
       String target,
       List<HeaderField> headers,
-      @Nullable RequestBody body) {
+      @Nullable RequestBody body,
+      Consumer<Response> identityCheck) {
     Request.Builder request =
         new Request.Builder().url(BackendAddress.url(address, target)).method(method, body);
     headers.forEach(field -> request.header(field.name(), field.value()));
     try (Response response = http.shortCalls().newCall(request.build()).execute()) {
+      identityCheck.accept(response);
       ResponseBody content = response.body();
       return new Reply(response.code(), content == null ? new byte[0] : content.bytes());
     } catch (IOException e) {
--- a/node/src/main/java/org/teaseltrestle/node/backend/StatusReader.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/StatusReader.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
+import java.util.function.Consumer;
 import okhttp3.Request;
 import okhttp3.Response;
 import okhttp3.ResponseBody;
@@ -76,16 +77,17 @@
     return new CacheListing(listing.path("sequence").asLong(), prefixes);
   }
 
-  JsonNode get(String address, String target) {
-    return read(address, target, JSON::readTree);
+  private JsonNode get(String address, String target) {
+    return read(address, target, ResponseIdentities::check, JSON::readTree);
   }
 
   /** Reads a resource whose arrays hold entries of several writers. */
   JsonNode getList(String address, String target) {
-    return read(address, target, LenientListReader::read);
+    return read(address, target, platformResponse -> {}, LenientListReader::read);
   }
 
-  private JsonNode read(String address, String target, Parser parser) {
+  private JsonNode read(
+      String address, String target, Consumer<Response> identityCheck, Parser parser) {
     AttemptProgress progress = new AttemptProgress(new AttemptHandle());
     Request request =
         new Request.Builder()
@@ -94,6 +96,7 @@
             .tag(AttemptProgress.class, progress)
             .build();
     try (Response response = http.shortCalls().newCall(request).execute()) {
+      identityCheck.accept(response);
       ResponseBody body = response.body();
       if (response.code() != 200 || body == null) {
         throw new AttemptFailure(
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetPoller.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetPoller.java
@@ -90,6 +90,9 @@
             }
           } catch (AttemptFailure e) {
             failure = e.kind();
+            if (e.isForeignResponse()) {
+              LOG.warn(FleetEvent.STATUS_UNREADABLE, "server", id, "reason", String.valueOf(e));
+            }
           } catch (RuntimeException e) {
             LOG.warn(FleetEvent.STATUS_UNREADABLE, "server", id, "reason", String.valueOf(e));
             failure = FailureKind.ANSWER_MISMATCH;
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResponseIdentityTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResponseIdentityTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
 import java.io.OutputStream;
 import java.net.http.HttpRequest;
@@ -18,9 +19,16 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.backend.BackendHttp;
 import org.teaseltrestle.node.backend.HttpEngineClient;
+import org.teaseltrestle.node.backend.HttpExternalClients;
+import org.teaseltrestle.node.backend.JsonHttpClient;
+import org.teaseltrestle.node.port.AttemptFailure;
+import org.teaseltrestle.node.port.OrderResponse;
 import org.teaseltrestle.node.port.ResponseIdentity;
+import org.teaseltrestle.policy.FailureKind;
+import org.teaseltrestle.wire.EngineOrder;
 import org.testng.annotations.Test;
 
 /** Tests that a response counts only for the request that it names. */
@@ -184,7 +192,7 @@
     }
   }
 
-  /** Status reads. */
+  /** Status reads and orders. */
   public static final class ShortCalls {
 
     private static final String LOAD = "{\"role\":\"mixed\",\"running\":7}";
@@ -211,5 +219,46 @@
         assertEquals(client.load(engine.address()).running(), 7);
       }
     }
+
+    private static FakeServer namesOther(int status, String body) {
+      return new FakeServer(
+          (request, output) -> {
+            FakeServer.send(output, status, "X-Request-Id: other\r\n", body);
+            return true;
+          });
+    }
+
+    /** Guards against a load report that is read from the response to a request. */
+    @Test
+    public void responseToRequestIsNotReadAsLoad() {
+      try (FakeServer engine = namesOther(200, "{}");
+          BackendHttp http = http()) {
+        HttpEngineClient client = new HttpEngineClient(http);
+        AttemptFailure failure =
+            expectThrows(AttemptFailure.class, () -> client.load(engine.address()));
+        assertEquals(failure.kind(), FailureKind.ANSWER_MISMATCH);
+      }
+    }
+
+    /** Guards against an order that counts as accepted or refused by the response to a request. */
+    @Test
+    public void responseToRequestIsNoOutcomeOfOrder() {
+      for (int status : new int[] {200, 202, 400, 409, 412, 421, 429, 503}) {
+        try (FakeServer engine = namesOther(status, "{}");
+            BackendHttp http = http()) {
+          EngineOrder order = EngineOrder.newBuilder().setOrderId("o").setKind("drain").build();
+          OrderResponse outcome =
+              new HttpExternalClients(http, engine.address())
+                  .engineOrders()
+                  .send(engine.address(), order);
+          assertEquals(outcome.kind(), OrderResponse.Kind.UNKNOWN, "status " + status);
+          expectThrows(
+              TrestleException.class,
+              () ->
+                  new JsonHttpClient(http)
+                      .postToServer(engine.address(), "/api/order", List.of(), new byte[0]));
+        }
+      }
+    }
   }
 }
