Serve routes with prefix hashes at services without engines

What callers saw: each request of a route with sessionAffinity got 503 when the configuration sent it to a service without "engine", as the second service of the sample's traffic split is: an added or moved route was not served.

Cause: a request of such a route was a model completion whatever its service is. Servers of a plain service list no models, so none of them could run it.

Change: a request runs a model if its route carries prefix hashes and the pool chosen for it has an engine profile; otherwise it is a plain call. The harness of routed tests gets an engine profile for its engines and a plain pool.

Why this works: the admission core asks for a model only of model completions. Whether the platform sends such routes to plain services on the two sites of the incident is not known.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -17,6 +17,7 @@
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
 import org.teaseltrestle.model.serving.ServedAccount;
+import org.teaseltrestle.model.serving.ServedPool;
 import org.teaseltrestle.model.serving.ServingConfiguration;
 import org.teaseltrestle.model.serving.ServingRoute;
 import org.teaseltrestle.node.port.IncomingRequest;
@@ -158,11 +159,12 @@
           RefusalCode.MALFORMED_REQUEST, "a " + method + " request must not have a body");
     }
     long sample = ThreadLocalRandom.current().nextLong();
+    PoolId pool = route.poolFor(sample);
     RoutedRequest request =
         new RoutedRequest(
             route,
             configuration.version(),
-            route.poolFor(sample),
+            pool,
             account == null ? null : account.account(),
             incoming,
             method,
@@ -171,7 +173,17 @@
             body,
             arrivedAtNanos,
             deadline(route, incoming, arrivedAtNanos));
-    run(http, id, request, account, response, sample);
+    WorkRequest work = work(id, request, account, sample, runsModels(configuration, route, pool));
+    run(http, id, request, work, response);
+  }
+
+  /** Returns whether requests of a route run a model; plain services of such routes have none. */
+  private static boolean runsModels(
+      ServingConfiguration configuration, ServingRoute route, PoolId pool) {
+    ServedPool served = configuration.pool(pool);
+    return route.has(ServingRoute.Feature.CARRIES_PREFIX_HASHES)
+        && served != null
+        && served.engine() != null;
   }
 
   private static @Nullable ServedAccount account(
@@ -204,10 +216,8 @@
       HttpServerExchange http,
       RequestId id,
       RoutedRequest request,
-      @Nullable ServedAccount account,
-      CallerResponse response,
-      long sample) {
-    WorkRequest work = work(id, request, account, sample);
+      WorkRequest work,
+      CallerResponse response) {
     Caller caller = new Caller(work.account(), null, null);
     boolean cancellable = request.route().kind() != ServingRoute.Kind.AT_MOST_ONCE;
     RequestMailbox mailbox =
@@ -275,27 +285,28 @@
   }
 
   private WorkRequest work(
-      RequestId id, RoutedRequest request, @Nullable ServedAccount account, long sample) {
+      RequestId id,
+      RoutedRequest request,
+      @Nullable ServedAccount account,
+      long sample,
+      boolean runsModels) {
     ServingRoute route = request.route();
     IncomingRequest incoming = request.incoming();
-    boolean describesPrompts = route.has(ServingRoute.Feature.CARRIES_PREFIX_HASHES);
     PoolId pool = request.pool();
     int priority = account != null && account.priority() >= 0 ? account.priority() : -1;
     return new WorkRequest(
         // A caller may reuse an identifier concurrently; admission needs a unique one per request.
         new RequestId(id.value() + "/" + nextRequest.incrementAndGet()),
         account == null ? WorkRequest.OPEN_ROUTE_ACCOUNT : account.account(),
-        new ItemName(describesPrompts ? incoming.model() : pool.value()),
+        new ItemName(runsModels ? incoming.model() : pool.value()),
         pool,
-        describesPrompts
-            ? WorkRequest.WorkKind.MODEL_COMPLETION
-            : WorkRequest.WorkKind.SERVICE_CALL,
+        runsModels ? WorkRequest.WorkKind.MODEL_COMPLETION : WorkRequest.WorkKind.SERVICE_CALL,
         route.allowsReexecution()
             ? WorkRequest.Repeatability.IDEMPOTENT
             : WorkRequest.Repeatability.AT_MOST_ONCE,
         incoming.promptTokens(),
         incoming.expectedOutputTokens(),
-        describesPrompts ? sharedParts(incoming) : List.of(),
+        runsModels ? sharedParts(incoming) : List.of(),
         List.of(),
         request.deadlineNanos(),
         sample,
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -22,6 +22,7 @@
 import org.teaseltrestle.model.ItemName;
 import org.teaseltrestle.model.PoolId;
 import org.teaseltrestle.model.serving.CallerLimits;
+import org.teaseltrestle.model.serving.EngineProfile;
 import org.teaseltrestle.model.serving.ServedAccount;
 import org.teaseltrestle.model.serving.ServedPool;
 import org.teaseltrestle.model.serving.ServingConfiguration;
@@ -140,14 +141,31 @@
                 Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
             route("/plain/", ServingRoute.Kind.STREAM, Set.of(ServingRoute.Feature.RESUMABLE)),
             route("/safe/", ServingRoute.Kind.IDEMPOTENT, Set.of()),
-            route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of())),
-        List.of(new ServedPool(new PoolId("pool"), "/health", 10, null, null)),
+            route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of()),
+            route(
+                "/without-engine/",
+                ServingRoute.Kind.STREAM,
+                Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES),
+                "plain")),
+        List.of(
+            new ServedPool(
+                new PoolId("pool"),
+                "/health",
+                10,
+                new EngineProfile(8, 4_096, List.of(new ItemName("model"))),
+                null),
+            new ServedPool(new PoolId("plain"), "/health", 10, null, null)),
         accounts,
         CallerLimits.DEFAULT);
   }
 
   private static ServingRoute route(
       String prefix, ServingRoute.Kind kind, Set<ServingRoute.Feature> features) {
+    return route(prefix, kind, features, "pool");
+  }
+
+  private static ServingRoute route(
+      String prefix, ServingRoute.Kind kind, Set<ServingRoute.Feature> features, String pool) {
     return new ServingRoute(
         prefix,
         "127.0.0.1",
@@ -159,7 +177,21 @@
         5_000,
         500,
         0,
-        List.of(new WeightedPool(new PoolId("pool"), 1)));
+        List.of(new WeightedPool(new PoolId(pool), 1)));
+  }
+
+  /** Lists another server, which belongs to a plain service and so runs no model. */
+  void addPlainServer(FakeServer fake) {
+    servers.add(
+        new BackendServer(
+            new BackendServerId("plain"),
+            new PoolId("plain"),
+            new FailureDomain("a"),
+            fake.address(),
+            Set.of(),
+            BackendServer.Capacity.REGULAR,
+            BackendServer.State.LIVE));
+    admission.offer(new AdmissionEvent.FleetChanged(List.copyOf(servers)));
   }
 
   /** Returns the requests that wait or run; the value may be stale. */
