Keep the previous configuration if a committed one cannot be parsed

What callers saw: if a node could not parse the committed document, it parsed it again for each request and answered each with 500, on all routes, until a higher version could be read.

Change: the view remembers the version that it has seen, readable or not.

Why this works: a version is parsed once, under the lock, and the next higher one is parsed in any case. Documents are validated before they are published, so this concerns a document that a node of another release accepted.

--- a/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationView.java
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationView.java
@@ -7,7 +7,10 @@
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.model.serving.ServingConfiguration;
 
-/** Serving configuration in effect on this instance; its version never decreases. Thread-safe. */
+/**
+ * Serving configuration in effect on this instance; its version never decreases. A document that
+ * cannot be parsed leaves the previous version in effect. Thread-safe.
+ */
 public final class ServingConfigurationView {
 
   private static final EventLog LOG = EventLog.of(ServingConfigurationView.class);
@@ -15,7 +18,9 @@
   private final ControlGateway control;
   private final Function<byte[], ServingConfiguration> parser;
   private volatile @Nullable ServingConfiguration current;
-  private long unreadableVersion;
+
+  /** Version that was parsed or found unreadable last. */
+  private volatile long seenVersion;
 
   /**
    * Creates a view without a configuration.
@@ -28,51 +33,45 @@
     this.parser = parser;
   }
 
-  /** Returns the configuration with the latest version, null if none has been committed. */
+  /** Returns the configuration with the latest readable version, null if there is none. */
   public @Nullable ServingConfiguration current() {
     ServingDocument document = control.view().servingDocument();
-    ServingConfiguration latest = current;
-    boolean newer = latest == null || latest.version() < document.version();
-    return document.isPresent() && newer ? update(document) : latest;
+    return document.isPresent() && document.version() > seenVersion ? update(document) : current;
   }
 
   private synchronized @Nullable ServingConfiguration update(ServingDocument document) {
-    ServingConfiguration latest = current;
-    if (latest == null || latest.version() < document.version()) {
-      latest = parse(document);
-      current = latest;
-      LOG.info(
-          ServingEvent.CONFIGURATION_IN_FORCE,
-          "version",
-          latest.version(),
-          "routes",
-          latest.routes().size(),
-          "applied",
-          control.view().appliedIndex());
-    }
-    return latest;
-  }
-
-  private ServingConfiguration parse(ServingDocument document) {
-    try {
-      return parser.apply(document.document().toByteArray());
-    } catch (RuntimeException e) {
-      if (unreadableVersion != document.version()) {
-        unreadableVersion = document.version();
-        ServingConfiguration inForce = current;
-        LOG.error(
-            ServingEvent.CONFIGURATION_UNREADABLE,
-            e,
+    if (document.version() > seenVersion) {
+      try {
+        ServingConfiguration latest = parser.apply(document.document().toByteArray());
+        current = latest;
+        LOG.info(
+            ServingEvent.CONFIGURATION_IN_FORCE,
             "version",
-            document.version(),
-            "bytes",
-            document.document().size(),
-            "inForce",
-            inForce == null ? 0 : inForce.version(),
+            latest.version(),
+            "routes",
+            latest.routes().size(),
             "applied",
             control.view().appliedIndex());
+      } catch (RuntimeException e) {
+        logUnreadable(document, e);
       }
-      throw e;
+      seenVersion = document.version();
     }
+    return current;
+  }
+
+  private void logUnreadable(ServingDocument document, RuntimeException cause) {
+    ServingConfiguration inForce = current;
+    LOG.error(
+        ServingEvent.CONFIGURATION_UNREADABLE,
+        cause,
+        "version",
+        document.version(),
+        "bytes",
+        document.document().size(),
+        "inForce",
+        inForce == null ? 0 : inForce.version(),
+        "applied",
+        control.view().appliedIndex());
   }
 }
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/serving/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the serving configuration in effect. */
+@NullMarked
+package org.teaseltrestle.node.serving;
+
+import org.jspecify.annotations.NullMarked;
