Apply a change of the lists before the next admission decision

What callers saw: on the product's own interface, requests of a client account that had just been added, or got its first plan, were refused with 403 for up to 250 ms, a status that callers do not retry. Found by one row of ResponseEndTest (service unbuffered, HTTP/1.1, keep-alive) that got 403 in place of 200 once and was not explained there.

Cause: relay threads check an account against the latest view of the control state, while the admission duty took changed lists at its next tick only. In between, one part of a node knew the account and the other did not.

Change: each event first applies changed lists, as it does changed suspected prompt parts.

Why this works: the view that the duty reads is at least as new as the one that the relay thread had read before it submitted the request. On the platform's interface accounts without a plan are unlimited, so it was not affected.

--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -38,7 +38,7 @@
   /** Accuracy with which the deadlines of waiting requests are observed. */
   private static final long WAITING_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  /** Time within which a change of lists or keys is noticed while no request waits. */
+  /** Time within which a withdrawn key is noticed while no request waits. */
   private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private static final long OFFER_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -134,11 +134,24 @@
   }
 
   private void handle(AdmissionEvent event) {
+    applyLists();
     applySuspectParts();
     decide(event);
     promptParts.flush(clock.nowNanos());
   }
 
+  /**
+   * Applies a change of the lists before the next decision, because the relay threads check
+   * accounts against the latest view themselves.
+   */
+  private void applyLists() {
+    ControlView view = control.view();
+    if (view.listsRevision() != listsRevision) {
+      listsRevision = view.listsRevision();
+      decide(new AdmissionEvent.ListsChanged(AccountLimits.of(view.lists())));
+    }
+  }
+
   /** Applies a change of the suspected parts before the next decision. */
   private void applySuspectParts() {
     ControlView view = control.view();
@@ -177,10 +190,6 @@
 
   private void tick(long nowNanos) {
     ControlView view = control.view();
-    if (view.listsRevision() != listsRevision) {
-      listsRevision = view.listsRevision();
-      handle(new AdmissionEvent.ListsChanged(AccountLimits.of(view.lists())));
-    }
     if (view.appliedIndex() != appliedIndex) {
       appliedIndex = view.appliedIndex();
       revokeWithdrawnKeys(view);
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -56,6 +56,7 @@
   volatile boolean ready = true;
   volatile boolean reachable = true;
   volatile boolean withdrawn;
+  volatile long listsRevision = 1;
   volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
   volatile ByteString document = ByteString.EMPTY;
   private final ControlState state = new ControlState();
@@ -139,7 +140,7 @@
 
   @Override
   public long listsRevision() {
-    return 1;
+    return listsRevision;
   }
 
   @Override
