Apply the configuration's limits on headers and bodies

What callers saw: limits.maxHeaderBytes and maxBodyBytes were read and had no effect; a body that the configuration allows was refused with 413 where it was larger than the built-in 4 MiB.

Cause: the routed interface used the limits of RelaySettings for bodies and none for headers.

Change: HeaderLimit, taken from the native interface, and BodyReader get the limits of the configuration under which the request is routed. The harness of routed tests can publish a new version with other limits.

Why this works: the configuration is read for each request, so a new version binds without a restart. Left: the server ends chunked bodies above 16 MiB and headers above 64 KiB by itself, since Undertow takes these bounds at its start; headerTimeoutMs and idleTimeoutMs have no effect yet.

--- a/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
@@ -36,17 +36,26 @@
     this.growingBodies = new Semaphore((int) Math.max(1, memory.largeCapacity() / largestBytes));
   }
 
+  /** Reads a body within the size limit of the settings. */
+  byte[] read(HttpServerExchange exchange, ByteBudget.Reservation memory) {
+    return read(exchange, memory, settings.maximumBodyBytes());
+  }
+
   /**
    * Reads the body.
    *
    * @param memory reservation to which the body is added
+   * @param maximumBytes maximum size of the body
    * @throws RefusalException if it is too large, does not arrive in time or does not fit
    * @throws CallerDisconnectedException if the connection breaks
    */
-  byte[] read(HttpServerExchange exchange, ByteBudget.Reservation memory) {
+  byte[] read(HttpServerExchange exchange, ByteBudget.Reservation memory, int maximumBytes) {
     long length = exchange.getRequestContentLength();
-    if (length > settings.maximumBodyBytes()) {
-      throw tooLarge(exchange);
+    if (length > maximumBytes) {
+      throw tooLarge(exchange, maximumBytes);
+    }
+    if (maximumBytes > settings.maximumBodyBytes()) {
+      exchange.setMaxEntitySize(RelaySettings.ENTITY_SIZE_FACTOR * maximumBytes);
     }
     boolean fits = length <= 0 || memory.tryAdd(length);
     try {
@@ -61,11 +70,11 @@
               ? new ExactBody((int) length)
               : new GrowingBody(exchange, memory, !fits);
       try (body) {
-        readAll(exchange, exchange.getRequestChannel(), body);
+        readAll(exchange, exchange.getRequestChannel(), body, maximumBytes);
         return body.toByteArray();
       }
     } catch (RequestTooBigException e) {
-      throw tooLarge(exchange);
+      throw tooLarge(exchange, maximumBytes);
     } catch (IOException e) {
       throw new CallerDisconnectedException();
     }
@@ -74,7 +83,8 @@
   private void readAll(
       HttpServerExchange exchange,
       @Nullable StreamSourceChannel channel,
-      ByteArrayOutputStream body)
+      ByteArrayOutputStream body,
+      int maximumBytes)
       throws IOException {
     if (channel == null) {
       return;
@@ -88,8 +98,8 @@
       }
       body.write(buffer.array(), 0, buffer.position());
       buffer.clear();
-      if (body.size() > settings.maximumBodyBytes()) {
-        throw tooLarge(exchange);
+      if (body.size() > maximumBytes) {
+        throw tooLarge(exchange, maximumBytes);
       }
       // A body that arrives slowly must meet the same deadline as one that stalls.
       long remaining = deadlineNanos - clock.nowNanos();
@@ -110,11 +120,10 @@
         RefusalCode.MEMORY_FULL, "the bodies of other requests take the memory of this instance");
   }
 
-  private RefusalException tooLarge(HttpServerExchange exchange) {
+  private static RefusalException tooLarge(HttpServerExchange exchange, int maximumBytes) {
     exchange.setPersistent(false);
     return new RefusalException(
-        RefusalCode.BODY_TOO_LARGE,
-        "the request body is larger than " + settings.maximumBodyBytes() + " bytes");
+        RefusalCode.BODY_TOO_LARGE, "the request body is larger than " + maximumBytes + " bytes");
   }
 
   /**
--- a/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 import java.util.UUID;
@@ -58,7 +57,7 @@
       HttpServerExchange http, RequestId request, String path, CallerResponse response) {
     CallerCredentials credentials =
         CallerCredentials.extract(http.getRequestHeaders(), http.getQueryString());
-    checkHeaders(http);
+    HeaderLimit.check(http, context.settings().maximumHeaderBytes());
     context.authenticator().requireReady();
     Exchange exchange = new Exchange(http, request, path, credentials, response);
     if (path.startsWith(ServiceTarget.PREFIX)) {
@@ -130,23 +129,6 @@
     }
   }
 
-  private void checkHeaders(HttpServerExchange exchange) {
-    int bytes = exchange.getQueryString().length() + exchange.getRequestURI().length();
-    for (HeaderValues values : exchange.getRequestHeaders()) {
-      for (String value : values) {
-        bytes += values.getHeaderName().length() + value.length();
-      }
-    }
-    if (bytes > context.settings().maximumHeaderBytes()) {
-      exchange.setPersistent(false);
-      throw new RefusalException(
-          RefusalCode.HEADERS_TOO_LARGE,
-          "the request target and headers are larger than "
-              + context.settings().maximumHeaderBytes()
-              + " bytes");
-    }
-  }
-
   /** Responds on the I/O thread. */
   private static void page(HttpServerExchange exchange, int status, byte[] body) {
     exchange.setStatusCode(status);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayService.java
@@ -198,7 +198,9 @@
         .setWorker(ioWorker)
         .addHttpListener(settings.port(), settings.host(), router)
         .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 4 * settings.maximumHeaderBytes())
-        .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, 4L * settings.maximumBodyBytes())
+        .setServerOption(
+            UndertowOptions.MAX_ENTITY_SIZE,
+            RelaySettings.ENTITY_SIZE_FACTOR * settings.maximumBodyBytes())
         .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MILLISECONDS)
         .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEADER_TIMEOUT_MILLISECONDS)
         .setServerOption(UndertowOptions.DECODE_URL, false)
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelaySettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelaySettings.java
@@ -6,6 +6,9 @@
 /** Settings of the relay; created by {@link #builder()}. */
 public final class RelaySettings {
 
+  /** Bodies up to this multiple of their limit are read, so that their callers get a response. */
+  static final long ENTITY_SIZE_FACTOR = 4;
+
   private final Builder values;
 
   private RelaySettings(Builder values) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -16,6 +16,7 @@
 import org.teaseltrestle.model.PoolId;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
+import org.teaseltrestle.model.serving.CallerLimits;
 import org.teaseltrestle.model.serving.ServedAccount;
 import org.teaseltrestle.model.serving.ServedPool;
 import org.teaseltrestle.model.serving.ServingConfiguration;
@@ -138,6 +139,8 @@
       throw new RefusalException(
           RefusalCode.NOT_READY, "no serving configuration has been received yet");
     }
+    CallerLimits limits = configuration.limits();
+    HeaderLimit.check(http, limits.maximumHeaderBytes());
     String host = http.getRequestHeaders().getFirst(Headers.HOST);
     ServingRoute route = configuration.route(host == null ? "" : host, path);
     if (route == null) {
@@ -152,7 +155,7 @@
     }
     IncomingRequest incoming = incoming(http);
     ServedAccount account = account(configuration, route, incoming);
-    byte[] body = bodies.read(http, response.memory());
+    byte[] body = bodies.read(http, response.memory(), limits.maximumBodyBytes());
     String method = http.getRequestMethod().toString();
     if (body.length > 0 && (method.equals("GET") || method.equals("HEAD"))) {
       throw new RefusalException(
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -49,6 +49,7 @@
   private final AdmissionCore core;
   private final AdmissionDuty admission;
   private final RelayService relay;
+  private volatile CallerLimits limits = CallerLimits.DEFAULT;
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
@@ -127,9 +128,15 @@
     relay.start();
   }
 
-  private static ServingConfiguration configuration(List<ServedAccount> accounts) {
+  /** Publishes a configuration with other limits on requests. */
+  void publishLimits(CallerLimits changed) {
+    limits = changed;
+    control.documentVersion++;
+  }
+
+  private ServingConfiguration configuration(List<ServedAccount> accounts) {
     return new ServingConfiguration(
-        1,
+        control.documentVersion,
         List.of(
             route(
                 "/stream/",
@@ -156,7 +163,7 @@
                 null),
             new ServedPool(new PoolId("plain"), "/health", 10, null, null)),
         accounts,
-        CallerLimits.DEFAULT);
+        limits);
   }
 
   private static ServingRoute route(
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -59,6 +59,7 @@
   volatile long listsRevision = 1;
   volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
   volatile ByteString document = ByteString.EMPTY;
+  volatile long documentVersion = 1;
   private final ControlState state = new ControlState();
   private final AtomicLong reportedAtMillis = new AtomicLong();
   private volatile long index = 1;
@@ -79,7 +80,9 @@
 
   @Override
   public ServingDocument servingDocument() {
-    return document.isEmpty() ? ServingDocument.NONE : new ServingDocument(1, document);
+    return document.isEmpty()
+        ? ServingDocument.NONE
+        : new ServingDocument(documentVersion, document);
   }
 
   @Override
