Ask for entries of the committed log that were lost at once

Cause: a child noticed a gap only by a message with commands, and its parent sent entries again only if the child reported the same applied index twice. On a quiet system the reply to the first renewal after the loss was empty, and the entries followed the second one. A gap noticed by later commands was also taken for progress if the index had advanced since the last report.

Change: any message whose entries the child lacks shows the gap; one with commands may be a part, which is no gap. The child then asks with entries_missing in its renewal, at most each 100 ms, and the parent sends from the reported index. An earlier parent ignores the field and behaves as before. E3017 is now logged with each request, not with each message.

Evidence: with ChildFeeds of the code before and the rest of this change, ChildFeedsTest#batchLostBeforeAnotherIsSentAtTheFirstRequest failed: two entries expected, none sent. lostBatchIsRequestedByTheNextMessageAndSentAtOnce needs GapDetector and was not run before. On a quiet system a loss is noticed by the reply to the next renewal, so within 1 s.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -98,7 +98,8 @@
     lists = state.view().lists();
     // An index that has not advanced although more was sent means that a message was lost.
     boolean stalled = bundle.getAppliedIndex() == child.reportedIndex;
-    if (!subscribed || stalled || bundle.getAppliedIndex() > child.sentIndex) {
+    boolean missing = stalled || bundle.getEntriesMissing();
+    if (!subscribed || missing || bundle.getAppliedIndex() > child.sentIndex) {
       child.sentIndex = bundle.getAppliedIndex();
     }
     child.reportedIndex = bundle.getAppliedIndex();
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -45,6 +45,7 @@
   private final ChildFeeds children;
   private final LeaseRenewer leaseRenewer;
   private final ParentSelector parentSelector;
+  private final GapDetector gapDetector;
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private final FollowerKnowledge knowledge = new FollowerKnowledge();
@@ -64,6 +65,7 @@
     long now = context.clock().nowNanos();
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
+    this.gapDetector = new GapDetector(now);
     this.children =
         new ChildFeeds(context.transport(), addresses, context.clock(), knowledge::known);
     this.leaseRenewer =
@@ -229,14 +231,24 @@
     parentSelector.newsReceived(sender, news, now);
     apply(message.getCommandsList());
     knowledge.received(news, state.appliedIndex());
-    logGap(sender, message);
-    if (!message.getCommandsList().isEmpty() && state.appliedIndex() < message.getAppliedIndex()) {
+    if (gapDetector.requestsMissing(message, state.appliedIndex(), now)) {
+      LOG.warn(
+          ReplicaEvent.ENTRIES_MISSING,
+          "appliedIndex",
+          state.appliedIndex(),
+          "announcedIndex",
+          message.getAppliedIndex(),
+          "parent",
+          sender);
+      leaseRenewer.requestMissingEntries(now);
+    } else if (!message.getCommandsList().isEmpty()
+        && state.appliedIndex() < message.getAppliedIndex()) {
       leaseRenewer.makeDueNow(now);
     }
     publishApplied();
   }
 
-  /** Applies the next commands in order; after a gap, the next renewal requests what is missing. */
+  /** Applies the next commands in order. */
   private void apply(List<LoggedCommand> commands) {
     try {
       for (LoggedCommand command : commands) {
@@ -249,24 +261,6 @@
     }
   }
 
-  private void logGap(String sender, CommittedCommands message) {
-    List<LoggedCommand> commands = message.getCommandsList();
-    long received =
-        commands.isEmpty()
-            ? message.getAppliedIndex()
-            : commands.get(commands.size() - 1).getIndex();
-    if (state.appliedIndex() < received) {
-      LOG.warn(
-          ReplicaEvent.ENTRIES_MISSING,
-          "appliedIndex",
-          state.appliedIndex(),
-          "announcedIndex",
-          message.getAppliedIndex(),
-          "parent",
-          sender);
-    }
-  }
-
   private void onState(String sender, CommittedState message) {
     long now = context.clock().nowNanos();
     parentSelector.messageReceived(sender, now);
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -34,6 +34,7 @@
   private final ChildFeeds children;
   private Map<String, Double> ownDemand = Map.of();
   private List<PoolDemand> ownPools = List.of();
+  private boolean entriesMissing;
   private long nextOwnRenewalNanos;
   private long nextChildRenewalsNanos;
 
@@ -68,6 +69,12 @@
     nextOwnRenewalNanos = nowNanos;
   }
 
+  /** Asks the parent, with the next bundle, for the entries after the applied index. */
+  void requestMissingEntries(long nowNanos) {
+    entriesMissing = true;
+    makeDueNow(nowNanos);
+  }
+
   /** Returns the next bundle and schedules the one after it. */
   RenewalBundle bundle(AppliedState state, long nowNanos) {
     RenewalBundle.Builder bundle =
@@ -77,7 +84,9 @@
             .setAppliedIndex(state.appliedIndex())
             .setReplyAddress(PeerAddresses.format(settings.peerAddress()))
             .setFollows(subscription == Subscription.COMMITTED_LOG)
+            .setEntriesMissing(entriesMissing)
             .addAllRenewals(children.drainRenewals());
+    entriesMissing = false;
     nextChildRenewalsNanos = nowNanos + CHILD_RENEWALS_INTERVAL_NANOS;
     if (nowNanos - nextOwnRenewalNanos >= 0) {
       nextOwnRenewalNanos = nowNanos + OWN_RENEWAL_INTERVAL_NANOS;
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.replica;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
@@ -141,6 +142,88 @@
     assertEquals(last.get(last.size() - 1).getIndex(), COMMITS_PER_SECOND + 1);
   }
 
+  /**
+   * Guards against a batch that a broken connection lost and that is sent again only at the second
+   * renewal after it, up to two seconds later.
+   */
+  @Test
+  public void lostBatchIsRequestedByTheNextMessageAndSentAtOnce() {
+    long[] now = {0};
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> now[0]);
+    log.apply(1, ByteString.EMPTY);
+    feeds.onBundle(renewal(0).build(), log);
+    log.apply(2, ByteString.EMPTY);
+    now[0] += SECOND_NANOS / 2;
+    feeds.feed(log);
+    assertEquals(lastSentIndexes(), List.of(2L));
+    // The second entry is lost, and no other one follows it.
+    now[0] += SECOND_NANOS / 2;
+    feeds.onBundle(renewal(1).build(), log);
+    CommittedCommands empty = sentCommands.get(sentCommands.size() - 1);
+    assertEquals(lastSentIndexes(), List.of());
+    assertTrue(new GapDetector(0).requestsMissing(empty, 1, now[0]));
+    feeds.onBundle(renewal(1).setEntriesMissing(true).build(), log);
+    assertEquals(lastSentIndexes(), List.of(2L));
+  }
+
+  /** Guards against a gap that the child reports and the parent takes for progress. */
+  @Test
+  public void batchLostBeforeAnotherIsSentAtTheFirstRequest() {
+    long[] now = {0};
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> now[0]);
+    feeds.onBundle(renewal(0).build(), log);
+    for (int i = 1; i <= 3; i++) {
+      log.apply(i, ByteString.EMPTY);
+      now[0] += SECOND_NANOS / 10;
+      feeds.feed(log);
+      assertEquals(lastSentIndexes(), List.of((long) i));
+    }
+    // The second entry was lost.
+    assertTrue(
+        new GapDetector(0).requestsMissing(sentCommands.get(sentCommands.size() - 1), 1, now[0]));
+    feeds.onBundle(renewal(1).setEntriesMissing(true).build(), log);
+    assertEquals(lastSentIndexes(), List.of(2L, 3L));
+  }
+
+  /** Guards against a request that is repeated with each message until the entries arrive. */
+  @Test
+  public void missingEntriesAreRequestedAtBoundedRate() {
+    GapDetector child = new GapDetector(0);
+    CommittedCommands ahead = CommittedCommands.newBuilder().setAppliedIndex(9).build();
+    int requests = 0;
+    for (long now = 0; now < SECOND_NANOS; now += SECOND_NANOS / 100) {
+      requests += child.requestsMissing(ahead, 8, now) ? 1 : 0;
+    }
+    assertEquals(requests, 10);
+  }
+
+  /** Guards against parts of a long log that are requested again although they are on their way. */
+  @Test
+  public void partOfTheLogIsNoGap() {
+    CommittedCommands part =
+        CommittedCommands.newBuilder()
+            .setAppliedIndex(9)
+            .addCommands(LoggedCommand.newBuilder().setIndex(5))
+            .build();
+    assertFalse(new GapDetector(0).requestsMissing(part, 5, 0));
+    assertTrue(new GapDetector(0).requestsMissing(part, 3, 0));
+  }
+
+  private static RenewalBundle.Builder renewal(long appliedIndex) {
+    return RenewalBundle.newBuilder()
+        .setInstance("child")
+        .setReplyAddress("127.0.0.1:2")
+        .setAppliedIndex(appliedIndex);
+  }
+
+  private List<Long> lastSentIndexes() {
+    return sentCommands.get(sentCommands.size() - 1).getCommandsList().stream()
+        .map(LoggedCommand::getIndex)
+        .toList();
+  }
+
   private static ByteString usageBatch(int number) {
     return Command.newBuilder()
         .setUsageBatch(
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
@@ -331,6 +331,21 @@
     return poolDemand_.get(index);
   }
 
+  public static final int ENTRIES_MISSING_FIELD_NUMBER = 9;
+  private boolean entriesMissing_ = false;
+  /**
+   * <pre>
+   * Whether the sender has noticed that entries after applied_index did not arrive.
+   * </pre>
+   *
+   * <code>bool entries_missing = 9;</code>
+   * @return The entriesMissing.
+   */
+  @java.lang.Override
+  public boolean getEntriesMissing() {
+    return entriesMissing_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -369,6 +384,9 @@
     for (int i = 0; i < poolDemand_.size(); i++) {
       output.writeMessage(8, poolDemand_.get(i));
     }
+    if (entriesMissing_ != false) {
+      output.writeBool(9, entriesMissing_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -408,6 +426,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(8, poolDemand_.get(i));
     }
+    if (entriesMissing_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, entriesMissing_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -439,6 +461,8 @@
         != other.getFollows()) return false;
     if (!getPoolDemandList()
         .equals(other.getPoolDemandList())) return false;
+    if (getEntriesMissing()
+        != other.getEntriesMissing()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -475,6 +499,9 @@
       hash = (37 * hash) + POOL_DEMAND_FIELD_NUMBER;
       hash = (53 * hash) + getPoolDemandList().hashCode();
     }
+    hash = (37 * hash) + ENTRIES_MISSING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getEntriesMissing());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -637,6 +664,7 @@
         poolDemandBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      entriesMissing_ = false;
       return this;
     }
 
@@ -716,6 +744,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.follows_ = follows_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.entriesMissing_ = entriesMissing_;
+      }
     }
 
     @java.lang.Override
@@ -827,6 +858,9 @@
           }
         }
       }
+      if (other.getEntriesMissing() != false) {
+        setEntriesMissing(other.getEntriesMissing());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -917,6 +951,11 @@
               }
               break;
             } // case 66
+            case 72: {
+              entriesMissing_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2050,6 +2089,50 @@
       return poolDemandBuilder_;
     }
 
+    private boolean entriesMissing_ ;
+    /**
+     * <pre>
+     * Whether the sender has noticed that entries after applied_index did not arrive.
+     * </pre>
+     *
+     * <code>bool entries_missing = 9;</code>
+     * @return The entriesMissing.
+     */
+    @java.lang.Override
+    public boolean getEntriesMissing() {
+      return entriesMissing_;
+    }
+    /**
+     * <pre>
+     * Whether the sender has noticed that entries after applied_index did not arrive.
+     * </pre>
+     *
+     * <code>bool entries_missing = 9;</code>
+     * @param value The entriesMissing to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntriesMissing(boolean value) {
+
+      entriesMissing_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender has noticed that entries after applied_index did not arrive.
+     * </pre>
+     *
+     * <code>bool entries_missing = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEntriesMissing() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      entriesMissing_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RenewalBundle)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
@@ -167,4 +167,14 @@
    */
   org.teaseltrestle.wire.PoolDemandOrBuilder getPoolDemandOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Whether the sender has noticed that entries after applied_index did not arrive.
+   * </pre>
+   *
+   * <code>bool entries_missing = 9;</code>
+   * @return The entriesMissing.
+   */
+  boolean getEntriesMissing();
 }
