Don't end a service's event stream with an error event of the relay

Callers saw: a long event stream of a plain service (own interface) that failed unexpectedly within the relay got "event: error" in its middle, possibly within an event, and then ended as a complete response.

Cause: NativeCallerInterface recognised its own completion streams by the response's content type, which a service's stream shares.

Evidence: ResponseEndTest#brokenEventStreamOfServiceGetsNoErrorEvent failed before with "expected [BROKEN] but found [COMPLETE]".

Change: StreamingSink marks its response as one that accepts error events; every other started response is aborted.

Why this works: the mark is set by the only writer of completion streams.

Conclusion: foreign streams are never extended. Failures of the service's own connection were aborted before, too.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -48,6 +48,7 @@
   private @Nullable StreamSinkChannel channel;
   private State state = State.NOT_STARTED;
   private long bodyBytes;
+  private boolean acceptsErrorEvents;
 
   CallerResponse(
       HttpServerExchange exchange,
@@ -76,6 +77,17 @@
     return state == State.FINISHED;
   }
 
+  /**
+   * Marks the response as an event stream of the relay's own, which may end with an error event.
+   */
+  void acceptErrorEvents() {
+    acceptsErrorEvents = true;
+  }
+
+  boolean acceptsErrorEvents() {
+    return acceptsErrorEvents;
+  }
+
   @Nullable String contentType() {
     return exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
   }
--- a/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
@@ -84,8 +84,7 @@
 
   @Override
   public void failStarted(CallerResponse response, RefusalException refusal, RequestId request) {
-    String contentType = response.contentType();
-    if (contentType == null || !contentType.startsWith("text/event-stream")) {
+    if (!response.acceptsErrorEvents()) {
       response.abort();
       return;
     }
--- a/node/src/main/java/org/teaseltrestle/node/relay/StreamingSink.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/StreamingSink.java
@@ -37,6 +37,7 @@
   private void write(CompletionChecker.Chunk chunk, String appended) {
     if (!response.isStarted()) {
       response.header("Cache-Control", "no-cache");
+      response.acceptErrorEvents();
       response.start(200, "text/event-stream; charset=utf-8", -1);
     }
     byte[] event = ("data: " + chunk.data() + "\n\n" + appended).getBytes(StandardCharsets.UTF_8);
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -28,6 +28,7 @@
 import org.teaseltrestle.node.backend.HttpEngineClient;
 import org.teaseltrestle.node.backend.HttpServiceClient;
 import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.port.ServiceClient;
 import org.teaseltrestle.policy.AdmissionCore;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
@@ -72,6 +73,23 @@
   }
 
   RelayHarness(RelaySettings.Builder settings, Duration shutdownDelay, PolicyConfiguration policy) {
+    this(settings, shutdownDelay, policy, null);
+  }
+
+  /** Creates a relay that calls services through a client of the test. */
+  RelayHarness(ServiceClient services) {
+    this(
+        RelaySettings.builder(),
+        Duration.ofMillis(50),
+        PolicyConfiguration.builder().build(),
+        services);
+  }
+
+  private RelayHarness(
+      RelaySettings.Builder settings,
+      Duration shutdownDelay,
+      PolicyConfiguration policy,
+      @Nullable ServiceClient services) {
     AdmissionCore core = new AdmissionCore(policy);
     admission =
         new AdmissionDuty(
@@ -93,7 +111,9 @@
             .control(control)
             .admission(admission)
             .directory(this)
-            .backends(new HttpEngineClient(http), new HttpServiceClient(http))
+            .backends(
+                new HttpEngineClient(http),
+                services == null ? new HttpServiceClient(http) : services)
             .usage(usage)
             .identity(new InstanceId("entry-1"), 7)
             .build();
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResponseEndTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResponseEndTest.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
@@ -8,7 +9,14 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
+import org.teaseltrestle.node.port.HeaderField;
+import org.teaseltrestle.node.port.ResponseFraming;
+import org.teaseltrestle.node.port.ServiceCall;
+import org.teaseltrestle.node.port.ServiceClient;
+import org.teaseltrestle.node.port.ServiceLoad;
+import org.teaseltrestle.node.port.ServiceResponse;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -130,6 +138,70 @@
     assertEquals(started, 150);
   }
 
+  /**
+   * Guards against an error event of the relay within a service's own event stream, which then
+   * looks complete.
+   */
+  @Test
+  public void brokenEventStreamOfServiceGetsNoErrorEvent() throws Exception {
+    try (FakeServer unused = new FakeServer((request, output) -> false);
+        RelayHarness relay = new RelayHarness(new FailingServices()).with("services", unused)) {
+      RawCaller.Response response =
+          send(Kind.SERVICE_UNBUFFERED, "HTTP/1.1", "", relay.relay.port());
+      assertEquals(response.status(), OK);
+      assertEquals(response.end(), RawCaller.End.BROKEN);
+      assertFalse(response.body().contains("error"));
+    }
+  }
+
+  private static final class FailingServices implements ServiceClient {
+
+    @Override
+    public ServiceResponse call(ServiceCall call) {
+      return new FailingEventStream();
+    }
+
+    @Override
+    public ServiceLoad load(String address) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  /** Event stream that fails unexpectedly after more than the relay buffers. */
+  private static final class FailingEventStream implements ServiceResponse {
+
+    private int reads;
+
+    @Override
+    public int status() {
+      return OK;
+    }
+
+    @Override
+    public List<HeaderField> headers() {
+      return List.of(new HeaderField("Content-Type", "text/event-stream"));
+    }
+
+    @Override
+    public ResponseFraming framing() {
+      return ResponseFraming.CHUNKS;
+    }
+
+    @Override
+    public int read(byte[] buffer) {
+      if (++reads * buffer.length > LONG_BODY_BYTES) {
+        throw new IllegalStateException("deliberate");
+      }
+      Arrays.fill(buffer, (byte) '\n');
+      return buffer.length;
+    }
+
+    @Override
+    public void close() {
+      // There is no connection.
+    }
+  }
+
   private static RawCaller.Response exchange(
       Kind kind, String version, String connectionField, FakeServer server) throws IOException {
     if (kind.isRouted()) {
