Take a write that was continued by zeros for incomplete

What callers saw: nothing that we know of. A replica refused its data folder as damaged after a loss of power, and followed for good, if the file had its new size but only the first bytes of the last write, and the missing ones filled less than a sector.

Cause: a record counted as incomplete only if the file ended early or if a whole sector read as zeros.

Evidence: FileReplicaStorageTest.IncompleteRecordTest#isTruncatedAtEveryLength, now also with zeros in place of the missing bytes, failed before with "log-.segment is damaged at byte 0".

Change: the entries of a record end in a byte that is not zero, so that an invalid last record which ends in a zero was not written completely. Every changed byte is still detected (CorruptionTest#everyChangedByteIsDetected).

--- a/consensus/src/main/java/org/teaseltrestle/consensus/RecordFormat.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RecordFormat.java
@@ -18,7 +18,8 @@
 
   static final int HEADER_BYTES = 12;
 
-  // A crash during a write leaves sectors that were never written; they read as zeros.
+  // A crash during a write leaves bytes that were never written; they read as zeros. In the middle
+  // of a record these are whole sectors.
   private static final int SECTOR_BYTES = 512;
 
   /** Records of a file, and the offset up to which the file is valid. */
@@ -85,7 +86,8 @@
     }
     boolean truncated =
         isHeaderValid(content, offset) && content.getInt(offset) > remaining - HEADER_BYTES;
-    return truncated || hasUnwrittenSector(content, offset);
+    boolean endsInZero = content.get(content.limit() - 1) == 0;
+    return truncated || endsInZero || hasUnwrittenSector(content, offset);
   }
 
   private static boolean hasUnwrittenSector(ByteBuffer content, int offset) {
--- a/consensus/src/main/java/org/teaseltrestle/consensus/StorageCodec.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/StorageCodec.java
@@ -24,6 +24,9 @@
     T read(DataInputStream in) throws IOException;
   }
 
+  // Not zero, so that a record of entries that ends in zeros was not written completely.
+  private static final int END_OF_ENTRIES = 0xff;
+
   private StorageCodec() {}
 
   static byte[] encodeEntries(List<LogEntry> entries) {
@@ -36,6 +39,7 @@
             out.writeByte(entry.kind().ordinal());
             writeBytes(out, entry.payload());
           }
+          out.writeByte(END_OF_ENTRIES);
         });
   }
 
--- a/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
@@ -19,6 +19,7 @@
 import org.teaseltrestle.model.ReplicaId;
 import org.teaseltrestle.model.TrestleException;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of the files of a replica. */
@@ -139,8 +140,14 @@
   /** Guards against a crash during a write that makes a replica reject its intact state. */
   public static final class IncompleteRecordTest extends FolderTest {
 
-    @Test
-    public void isTruncatedAtEveryLength() throws IOException {
+    @DataProvider
+    private static Object[][] zeros() {
+      return new Object[][] {{false}, {true}};
+    }
+
+    /** Guards against a write that was cut short, or continued by zeros, being taken for damage. */
+    @Test(dataProvider = "zeros")
+    public void isTruncatedAtEveryLength(boolean zeros) throws IOException {
       fill(folder, 2);
       Path file = segment(folder);
       int synced = (int) Files.size(file);
@@ -151,7 +158,8 @@
       }
       byte[] record = Files.readAllBytes(lastSegment());
       for (int length = 0; length < record.length; length++) {
-        Files.write(lastSegment(), Arrays.copyOf(record, length));
+        byte[] first = Arrays.copyOf(record, length);
+        Files.write(lastSegment(), zeros ? Arrays.copyOf(first, record.length) : first);
         try (FileReplicaStorage storage = open(folder)) {
           assertEquals(indexes(storage.recovered()), List.of(1L, 2L), "truncated to " + length);
         }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
@@ -271,7 +271,7 @@
     return changed;
   }
 
-  /** Keeps the first bytes of a write, or some of its sectors; the others read as zeros. */
+  /** Keeps the first bytes of a write, or some of its sectors; the others are absent or zeros. */
   private byte[] torn(Change change, byte[] content) {
     byte[] bytes = change.bytes();
     if (bytes == null || bytes.length == 0) {
@@ -279,6 +279,9 @@
     }
     if (random.nextBoolean()) {
       byte[] first = Arrays.copyOf(bytes, random.nextInt(bytes.length));
+      if (random.nextBoolean()) {
+        first = Arrays.copyOf(first, bytes.length);
+      }
       return applied(new Change(change.position(), first), content);
     }
     byte[] sectors = bytes.clone();
