Answer at once that a stopped voter does not lead

What callers saw: while the disk of a voter was full, a request for the leader that was sent to it got no answer for 800 ms; once the voter had tried to open its replica again, it got "overloaded". Callers do not retry that, so a change of the configuration failed with 503 and a batch of usage was proposed again later, although the other voters had a leader.

Cause: the handlers of a replica stay registered until another replica replaces them. The stopped one dropped requests; after its duty was closed, a request that could not be queued counted as overload.

Change: a stopped replica answers NOT_LEADER, to peers and on its own node.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaMessageHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaMessageHandler.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.teaseltrestle.consensus.RaftAction;
 import org.teaseltrestle.consensus.RaftEnvelope;
@@ -18,18 +19,27 @@
   private final ReplicaDriver driver;
   private final LeaderOperations leaderOperations;
   private final LeaseRenewer leaseRenewer;
+  private final BooleanSupplier stopped;
 
+  /**
+   * Creates the handler.
+   *
+   * @param stopped whether the replica has stopped; its handlers remain until another one replaces
+   *     them
+   */
   ReplicaMessageHandler(
       ControlPlaneSettings settings,
       DutyInbox inbox,
       ReplicaDriver driver,
       LeaderOperations leaderOperations,
-      LeaseRenewer leaseRenewer) {
+      LeaseRenewer leaseRenewer,
+      BooleanSupplier stopped) {
     this.settings = settings;
     this.inbox = inbox;
     this.driver = driver;
     this.leaderOperations = leaderOperations;
     this.leaseRenewer = leaseRenewer;
+    this.stopped = stopped;
   }
 
   void register(MessageHandlerRegistry messageHandlers, Consumer<RenewalBundle> onBundle) {
@@ -51,6 +61,10 @@
       return;
     }
     byte[] body = message.getBody().toByteArray();
+    if (stopped.getAsBoolean()) {
+      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.NOT_LEADER, null).toByteArray());
+      return;
+    }
     boolean accepted =
         inbox.offer(
             body.length,
@@ -58,7 +72,10 @@
                 leaderOperations.handle(
                     request, body, answer -> reply.accept(answer.toByteArray())));
     if (!accepted) {
-      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.OVERLOADED, null).toByteArray());
+      // The replica may have stopped since; a caller does not retry a refusal for overload.
+      RaftAction.Refusal refusal =
+          stopped.getAsBoolean() ? RaftAction.Refusal.NOT_LEADER : RaftAction.Refusal.OVERLOADED;
+      reply.accept(LeaderAnswers.refused(refusal, null).toByteArray());
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -136,7 +136,8 @@
         found.truncatedBytes(),
         "syncedBytes",
         found.syncedBytes());
-    new ReplicaMessageHandler(settings, inbox, driver, leaderOperations, leaseRenewer)
+    new ReplicaMessageHandler(
+            settings, inbox, driver, leaderOperations, leaseRenewer, this::isStopped)
         .register(context.messageHandlers(), this::onBundle);
     duty.start();
   }
@@ -336,10 +337,13 @@
   }
 
   private void serveLocally(LeaderRequest request, byte[] body, Consumer<LeaderAnswer> reply) {
-    if (stopped) {
-      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.NOT_LEADER, null));
-    } else if (!inbox.offer(body.length, () -> leaderOperations.handle(request, body, reply))) {
-      reply.accept(LeaderAnswers.refused(RaftAction.Refusal.OVERLOADED, null));
+    boolean accepted =
+        !stopped && inbox.offer(body.length, () -> leaderOperations.handle(request, body, reply));
+    if (!accepted) {
+      // A caller does not retry a refusal for overload.
+      RaftAction.Refusal refusal =
+          stopped ? RaftAction.Refusal.NOT_LEADER : RaftAction.Refusal.OVERLOADED;
+      reply.accept(LeaderAnswers.refused(refusal, null));
     }
   }
 
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -151,6 +151,18 @@
     }
   }
 
+  /** Asks a voter to confirm the committed index and returns its answer. */
+  CompletableFuture<byte[]> askForConfirmation(String from, String voter, long deadlineNanos) {
+    return node(from)
+        .transport()
+        .call(
+            voter(voter).peerAddress(),
+            LeaderRequest.SERVICE,
+            LeaderRequest.CONFIRM.kind(),
+            new byte[0],
+            deadlineNanos);
+  }
+
   private boolean isCut(InetSocketAddress from, InetSocketAddress to) {
     boolean bothVote =
         Stream.of(from, to)
