Follow, and open the replica later, if the disk refuses a start

What callers saw: a voter whose disk refused its start ended, and was started again and again until the disk accepted it; meanwhile it served and fed nobody. Since a start syncs what it reads, a disk can refuse it more often.

Cause: ReplicaSupervisor.start passed FILE_ACCESS on, while the same failure later in the process's life makes the node follow and reopen the replica.

Evidence: ControlPlaneTest.VotersTest#voterFollowsWhileItsDiskRefusesItsStart, new, failed before with "cannot open the data folder ...: the data folder is in use by this process"; it passes with the change.

Change: a start that fails for any reason but corrupt data follows and is opened again as after a later failure. The replica does not vote before that: reopen writes anew what it read.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ControlPlanes.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ControlPlanes.java
@@ -2,8 +2,6 @@
 
 import java.nio.file.Path;
 import java.util.random.RandomGenerator;
-import org.teaseltrestle.model.ErrorCode;
-import org.teaseltrestle.model.TrestleException;
 
 /** Opens the control plane of a node: a replica for a voter, otherwise a follow service. */
 public final class ControlPlanes {
@@ -18,7 +16,6 @@
    * error that affects all voters would then erase the state of the entire group.
    *
    * @param random source of replica incarnations and election jitter
-   * @throws TrestleException with {@link ErrorCode#FILE_ACCESS} if the data folder cannot be used
    */
   public static ControlPlane open(
       ControlPlaneSettings settings, ControlPlaneContext context, RandomGenerator random) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
@@ -55,18 +55,15 @@
   }
 
   /**
-   * Opens the replica, or follows instead if the data folder is corrupt, and returns the control
-   * plane, which closes this when it is closed.
-   *
-   * @throws TrestleException with {@link ErrorCode#FILE_ACCESS} if the data folder cannot be used
+   * Opens the replica, or follows instead if the data folder is corrupt or cannot be used yet, and
+   * returns the control plane, which closes this when it is closed.
    */
   synchronized ControlPlane start() {
     try {
       replica = startReplica(openReplica(FileReplicaStorage::open));
     } catch (TrestleException e) {
-      if (e.code() != ErrorCode.DATA_CORRUPTED) {
-        throw e;
-      }
+      awaitsReopening = e.code() != ErrorCode.DATA_CORRUPTED;
+      schedule.openFailed(context.clock().nowNanos());
       followInstead(e);
     }
     duty.start();
--- a/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ControlPlaneTest.java
@@ -1,11 +1,13 @@
 package org.teaseltrestle.node.replica;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.teaseltrestle.consensus.FileReplicaStorage;
 import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.ReplicaId;
 import org.teaseltrestle.wire.CommandAnswer;
@@ -112,6 +114,30 @@
       }
     }
 
+    /** Guards against a voter that ends because its disk refuses a start for a moment. */
+    @Test
+    public void voterFollowsWhileItsDiskRefusesItsStart() {
+      try (LoopbackCluster cluster = new LoopbackCluster(3)) {
+        cluster.startVoters();
+        cluster.awaitLeader();
+        cluster.commit("voter-0", "before");
+        cluster.stop("voter-2");
+        try (FileReplicaStorage other = cluster.openDataFolder("voter-2")) {
+          assertEquals(other.identity().instance().value(), "voter-2");
+          cluster.startVoter("voter-2", Long.MAX_VALUE);
+          long index = cluster.commit("voter-0", "while-refused");
+          cluster.awaitApplied("voter-2", index);
+          assertEquals(cluster.node("voter-2").plane().status().role(), "following");
+        }
+        LoopbackCluster.await(
+            "vote of voter-2",
+            () -> !cluster.node("voter-2").plane().status().role().equals("following"));
+        cluster.stop("voter-1");
+        cluster.awaitLeader();
+        cluster.awaitApplied("voter-2", cluster.commit("voter-2", "after"));
+      }
+    }
+
     /** Guards against a reopened voter that forgets entries which it had acknowledged. */
     @Test
     public void voterThatWasReopenedHoldsItsEntriesAfterRestart() {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -26,6 +26,7 @@
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.FileReplicaStorage;
 import org.teaseltrestle.consensus.RaftSettings;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
@@ -295,6 +296,12 @@
     return node(through).plane().propose(command).join().getAppliedIndex();
   }
 
+  /** Opens the data folder of a stopped instance, which cannot open it until this is closed. */
+  FileReplicaStorage openDataFolder(String instance) {
+    return FileReplicaStorage.open(
+        folder.resolve(instance), new InstanceId(instance), 0, Long.MAX_VALUE);
+  }
+
   /** Returns the bytes in the data folder of an instance. */
   long dataBytes(String instance) {
     try (Stream<Path> files = Files.list(folder.resolve(instance))) {
