Take what a replaced control plane knew after the next one has started

What callers could see: an older view after a replacement, if the delegate that is replaced went on applying entries while the next one started.

Cause: the retained state was taken before the next delegate started.

Change: the state is taken after the start, in one step with the new delegate.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -59,9 +59,9 @@
     if (closed) {
       return false;
     }
+    start.run();
     Retained retained =
         current.get() == null ? null : new Retained(view(), isReady(), keyLeaseEndsAtNanos());
-    start.run();
     current.set(new Current(newDelegate, retained));
     return true;
   }
--- a/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
@@ -46,6 +46,21 @@
     }
   }
 
+  /**
+   * Guards against a node that obeys an older configuration, or none, after its replica stopped or
+   * was reopened while a request was reading the view.
+   */
+  @Test
+  public void viewReadDuringReplacementDoesNotMakeItGoBack() {
+    FallbackControlPlane plane = new FallbackControlPlane(() -> {});
+    plane.replace(new StubControlPlane(() -> viewAt(3)), () -> {});
+    ControlPlane behind = new StubControlPlane(() -> viewAt(0));
+    plane.replace(behind, () -> assertEquals(plane.view().appliedIndex(), 3));
+    assertEquals(plane.view().appliedIndex(), 3);
+    plane.replace(new StubControlPlane(() -> viewAt(4)), () -> {});
+    assertEquals(plane.view().appliedIndex(), 4);
+  }
+
   /** Control plane of which only the view matters. */
   private record StubControlPlane(Supplier<ControlView> views) implements ControlPlane {
 
