Prune log segments oldest first also over a loss of power

What callers could see: acknowledged changes gone from one replica after a loss of power while its log was pruned.

Cause: several segments were deleted with one sync of the names after them.

Change: the names are synced after each deletion. A prune that deletes nothing syncs nothing.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -108,8 +108,9 @@
     closeSegment();
     while (!segments.isEmpty() && segments.get(0).lastIndex < firstRetainedIndex) {
       files.delete(segments.remove(0).name);
+      // A later segment may have replaced entries of this one, so it must not be gone first.
+      files.syncNames();
     }
-    files.syncNames();
   }
 
   /**
--- a/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/StorageDurabilityTest.java
@@ -73,6 +73,36 @@
     }
   }
 
+  /**
+   * Guards against a loss of power while the log is pruned that keeps entries which a deleted
+   * segment had replaced: they conflict with the snapshot, and the acknowledged ones go with them.
+   */
+  @Test
+  public void powerLossWhilePruningKeepsLaterEntries() {
+    for (int seed = 0; seed < 100; seed++) {
+      for (int operations = 0; operations < 20; operations++) {
+        SimulatedDisk disk = new SimulatedDisk(new Random(seed));
+        store(disk, 1, 1, 5);
+        store(disk, 2, 4, 5);
+        store(disk, 2, 6, 7);
+        FileReplicaStorage storage = open(disk);
+        Configuration voters = new Configuration(List.of(storage.identity()), List.of());
+        disk.killAfter(operations);
+        try {
+          storage.saveSnapshot(new Snapshot(5, 2, voters, new byte[0]), StoredEntries.PRUNE, 6);
+        } catch (Killed e) {
+          assertTrue(operations < 20);
+        }
+        disk.losePower();
+        disk.killAfter(Integer.MAX_VALUE);
+        List<LogEntry> entries = open(disk).recovered().entries();
+        String run = "seed " + seed + ", power lost after " + operations;
+        assertTrue(!entries.isEmpty(), run);
+        assertEquals(entries.get(entries.size() - 1).index(), 7, run);
+      }
+    }
+  }
+
   private static FileReplicaStorage open(SimulatedDisk disk) {
     return FileReplicaStorage.open(disk, new InstanceId("voter-1"), 7, Long.MAX_VALUE);
   }
