Give a parent that was restarted the time of a new one

What callers could see: nothing by itself; a node left a sound parent for 30 s because that one, right after its restart, said that it knew nothing.

Cause: a parent that has told news before was left at its first message without any, although a restarted voter has news again within a heartbeat or two.

Change: such a parent gets the 500 ms of a new one, from its first message without news. The bound to leave one that was restarted inside a cut grows by that, well below the 2.8 s of a stale parent.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -15,7 +15,10 @@
   private static final EventLog LOG = EventLog.of(ParentSelector.class);
   private static final long FAILED_PARENT_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-  /** Limits the rate of changes while no parent has recent news. */
+  /**
+   * Time in which a new parent, or one that was restarted, may show recent news. Limits the rate of
+   * changes while no parent has any.
+   */
   private static final long MINIMUM_STAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
@@ -24,6 +27,7 @@
   private final DisseminationTreeSettings tree;
   private long parentContactNanos;
   private KnownState parentNews = KnownState.UNKNOWN;
+  private boolean hasToldNews;
   private long earliestChangeNanos;
   private long newsDueNanos;
 
@@ -54,8 +58,13 @@
   void newsReceived(String sender, KnownState news, long nowNanos) {
     if (sender.equals(parent)) {
       parentContactNanos = nowNanos;
+      if (news.isKnown() || !hasToldNews) {
+        newsDueNanos = earliestChangeNanos;
+      } else if (parentNews.isKnown()) {
+        newsDueNanos = nowNanos + MINIMUM_STAY_NANOS;
+      }
+      hasToldNews = true;
       parentNews = news;
-      newsDueNanos = earliestChangeNanos;
     }
   }
 
@@ -93,6 +102,7 @@
     parent = selected;
     parentContactNanos = nowNanos;
     parentNews = KnownState.UNKNOWN;
+    hasToldNews = false;
     earliestChangeNanos = nowNanos + MINIMUM_STAY_NANOS;
     newsDueNanos = nowNanos + tree.rootTimeoutNanos();
     return true;
