Name the time of a replica's knowledge by what it dates

RaftCore.leaderKnownAtNanos dates the committed entries that a replica knows, no longer a leader; ReplicaContext calls it committedKnownAtNanos already. No change of behaviour; LeaderAgeTest and KnownStateTest passed.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
@@ -125,7 +125,7 @@
    * otherwise the latest message of a leader whose committed entries are all here, less the age of
    * that round. A leader counts once it has committed an entry of its own term.
    */
-  public OptionalLong leaderKnownAtNanos() {
+  public OptionalLong committedKnownAtNanos() {
     return context.committedKnownAtNanos();
   }
 
--- a/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/LeaderAgeTest.java
@@ -49,14 +49,14 @@
     core.handle(
         received(new RaftMessage.VoteResponse(2, RaftMessage.VoteKind.VOTE, true)), elected);
     assertEquals(core.role(), RaftRole.LEADER);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.empty());
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.empty());
     core.handle(received(new RaftMessage.AppendResponse(2, true, 2, elected)), elected);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(elected));
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.of(elected));
     // From here on the leader is cut off.
     for (long millis = 40; millis <= 960; millis += 40) {
       core.handle(new RaftEvent.Tick(0), elected + millis * MILLISECOND);
       assertEquals(core.role(), RaftRole.LEADER);
-      assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(elected));
+      assertEquals(core.committedKnownAtNanos(), OptionalLong.of(elected));
     }
   }
 
@@ -67,7 +67,7 @@
     core.handle(received(request(1, List.of(entry(2, 2)), 2)), 5 * MILLISECOND);
     core.handle(new RaftEvent.Tick(0), 400 * MILLISECOND);
     assertEquals(core.leader(), SECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
   }
 
   /** Guards against a follower that counts as fresh while it lacks what the leader committed. */
@@ -78,9 +78,9 @@
     // The entries before the fortieth are missing, then those after the third.
     core.handle(received(request(40, List.of(entry(41, 2)), 41)), 10 * MILLISECOND);
     core.handle(received(request(2, List.of(entry(3, 2)), 41)), 20 * MILLISECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.of(5 * MILLISECOND));
     core.handle(received(request(3, List.of(entry(4, 2)), 4)), 30 * MILLISECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(30 * MILLISECOND));
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.of(30 * MILLISECOND));
   }
 
   /** Guards against a follower that counts as fresh while it receives a snapshot. */
@@ -91,7 +91,7 @@
         new RaftMessage.SnapshotChunk(2, 40, 2, VOTERS, 10, 0, new byte[5], 5 * MILLISECOND);
     core.handle(received(chunk), 5 * MILLISECOND);
     assertEquals(core.leader(), SECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.empty());
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.empty());
   }
 
   /** Guards against news of a new leader, which may not know all committed entries yet. */
@@ -100,9 +100,9 @@
     RaftCore core = core(RaftSettings.builder().build());
     core.handle(received(request(1, List.of(entry(2, 2)), 1)), 5 * MILLISECOND);
     assertEquals(core.leader(), SECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.empty());
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.empty());
     core.handle(received(request(2, List.of(), 2)), 6 * MILLISECOND);
-    assertEquals(core.leaderKnownAtNanos(), OptionalLong.of(6 * MILLISECOND));
+    assertEquals(core.committedKnownAtNanos(), OptionalLong.of(6 * MILLISECOND));
   }
 
   /**
@@ -124,14 +124,14 @@
     while (!actions.isEmpty()) {
       actions = deliver(deliver(actions, follower, elected), leader, elected);
     }
-    assertEquals(follower.leaderKnownAtNanos(), OptionalLong.of(elected));
+    assertEquals(follower.committedKnownAtNanos(), OptionalLong.of(elected));
     // From here on the responses are lost.
     for (long millis = 100; millis <= 900; millis += 100) {
       long now = elected + millis * MILLISECOND;
       deliver(leader.handle(new RaftEvent.Tick(0), now), follower, now);
       assertEquals(leader.role(), RaftRole.LEADER);
       assertEquals(follower.leader(), SELF);
-      assertEquals(follower.leaderKnownAtNanos(), OptionalLong.of(elected));
+      assertEquals(follower.committedKnownAtNanos(), OptionalLong.of(elected));
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -302,8 +302,8 @@
   }
 
   private void updateKnown() {
-    OptionalLong leaderKnownAtNanos = driver.core().leaderKnownAtNanos();
-    known = known.newerOf(new KnownState(state.appliedIndex(), leaderKnownAtNanos));
+    OptionalLong committedKnownAtNanos = driver.core().committedKnownAtNanos();
+    known = known.newerOf(new KnownState(state.appliedIndex(), committedKnownAtNanos));
   }
 
   private void publishStatus() {
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -104,7 +104,7 @@
   private long rootAgeMillis_ = 0L;
   /**
    * <pre>
-   * Time since the sender, or a node above it, heard from a leader.
+   * Age of what the sender knows: time since it held all committed entries, as far as it was told.
    * </pre>
    *
    * <code>uint64 root_age_millis = 3;</code>
@@ -119,7 +119,7 @@
   private boolean rootAgeUnknown_ = false;
   /**
    * <pre>
-   * Whether the sender never heard from a leader; old processes never set it.
+   * Whether the sender has never known them; old processes do not set it.
    * </pre>
    *
    * <code>bool root_age_unknown = 4;</code>
@@ -823,7 +823,7 @@
     private long rootAgeMillis_ ;
     /**
      * <pre>
-     * Time since the sender, or a node above it, heard from a leader.
+     * Age of what the sender knows: time since it held all committed entries, as far as it was told.
      * </pre>
      *
      * <code>uint64 root_age_millis = 3;</code>
@@ -835,7 +835,7 @@
     }
     /**
      * <pre>
-     * Time since the sender, or a node above it, heard from a leader.
+     * Age of what the sender knows: time since it held all committed entries, as far as it was told.
      * </pre>
      *
      * <code>uint64 root_age_millis = 3;</code>
@@ -851,7 +851,7 @@
     }
     /**
      * <pre>
-     * Time since the sender, or a node above it, heard from a leader.
+     * Age of what the sender knows: time since it held all committed entries, as far as it was told.
      * </pre>
      *
      * <code>uint64 root_age_millis = 3;</code>
@@ -867,7 +867,7 @@
     private boolean rootAgeUnknown_ ;
     /**
      * <pre>
-     * Whether the sender never heard from a leader; old processes never set it.
+     * Whether the sender has never known them; old processes do not set it.
      * </pre>
      *
      * <code>bool root_age_unknown = 4;</code>
@@ -879,7 +879,7 @@
     }
     /**
      * <pre>
-     * Whether the sender never heard from a leader; old processes never set it.
+     * Whether the sender has never known them; old processes do not set it.
      * </pre>
      *
      * <code>bool root_age_unknown = 4;</code>
@@ -895,7 +895,7 @@
     }
     /**
      * <pre>
-     * Whether the sender never heard from a leader; old processes never set it.
+     * Whether the sender has never known them; old processes do not set it.
      * </pre>
      *
      * <code>bool root_age_unknown = 4;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -42,7 +42,7 @@
 
   /**
    * <pre>
-   * Time since the sender, or a node above it, heard from a leader.
+   * Age of what the sender knows: time since it held all committed entries, as far as it was told.
    * </pre>
    *
    * <code>uint64 root_age_millis = 3;</code>
@@ -52,7 +52,7 @@
 
   /**
    * <pre>
-   * Whether the sender never heard from a leader; old processes never set it.
+   * Whether the sender has never known them; old processes do not set it.
    * </pre>
    *
    * <code>bool root_age_unknown = 4;</code>
