Log when a node's knowledge of the committed log becomes old

Callers were refused as an older version says, and the users' logs could not tell whether the node was without news, for how long, or knew the version and did not obey it: E3011 names the ages of the parent that is left, nothing is logged when news stops or returns.

KnowledgeWatch logs both (E3018, E3019) with the age, the applied index and the source, for followers and replicas. No decision changes here.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -49,6 +49,7 @@
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private final FollowerKnowledge knowledge = new FollowerKnowledge();
+  private final KnowledgeWatch knowledgeWatch;
   private long publishedIndex;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
@@ -66,6 +67,7 @@
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
     this.gapDetector = new GapDetector(now);
+    this.knowledgeWatch = new KnowledgeWatch(settings.tree().newsIntervalNanos());
     this.children =
         new ChildFeeds(context.transport(), addresses, context.clock(), knowledge::known);
     this.leaseRenewer =
@@ -159,6 +161,7 @@
     }
     readiness.tick(state.appliedIndex());
     children.feed(state);
+    watchKnowledge(nowNanos);
     status =
         new ControlStatus(
             "following",
@@ -231,6 +234,7 @@
     parentSelector.newsReceived(sender, news, now);
     apply(message.getCommandsList());
     knowledge.received(news, state.appliedIndex());
+    watchKnowledge(now);
     if (gapDetector.requestsMissing(message, state.appliedIndex(), now)) {
       LOG.warn(
           ReplicaEvent.ENTRIES_MISSING,
@@ -248,6 +252,11 @@
     publishApplied();
   }
 
+  private void watchKnowledge(long nowNanos) {
+    knowledgeWatch.update(
+        knowledge.known(), parentSelector.parent(), state.appliedIndex(), nowNanos);
+  }
+
   /** Applies the next commands in order. */
   private void apply(List<LoggedCommand> commands) {
     try {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -20,7 +20,10 @@
   FOLLOWING_INSTEAD(
       3013, "local replica is unavailable; this instance follows the committed log instead"),
   REOPEN_FAILED(3014, "data folder cannot be used yet; the replica is opened again later"),
-  ENTRIES_MISSING(3017, "entries of the committed log are missing; the parent is asked for them");
+  ENTRIES_MISSING(3017, "entries of the committed log are missing; the parent is asked for them"),
+  KNOWLEDGE_OLD(
+      3018, "no recent news of the committed log; requests may be decided by an older version"),
+  KNOWLEDGE_RECENT(3019, "news of the committed log is recent again");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -63,6 +63,7 @@
   private final DutyInbox inbox;
   private long publishedIndex;
   private KnownState known = KnownState.UNKNOWN;
+  private final KnowledgeWatch knowledgeWatch;
   private volatile boolean stopped;
   private volatile ControlStatus status = new ControlStatus("follower", 0, "", List.of(), 0, 0);
 
@@ -117,6 +118,7 @@
             "replica", RING_CAPACITY, this::run, this::tick, TICK_NANOS, context.clock());
     this.inbox = new DutyInbox(duty::offer);
     this.readiness = new Readiness(leader, inbox::offer);
+    this.knowledgeWatch = new KnowledgeWatch(settings.tree().newsIntervalNanos());
   }
 
   /** Registers the message handlers and starts the duty thread. */
@@ -304,6 +306,7 @@
   private void updateKnown() {
     OptionalLong committedKnownAtNanos = driver.core().committedKnownAtNanos();
     known = known.newerOf(new KnownState(state.appliedIndex(), committedKnownAtNanos));
+    knowledgeWatch.update(known, status.leader(), state.appliedIndex(), context.clock().nowNanos());
   }
 
   private void publishStatus() {
