Ask candidates for news before a node changes its parent

Callers saw: a request was refused with 404, 401 or 403 as an older version says, although a newer one had been acknowledged more than 2 s before, at nodes whose parent had been cut off or lost after control nodes were replaced.

Cause: candidates for the parent were tried one after the other, each by leaving the parent and waiting for 1.8 s, and control nodes that were replaced stay candidates for good. The times added up. Class: a wait whose length a fixed time decides, not the state that is waited for; here also a choice that counts as working before it has answered.

Change: a node stays below its parent, asks the other candidates for their news by a subscription beside it, and leaves the parent only for one that has told recent news. The avoidance of 30 s is gone.

ParentSelectorTest: the tests of a parent without news and with stale news let another candidate answer now, with the same bounds; the bound on changes while nobody has news became one on questions (9 to 11 for each in 10 s; the parent does not change); the test of a parent that sends its state now holds for a candidate, for 1.4 s.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -67,7 +67,7 @@
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
     this.gapDetector = new GapDetector(now);
-    this.knowledgeWatch = new KnowledgeWatch(settings.tree().newsIntervalNanos());
+    this.knowledgeWatch = new KnowledgeWatch(settings.tree().rootTimeoutNanos());
     this.children =
         new ChildFeeds(context.transport(), addresses, context.clock(), knowledge::known);
     this.leaseRenewer =
@@ -146,18 +146,17 @@
     boolean busy = !readiness.isReady() || children.hasChildren();
     long regular = lastTickNanos + (busy ? BUSY_TICK_NANOS : IDLE_TICK_NANOS);
     long renewal = leaseRenewer.nextOwnRenewalNanos();
-    long timeout = parentSelector.timeoutNanos() + TIMEOUT_MARGIN_NANOS;
-    long earlier = renewal - regular < 0 ? renewal : regular;
-    return timeout - earlier < 0 ? timeout : earlier;
+    long parentUpdate = parentSelector.nextUpdateNanos() + TIMEOUT_MARGIN_NANOS;
+    boolean renews = !parentSelector.parent().isEmpty();
+    long earlier = renews && renewal - regular < 0 ? renewal : regular;
+    return parentUpdate - earlier < 0 ? parentUpdate : earlier;
   }
 
   private void tick(long nowNanos) {
     updateCandidatesIfDue(nowNanos);
-    if (parentSelector.update(state.appliedIndex(), nowNanos)) {
-      leaseRenewer.makeDueNow(nowNanos);
-    }
-    if (leaseRenewer.isDue(nowNanos)) {
-      sendToParent(leaseRenewer.bundle(state, nowNanos));
+    updateParent(nowNanos);
+    if (leaseRenewer.isDue(nowNanos) && !parentSelector.parent().isEmpty()) {
+      send(parentSelector.parent(), leaseRenewer.bundle(state, nowNanos));
     }
     readiness.tick(state.appliedIndex());
     children.feed(state);
@@ -185,9 +184,17 @@
     }
   }
 
-  private void sendToParent(RenewalBundle bundle) {
+  private void updateParent(long nowNanos) {
+    ParentSelector.Decision decision = parentSelector.update(state.appliedIndex(), nowNanos);
+    if (decision.parentChanged()) {
+      leaseRenewer.makeDueNow(nowNanos);
+    }
+    decision.asked().forEach(each -> send(each, leaseRenewer.subscription(state)));
+  }
+
+  private void send(String instance, RenewalBundle bundle) {
     addresses
-        .find(parentSelector.parent())
+        .find(instance)
         .ifPresent(
             address ->
                 context
@@ -250,6 +257,7 @@
       leaseRenewer.makeDueNow(now);
     }
     publishApplied();
+    updateParent(now);
   }
 
   private void watchKnowledge(long nowNanos) {
@@ -280,6 +288,7 @@
     }
     knowledge.applied(state.appliedIndex());
     publishApplied();
+    updateParent(now);
   }
 
   private void publishApplied() {
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -75,15 +75,24 @@
     makeDueNow(nowNanos);
   }
 
+  /** Returns a bundle that only subscribes: leases and demand go to one parent. */
+  RenewalBundle subscription(AppliedState state) {
+    return withoutRenewals(state).build();
+  }
+
+  private RenewalBundle.Builder withoutRenewals(AppliedState state) {
+    return RenewalBundle.newBuilder()
+        .setInstance(settings.instance().value())
+        .setBoot(settings.boot())
+        .setAppliedIndex(state.appliedIndex())
+        .setReplyAddress(PeerAddresses.format(settings.peerAddress()))
+        .setFollows(subscription == Subscription.COMMITTED_LOG);
+  }
+
   /** Returns the next bundle and schedules the one after it. */
   RenewalBundle bundle(AppliedState state, long nowNanos) {
     RenewalBundle.Builder bundle =
-        RenewalBundle.newBuilder()
-            .setInstance(settings.instance().value())
-            .setBoot(settings.boot())
-            .setAppliedIndex(state.appliedIndex())
-            .setReplyAddress(PeerAddresses.format(settings.peerAddress()))
-            .setFollows(subscription == Subscription.COMMITTED_LOG)
+        withoutRenewals(state)
             .setEntriesMissing(entriesMissing)
             .addAllRenewals(children.drainRenewals());
     entriesMissing = false;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -1,43 +1,71 @@
 package org.teaseltrestle.node.replica;
 
-import java.util.HashMap;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
 
 /**
- * Selects the parent in the dissemination tree; selects another one if the parent times out, has no
- * recent news of a leader or does not know any.
+ * Selects the parent in the dissemination tree. A node asks other candidates for news beside its
+ * parent and leaves the parent only for one that has told recent news, so that a change of the
+ * parent costs no news and a candidate that is gone costs no time. It asks all others while the
+ * news of its parent is old, and otherwise those that it prefers to its parent.
  */
 final class ParentSelector {
 
   private static final EventLog LOG = EventLog.of(ParentSelector.class);
-  private static final long FAILED_PARENT_AVOIDANCE_NANOS = TimeUnit.SECONDS.toNanos(30);
 
-  /**
-   * Time in which a new parent, or one that was restarted, may show recent news. Limits the rate of
-   * changes while no parent has any.
-   */
+  /** Time between the questions to two candidates. */
+  private static final long ASK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+  /** Time between two rounds of questions while the news of the parent is old. */
+  private static final long SEARCH_ROUND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Time between two rounds of questions to preferred candidates. */
+  private static final long PREFERENCE_ROUND_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Time between two changes, except for recent news in place of old ones. */
   private static final long MINIMUM_STAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
+  private final DisseminationTreeSettings tree;
+  private final Set<String> unanswered = new HashSet<>();
+  private final Deque<String> toAsk = new ArrayDeque<>();
   private List<String> candidates = List.of();
   private String parent = "";
-  private final DisseminationTreeSettings tree;
-  private long parentContactNanos;
   private KnownState parentNews = KnownState.UNKNOWN;
-  private boolean hasToldNews;
+  private long parentContactNanos;
+  private @Nullable News contender;
+  private @Nullable String askAgain;
+  private boolean searching;
   private long earliestChangeNanos;
-  private long newsDueNanos;
+  private long nextRoundNanos;
+  private long nextQuestionNanos;
+
+  private record News(String sender, KnownState state) {}
+
+  /**
+   * What to do after an update.
+   *
+   * @param parentChanged whether the node has another parent now
+   * @param asked candidates to subscribe to once, for their news
+   */
+  record Decision(boolean parentChanged, List<String> asked) {}
 
   ParentSelector(DisseminationTreeSettings tree, long nowNanos) {
     this.tree = tree;
     this.parentContactNanos = nowNanos;
     this.earliestChangeNanos = nowNanos;
-    this.newsDueNanos = nowNanos;
+    this.nextRoundNanos = nowNanos;
+    this.nextQuestionNanos = nowNanos;
   }
 
+  /** Returns the parent, empty until a candidate has told news of a leader. */
   String parent() {
     return parent;
   }
@@ -45,90 +73,168 @@
   /** Sets the possible parents, the preferred one first. */
   void setCandidates(List<String> newCandidates) {
     candidates = List.copyOf(newCandidates);
+    unanswered.retainAll(candidates);
+    toAsk.retainAll(candidates);
   }
 
-  /** Records a message without news of a leader; ignored unless the current parent sent it. */
+  /** Records a message without news of a leader, such as a part of the state. */
   void messageReceived(String sender, long nowNanos) {
+    unanswered.remove(sender);
     if (sender.equals(parent)) {
       parentContactNanos = nowNanos;
+    } else if (candidates.contains(sender)) {
+      askAgain = sender;
+      nextQuestionNanos = nowNanos + MINIMUM_STAY_NANOS;
     }
   }
 
-  /** Records what a parent knows; ignored unless the current parent sent it. */
+  /** Records what a node knows that this one has subscribed to. */
   void newsReceived(String sender, KnownState news, long nowNanos) {
+    unanswered.remove(sender);
     if (sender.equals(parent)) {
       parentContactNanos = nowNanos;
-      if (news.isKnown() || !hasToldNews) {
-        newsDueNanos = earliestChangeNanos;
-      } else if (parentNews.isKnown()) {
-        newsDueNanos = nowNanos + MINIMUM_STAY_NANOS;
-      }
-      hasToldNews = true;
       parentNews = news;
+    } else if (candidates.contains(sender) && news.isKnown()) {
+      News other = contender;
+      if (other == null || isPreferred(sender, other.sender())) {
+        contender = new News(sender, news);
+      }
     }
   }
 
-  /** Returns the monotonic time after which the parent has timed out unless it sends a message. */
-  long timeoutNanos() {
-    long silentAt = parentContactNanos + tree.parentTimeoutNanos();
-    long staleAt = parentNews.asOfNanos().orElse(newsDueNanos) + tree.rootTimeoutNanos();
-    long withoutNewsAt =
-        !parentNews.isKnown() || staleAt - newsDueNanos < 0 ? newsDueNanos : staleAt;
-    return silentAt - withoutNewsAt < 0 ? silentAt : withoutNewsAt;
+  /**
+   * Returns the monotonic time of the next update that is due without a message, in nanoseconds.
+   */
+  long nextUpdateNanos() {
+    long nextAsked = toAsk.isEmpty() ? nextRoundNanos : nextQuestionNanos;
+    if (searching) {
+      return nextAsked;
+    }
+    long old = newsAreOldAtNanos();
+    return old - nextAsked < 0 ? old : nextAsked;
   }
 
-  /** Selects the parent; returns whether it has changed or the previous one timed out. */
-  boolean update(long appliedIndex, long nowNanos) {
-    boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
-    // Two nodes that are each other's parent receive messages, but no news of a leader.
-    boolean withoutNews =
-        nowNanos - newsDueNanos > 0 && parentNews.isOlderThan(tree.rootTimeoutNanos(), nowNanos);
-    if (!parent.isEmpty() && (silent || withoutNews)) {
-      avoidedUntilNanos.put(parent, nowNanos + FAILED_PARENT_AVOIDANCE_NANOS);
+  /** Selects the parent and the candidates to ask. */
+  Decision update(long appliedIndex, long nowNanos) {
+    boolean needsOther = parent.isEmpty() || nowNanos - newsAreOldAtNanos() > 0;
+    boolean changed = followContender(needsOther, appliedIndex, nowNanos);
+    needsOther &= !changed;
+    if (needsOther != searching || changed) {
+      searching = needsOther;
+      toAsk.clear();
+      nextRoundNanos = searching ? nowNanos : nowNanos + PREFERENCE_ROUND_NANOS;
     }
-    avoidedUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
-    if (avoidedUntilNanos.keySet().containsAll(candidates)) {
-      avoidedUntilNanos.clear();
-    }
-    String selected =
-        candidates.stream()
-            .filter(candidate -> !avoidedUntilNanos.containsKey(candidate))
-            .findFirst()
-            .orElse("");
-    if (selected.equals(parent) && !silent && !withoutNews) {
+    return new Decision(changed, nextAsked(nowNanos));
+  }
+
+  private long newsAreOldAtNanos() {
+    long silentAt = parentContactNanos + tree.parentTimeoutNanos();
+    // A parent that says it knows nothing was restarted or cut off before it heard from a leader.
+    long oldAt = parentNews.asOfNanos().orElse(parentContactNanos) + ageLimitNanos();
+    return silentAt - oldAt < 0 ? silentAt : oldAt;
+  }
+
+  private long ageLimitNanos() {
+    return parentNews.isKnown() ? tree.rootTimeoutNanos() : 0;
+  }
+
+  private boolean followContender(boolean needsOther, long appliedIndex, long nowNanos) {
+    News other = contender;
+    contender = null;
+    if (other == null || !isBetter(other, needsOther, nowNanos)) {
       return false;
     }
-    logChange(selected, reason(silent, withoutNews), appliedIndex, nowNanos);
-    parent = selected;
+    logChange(other, needsOther, appliedIndex, nowNanos);
+    parent = other.sender();
+    parentNews = other.state();
     parentContactNanos = nowNanos;
-    parentNews = KnownState.UNKNOWN;
-    hasToldNews = false;
     earliestChangeNanos = nowNanos + MINIMUM_STAY_NANOS;
-    newsDueNanos = nowNanos + tree.rootTimeoutNanos();
     return true;
   }
 
-  private void logChange(String selected, String reason, long appliedIndex, long nowNanos) {
+  private boolean isBetter(News other, boolean needsOther, long nowNanos) {
+    boolean recent = !other.state().isOlderThan(tree.rootTimeoutNanos(), nowNanos);
+    if (recent && needsOther) {
+      return true;
+    }
+    if (nowNanos - earliestChangeNanos < 0) {
+      return false;
+    }
+    // Old news from a parent that lives are better than silence.
+    boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
+    return needsOther ? parent.isEmpty() || silent : recent && isPreferred(other.sender(), parent);
+  }
+
+  private boolean isPreferred(String candidate, String other) {
+    int position = candidates.indexOf(candidate);
+    int otherPosition = candidates.indexOf(other);
+    return position >= 0 && (otherPosition < 0 || position < otherPosition);
+  }
+
+  private List<String> nextAsked(long nowNanos) {
+    if (toAsk.isEmpty() && nowNanos - nextRoundNanos >= 0) {
+      startRound(nowNanos);
+    }
+    List<String> asked = new ArrayList<>();
+    String again = askAgain;
+    askAgain = null;
+    if (again != null && !again.equals(parent)) {
+      asked.add(again);
+    }
+    if (!toAsk.isEmpty() && nowNanos - nextQuestionNanos >= 0) {
+      nextQuestionNanos = nowNanos + ASK_INTERVAL_NANOS;
+      asked.add(toAsk.remove());
+    }
+    unanswered.addAll(asked);
+    return asked;
+  }
+
+  private void startRound(long nowNanos) {
+    nextRoundNanos = nowNanos + (searching ? SEARCH_ROUND_NANOS : PREFERENCE_ROUND_NANOS);
+    List<String> others =
+        candidates.stream()
+            .filter(each -> searching ? !each.equals(parent) : isPreferred(each, parent))
+            .toList();
+    addAll(others, unanswered, false);
+    addAll(others, unanswered, true);
+  }
+
+  /** Adds those that are, or are not, among the silent ones. */
+  private void addAll(List<String> others, Collection<String> silent, boolean areSilent) {
+    others.stream().filter(each -> silent.contains(each) == areSilent).forEach(toAsk::add);
+  }
+
+  private void logChange(News next, boolean needsOther, long appliedIndex, long nowNanos) {
     LOG.info(
         ReplicaEvent.PARENT_CHANGED,
         "from",
         parent,
         "to",
-        selected,
+        next.sender(),
         "reason",
-        reason,
+        reason(needsOther, nowNanos),
         "parentAgeMillis",
         TimeUnit.NANOSECONDS.toMillis(nowNanos - parentContactNanos),
         "rootAgeMillis",
-        parentNews.isKnown() ? parentNews.ageMillis(nowNanos) : "unknown",
+        age(parentNews, nowNanos),
+        "nextRootAgeMillis",
+        age(next.state(), nowNanos),
         "appliedIndex",
         appliedIndex);
   }
 
-  private static String reason(boolean silent, boolean withoutNews) {
-    if (silent) {
-      return "parent-silent";
+  private static Object age(KnownState news, long nowNanos) {
+    return news.isKnown() ? news.ageMillis(nowNanos) : "unknown";
+  }
+
+  private String reason(boolean needsOther, long nowNanos) {
+    if (parent.isEmpty()) {
+      return "none";
+    }
+    if (!needsOther) {
+      return "preferred";
     }
-    return withoutNews ? "no-news-of-leader" : "preferred";
+    boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
+    return silent ? "parent-silent" : "no-news-of-leader";
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -118,7 +118,7 @@
             "replica", RING_CAPACITY, this::run, this::tick, TICK_NANOS, context.clock());
     this.inbox = new DutyInbox(duty::offer);
     this.readiness = new Readiness(leader, inbox::offer);
-    this.knowledgeWatch = new KnowledgeWatch(settings.tree().newsIntervalNanos());
+    this.knowledgeWatch = new KnowledgeWatch(settings.tree().rootTimeoutNanos());
   }
 
   /** Registers the message handlers and starts the duty thread. */
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
@@ -0,0 +1,56 @@
+package org.teaseltrestle.node.replica;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import org.testng.annotations.Test;
+
+/** Tests of nodes whose settings name control nodes that were replaced and are gone. */
+public final class GoneParentsTest {
+
+  private static final int GONE_VOTERS = 3;
+
+  /** Time after which a node counts as in touch again after a fault of its parent or its links. */
+  private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+  private static LoopbackCluster clusterWithEntryBelow(String parent) {
+    LoopbackCluster cluster = new LoopbackCluster(3, DisseminationTreeSettings.FLAT);
+    cluster.startVoters();
+    cluster.awaitLeader();
+    cluster.addGoneVoters(parent, GONE_VOTERS);
+    ControlPlane entry = cluster.startNonVoterBelow(parent, "entry-1").plane();
+    cluster.awaitApplied("entry-1", cluster.commit(parent, "before"));
+    LoopbackCluster.await("parent", () -> entry.status().leader().equals(parent));
+    return cluster;
+  }
+
+  private static void assertAppliesInTime(LoopbackCluster cluster, long index, long sinceNanos) {
+    cluster.awaitApplied("entry-1", index);
+    long tookNanos = System.nanoTime() - sinceNanos;
+    assertTrue(tookNanos <= CONTACT_NANOS, TimeUnit.NANOSECONDS.toMillis(tookNanos) + " ms behind");
+  }
+
+  /** Guards against a node that waits for one gone control node after the other. */
+  @Test
+  public void lossOfTheParentLeavesNoNodeBehind() {
+    try (LoopbackCluster cluster = clusterWithEntryBelow("voter-0")) {
+      cluster.stop("voter-0");
+      final long lostAtNanos = System.nanoTime();
+      String leader = cluster.awaitLeader();
+      assertAppliesInTime(cluster, cluster.commit(leader, "after"), lostAtNanos);
+    }
+  }
+
+  /** Guards against a node that is behind for long after its links have healed. */
+  @Test
+  public void healedLinksLeaveNoNodeBehind() {
+    try (LoopbackCluster cluster = clusterWithEntryBelow("voter-0")) {
+      cluster.isolate("entry-1");
+      long index = cluster.commit("voter-0", "during the cut");
+      LoopbackCluster.awaitNanos(
+          System.nanoTime() + DisseminationTreeSettings.FLAT.parentTimeoutNanos());
+      cluster.heal("entry-1");
+      assertAppliesInTime(cluster, index, System.nanoTime());
+    }
+  }
+}
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -62,6 +62,9 @@
   private final SplittableRandom random = new SplittableRandom();
   private final DisseminationTreeSettings tree;
   private final Set<InetSocketAddress> cutOff = ConcurrentHashMap.newKeySet();
+  private final Set<InetSocketAddress> isolated = ConcurrentHashMap.newKeySet();
+  private final List<VoterSettings> goneVoters = new ArrayList<>();
+  private final List<ServerSocket> silentSockets = new ArrayList<>();
 
   /** One node's control plane with its transport. */
   record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
@@ -116,6 +119,33 @@
         .get();
   }
 
+  /**
+   * Names voters in the settings of the non-voters started from now on that are gone: connections
+   * to them are never answered. They have the failure domain of another voter and come after it.
+   */
+  void addGoneVoters(String domainOf, int count) {
+    FailureDomain domain = voter(domainOf).failureDomain();
+    for (int i = 0; i < count; i++) {
+      try {
+        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        silentSockets.add(socket);
+        InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
+        goneVoters.add(new VoterSettings(new InstanceId(domainOf + "-gone-" + i), domain, address));
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** Loses all messages between a running node and all others until {@link #heal}. */
+  void isolate(String instance) {
+    isolated.add(node(instance).transport().localAddress());
+  }
+
+  void heal(String instance) {
+    isolated.remove(node(instance).transport().localAddress());
+  }
+
   /** Loses all messages between a voter and the other voters from now on. */
   void cutVoterOff(String instance) {
     cutOff.add(voter(instance).peerAddress());
@@ -168,7 +198,9 @@
     boolean bothVote =
         Stream.of(from, to)
             .allMatch(each -> voters.stream().anyMatch(v -> v.peerAddress().equals(each)));
-    return bothVote && (cutOff.contains(from) || cutOff.contains(to));
+    return isolated.contains(from)
+        || isolated.contains(to)
+        || (bothVote && (cutOff.contains(from) || cutOff.contains(to)));
   }
 
   /** Transport that loses the messages to nodes that are cut off. */
@@ -334,16 +366,34 @@
     }
   }
 
+  /** Waits until a time of {@link System#nanoTime}. */
+  static void awaitNanos(long nanos) {
+    while (System.nanoTime() - nanos < 0) {
+      LockSupport.parkNanos(nanos - System.nanoTime());
+    }
+  }
+
   @Override
   public void close() {
     nodes.values().forEach(Node::close);
     nodes.clear();
+    for (ServerSocket socket : silentSockets) {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
   }
 
   private Node start(
       String instance, FailureDomain domain, InetSocketAddress address, long maximumDataBytes) {
     long boot = random.nextLong();
     NettyPeerTransport transport = transport(instance, boot, address);
+    List<VoterSettings> knownVoters = new ArrayList<>(voters);
+    if (maximumDataBytes < 0) {
+      knownVoters.addAll(goneVoters);
+    }
     ControlPlaneSettings settings =
         new ControlPlaneSettings(
             new InstanceId(instance),
@@ -353,7 +403,7 @@
             address,
             maximumDataBytes < 0 ? null : folder.resolve(instance),
             maximumDataBytes,
-            voters,
+            knownVoters,
             Map.of(),
             40,
             400,
--- a/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
@@ -4,8 +4,15 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
 /** Tests of the selection of a parent, with the time set by hand. */
@@ -13,74 +20,220 @@
 
   private static final DisseminationTreeSettings TREE = DisseminationTreeSettings.FLAT;
   private static final long MILLISECOND = TimeUnit.MILLISECONDS.toNanos(1);
-  private static final long CONTACT_NANOS = 3_000 * MILLISECOND;
+  private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
+  private static final long CONTACT_NANOS = 3 * SECOND;
 
-  private static ParentSelector below(String... candidates) {
-    ParentSelector selector = new ParentSelector(TREE, 0);
-    selector.setCandidates(List.of(candidates));
-    selector.update(0, 0);
-    return selector;
+  /** A selector and the candidates that answer its questions and send news as its parent. */
+  private static final class Simulation {
+
+    private static final long STEP_NANOS = 10 * MILLISECOND;
+
+    final ParentSelector selector = new ParentSelector(TREE, 0);
+    final Map<String, Integer> questions = new HashMap<>();
+    final List<String> parents = new ArrayList<>();
+    private final Map<String, LongFunction<@Nullable KnownState>> tells = new HashMap<>();
+    private KnownState known = KnownState.UNKNOWN;
+    private long nextParentNewsNanos;
+    private long now;
+
+    /** Sets what a candidate tells at a time; null if it does not answer. */
+    Simulation with(String candidate, LongFunction<@Nullable KnownState> told) {
+      tells.put(candidate, told);
+      return this;
+    }
+
+    Simulation preferring(String... candidates) {
+      selector.setCandidates(List.of(candidates));
+      return this;
+    }
+
+    void runUntil(long endNanos) {
+      for (; now <= endNanos; now += STEP_NANOS) {
+        step();
+      }
+    }
+
+    private void step() {
+      if (now - nextParentNewsNanos >= 0) {
+        nextParentNewsNanos = now + SECOND;
+        tell(selector.parent());
+      }
+      ParentSelector.Decision decision = selector.update(4, now);
+      if (decision.parentChanged()) {
+        parents.add(selector.parent());
+      }
+      for (String asked : decision.asked()) {
+        questions.merge(asked, 1, Integer::sum);
+        tell(asked);
+      }
+    }
+
+    private void tell(String sender) {
+      KnownState state = tells.getOrDefault(sender, time -> null).apply(now);
+      if (state != null) {
+        selector.newsReceived(sender, state, now);
+        known = known.newerOf(state);
+      }
+    }
+  }
+
+  private static @Nullable KnownState gone(long nowNanos) {
+    return null;
+  }
+
+  private static KnownState recent(long nowNanos) {
+    return KnownState.asOf(4, nowNanos);
+  }
+
+  private static KnownState unknown(long nowNanos) {
+    return KnownState.UNKNOWN;
+  }
+
+  private static LongFunction<@Nullable KnownState> until(
+      long endNanos,
+      LongFunction<@Nullable KnownState> before,
+      LongFunction<@Nullable KnownState> after) {
+    return now -> (now - endNanos < 0 ? before : after).apply(now);
   }
 
   /** Guards against a node that stays below a voter which never heard from a leader. */
   @Test
   public void parentThatKnowsNothingIsLeft() {
-    ParentSelector selector = below("restarted", "other");
-    selector.newsReceived("restarted", KnownState.asOf(4, 0), 0);
-    assertFalse(selector.update(4, 700 * MILLISECOND));
-    selector.newsReceived("restarted", KnownState.UNKNOWN, 800 * MILLISECOND);
-    selector.newsReceived("restarted", KnownState.UNKNOWN, 1_200 * MILLISECOND);
-    assertTrue(selector.timeoutNanos() <= 1_300 * MILLISECOND);
-    assertTrue(selector.update(4, 1_301 * MILLISECOND));
-    assertEquals(selector.parent(), "other");
+    Simulation simulation =
+        new Simulation()
+            .preferring("restarted", "other")
+            .with("restarted", until(800 * MILLISECOND, now -> recent(now), now -> unknown(now)))
+            .with("other", now -> recent(now));
+    simulation.runUntil(700 * MILLISECOND);
+    assertEquals(simulation.selector.parent(), "restarted");
+    simulation.runUntil(1_300 * MILLISECOND);
+    assertEquals(simulation.selector.parent(), "other");
   }
 
   /** Guards against a good parent that is avoided because it was restarted and soon caught up. */
   @Test
   public void parentThatCatchesUpAfterItsRestartIsKept() {
-    ParentSelector selector = below("restarted", "other");
+    ParentSelector selector = new ParentSelector(TREE, 0);
+    selector.setCandidates(List.of("restarted", "other"));
     selector.newsReceived("restarted", KnownState.asOf(4, 0), 0);
+    assertTrue(selector.update(4, 0).parentChanged());
     selector.newsReceived("restarted", KnownState.UNKNOWN, 800 * MILLISECOND);
-    assertFalse(selector.update(4, 801 * MILLISECOND));
+    assertFalse(selector.update(4, 801 * MILLISECOND).parentChanged());
     KnownState caughtUp = KnownState.asOf(5, 900 * MILLISECOND);
     selector.newsReceived("restarted", caughtUp, 950 * MILLISECOND);
-    assertFalse(selector.update(5, 1_400 * MILLISECOND));
+    assertFalse(selector.update(5, 1_400 * MILLISECOND).parentChanged());
     assertEquals(selector.parent(), "restarted");
   }
 
   /** Guards against a node that leaves a stale parent only after its users count it in touch. */
   @Test
   public void parentWithStaleNewsIsLeftBeforeTheContactTimeEnds() {
-    ParentSelector selector = below("cut-off", "other");
-    KnownState lastNews = KnownState.asOf(4, 0);
-    long now = 0;
-    while (selector.parent().equals("cut-off")) {
-      selector.newsReceived("cut-off", lastNews, now);
-      now = Math.min(now + 100 * MILLISECOND, selector.timeoutNanos() + MILLISECOND);
-      selector.update(4, now);
-    }
-    assertTrue(now < CONTACT_NANOS, now + " ns");
+    Simulation simulation =
+        new Simulation()
+            .preferring("cut-off", "other")
+            .with("cut-off", now -> KnownState.asOf(4, 0))
+            .with("other", until(SECOND, now -> gone(now), now -> recent(now)));
+    simulation.runUntil(SECOND);
+    assertEquals(simulation.selector.parent(), "cut-off");
+    simulation.runUntil(CONTACT_NANOS - SECOND);
+    assertEquals(simulation.selector.parent(), "other");
   }
 
   /** Guards against a busy loop over parents none of which has news, and against staying at one. */
   @Test
-  public void parentsWithoutNewsAreTriedAtBoundedRate() {
-    ParentSelector selector = below("first", "second", "third");
-    int changes = 0;
-    for (long now = 0; now < 10_000 * MILLISECOND; now += MILLISECOND) {
-      selector.newsReceived(selector.parent(), KnownState.UNKNOWN, now);
-      changes += selector.update(4, now) ? 1 : 0;
+  public void parentsWithoutNewsAreAskedAtBoundedRate() {
+    Simulation simulation = new Simulation().preferring("first", "second", "third");
+    for (String each : List.of("first", "second", "third")) {
+      simulation.with(each, now -> unknown(now));
+    }
+    simulation.runUntil(10 * SECOND);
+    assertEquals(simulation.questions.size(), 3);
+    for (int asked : simulation.questions.values()) {
+      assertTrue(asked >= 9 && asked <= 11, asked + " questions in 10 s");
+    }
+    assertEquals(simulation.parents, List.of());
+  }
+
+  /** Guards against a candidate that is passed over while it sends a large state. */
+  @Test
+  public void candidateThatSendsItsStateGetsTime() {
+    ParentSelector selector = new ParentSelector(TREE, 0);
+    selector.setCandidates(List.of("first", "second"));
+    assertEquals(selector.update(0, 0).asked(), List.of("first"));
+    for (long now = 50 * MILLISECOND; now <= 1_450 * MILLISECOND; now += 200 * MILLISECOND) {
+      selector.messageReceived("first", now);
+      assertEquals(selector.update(0, now).asked(), List.of("first"));
     }
-    assertTrue(changes >= 10 && changes <= 20, changes + " changes in 10 s");
+    selector.newsReceived("first", KnownState.asOf(4, 1_500 * MILLISECOND), 1_500 * MILLISECOND);
+    assertTrue(selector.update(4, 1_500 * MILLISECOND).parentChanged());
+    assertEquals(selector.parent(), "first");
+  }
+
+  /** Guards against a node that leaves a working parent for a preferred one that is gone. */
+  @Test
+  public void workingParentIsNotLeftForOneThatIsGone() {
+    Simulation simulation =
+        new Simulation()
+            .preferring("gone-1", "gone-2", "working")
+            .with("working", now -> recent(now));
+    simulation.runUntil(120 * SECOND);
+    assertEquals(simulation.parents, List.of("working"));
+  }
+
+  /** Guards against a preferred parent that is avoided for long after it has news again. */
+  @Test
+  public void preferredParentIsTakenAgainOnceItHasNews() {
+    Simulation simulation =
+        new Simulation()
+            .preferring("preferred", "other")
+            .with(
+                "preferred",
+                now -> now >= 5 * SECOND && now < 10 * SECOND ? gone(now) : recent(now))
+            .with("other", now -> recent(now));
+    simulation.runUntil(10 * SECOND);
+    assertEquals(simulation.parents, List.of("preferred", "other"));
+    simulation.runUntil(13 * SECOND);
+    assertEquals(simulation.parents, List.of("preferred", "other", "preferred"));
   }
 
-  /** Guards against a parent that is left while it sends a large state. */
+  /** Guards against a search that takes longer the more candidates are gone. */
   @Test
-  public void parentThatHasNotToldWhatItKnowsGetsTime() {
-    ParentSelector selector = below("first", "second");
-    assertFalse(selector.update(0, 1_700 * MILLISECOND));
-    selector.messageReceived("first", 1_700 * MILLISECOND);
-    assertFalse(selector.update(0, 2_700 * MILLISECOND));
-    assertTrue(selector.update(0, 2_801 * MILLISECOND));
+  public void knowledgeIsRecentWhileAnyCandidateHasNews() {
+    for (int seed = 0; seed < 300; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      String[] names = new String[2 + random.nextInt(7)];
+      Arrays.setAll(names, i -> "candidate-" + i);
+      Simulation simulation = new Simulation().preferring(names);
+      // One state for each candidate and second: 0 gone, 1 knows nothing, 2 and 3 recent.
+      int[][] states = new int[names.length][60];
+      for (int i = 0; i < names.length; i++) {
+        int state = 0;
+        for (int second = 0; second < 60; second++) {
+          state = random.nextInt(4) == 0 ? random.nextInt(4) : state;
+          states[i][second] = state;
+        }
+        int[] own = states[i];
+        simulation.with(names[i], now -> told(own[(int) (now / SECOND)], now));
+      }
+      for (int second = 3; second < 60; second++) {
+        long end = (second + 1) * SECOND - Simulation.STEP_NANOS;
+        simulation.runUntil(end);
+        int last = second;
+        boolean anyUp =
+            Arrays.stream(states)
+                .anyMatch(own -> own[last] > 1 && own[last - 1] > 1 && own[last - 2] > 1);
+        assertTrue(
+            !anyUp || !simulation.known.isOlderThan(CONTACT_NANOS, end),
+            "seed " + seed + " second " + second);
+      }
+    }
+  }
+
+  private static @Nullable KnownState told(int state, long nowNanos) {
+    return switch (state) {
+      case 0 -> gone(nowNanos);
+      case 1 -> unknown(nowNanos);
+      default -> recent(nowNanos);
+    };
   }
 }
