Open a replica again as soon as its disk has room

Callers saw: changes without an answer while disks were full for a moment, one after the other, never two at once.

Cause: the delay before a stopped replica was opened again doubled with each failure within a minute, up to 16 s, so that voters whose disks had room were away and the next full disk left one voter of three. Class: a wait that a count of past failures decides, not the state that is waited for.

Change: reopening begins with a check that the disk takes a file of the size that opening needs, before anything is read. Attempts are therefore cheap and made every 200 ms, whatever failed before.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/DurableFiles.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/DurableFiles.java
@@ -16,6 +16,8 @@
 final class DurableFiles {
 
   private static final String TEMPORARY_SUFFIX = ".tmp";
+  private static final String CHECK_FILE = "space-check" + TEMPORARY_SUFFIX;
+  private static final int CHECK_WRITE_BYTES = 64 * 1024;
 
   private final FileOperations operations;
   private final long maximumBytes;
@@ -99,6 +101,23 @@
     operations.syncFolder();
   }
 
+  /**
+   * Writes, syncs and deletes a file of a size; fails if the disk does not accept that. What a
+   * failure leaves is deleted by {@link #prepare}.
+   */
+  void checkAcceptsWrites(long bytes) throws IOException {
+    checkSpace(bytes);
+    try (OpenFile file = operations.open(CHECK_FILE, OpenMode.EMPTY)) {
+      ByteBuffer zeros = ByteBuffer.allocate((int) Math.min(bytes, CHECK_WRITE_BYTES));
+      for (long left = bytes; left > 0; left -= zeros.limit()) {
+        zeros.clear().limit((int) Math.min(left, CHECK_WRITE_BYTES));
+        file.write(zeros);
+      }
+      file.sync();
+    }
+    operations.delete(CHECK_FILE);
+  }
+
   /** Makes the name of the folder itself durable. */
   void syncParent() throws IOException {
     operations.syncParent();
--- a/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/FileReplicaStorage.java
@@ -22,6 +22,9 @@
   private static final String SNAPSHOT_PREFIX = "snapshot-";
   private static final String SNAPSHOT_SUFFIX = ".snapshot";
 
+  /** Space beside the last segment that a replica needs to be opened again. */
+  private static final long REOPEN_FREE_BYTES = 64 * 1024;
+
   private final DurableFiles files;
   private final SegmentedLog log;
   private final Closeable lock;
@@ -84,9 +87,9 @@
   }
 
   /**
-   * Opens a data folder again after a storage of this process failed, and checks that it accepts
-   * writes. Files whose last write may have failed are written anew, because a failed sync may
-   * leave data that can be read but is not on the disk.
+   * Opens a data folder again after a storage of this process failed. Checks first that it accepts
+   * writes, so that a disk that stays full costs no reading. Files whose last write may have failed
+   * are written anew, because a failed sync may leave data that can be read but is not on the disk.
    *
    * @throws TrestleException as {@link #open}
    */
@@ -97,6 +100,13 @@
 
   static FileReplicaStorage reopen(
       FileOperations operations, InstanceId instance, long newIncarnation, long maximumBytes) {
+    try {
+      DurableFiles files = new DurableFiles(operations, maximumBytes);
+      files.prepare();
+      files.checkAcceptsWrites(SegmentedLog.lastSegmentBytes(files) + REOPEN_FREE_BYTES);
+    } catch (IOException e) {
+      throw fileAccessException("cannot write to " + operations, e);
+    }
     FileReplicaStorage storage = open(operations, instance, newIncarnation, maximumBytes);
     try {
       storage.rewriteLatest();
--- a/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/SegmentedLog.java
@@ -45,6 +45,12 @@
     this.files = files;
   }
 
+  /** Returns the size in bytes of the last segment, without reading it; 0 if there is none. */
+  static long lastSegmentBytes(DurableFiles files) throws IOException {
+    List<String> names = files.names(PREFIX, SUFFIX);
+    return names.isEmpty() ? 0 : files.size(names.get(names.size() - 1));
+  }
+
   /**
    * Reads the entries after the snapshot, truncates an incomplete last record and makes the last
    * segment durable: a process that was killed may not have synced its last record. Earlier
--- a/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/FileReplicaStorageTest.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Random;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.teaseltrestle.consensus.RaftAction.StoredEntries;
@@ -273,6 +274,36 @@
       }
     }
 
+    /** Guards against a replica that reads its log without pause while its disk stays full. */
+    @Test
+    public void nothingIsReadWhileTheDiskIsFull() {
+      SimulatedDisk disk = new SimulatedDisk(new Random(1));
+      try (FileReplicaStorage storage = FileReplicaStorage.open(disk, INSTANCE, 7, 400)) {
+        storage.saveHardState(new HardState(1, IDENTITY));
+        storage.append(entries(1, 1, 40));
+        expectThrows(TrestleException.class, storage::sync);
+      }
+      int before = disk.reads();
+      for (int attempt = 0; attempt < 100; attempt++) {
+        expectThrows(
+            TrestleException.class, () -> FileReplicaStorage.reopen(disk, INSTANCE, 7, 400));
+      }
+      assertEquals(disk.reads(), before);
+    }
+
+    /** Guards against a replica that is opened again and again for a few writes each time. */
+    @Test
+    public void reopenedStorageHasSpaceForManyWrites() {
+      fill(folder, 3);
+      int limit = 70_000;
+      try (FileReplicaStorage storage = reopen(folder, limit)) {
+        storage.append(entries(1, 4, 400));
+        storage.sync();
+      }
+      TrestleException full = expectThrows(TrestleException.class, () -> reopen(folder, 65_000));
+      assertEquals(full.code(), ErrorCode.FILE_ACCESS);
+    }
+
     private static FileReplicaStorage reopen(Path folder, long maximumBytes) {
       return FileReplicaStorage.reopen(folder, INSTANCE, 7, maximumBytes);
     }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedDisk.java
@@ -63,6 +63,7 @@
   private int operationsUntilKill = Integer.MAX_VALUE;
   private int operationsUntilRefusal;
   private int refusedOperations;
+  private int reads;
 
   SimulatedDisk(Random random) {
     this.random = random;
@@ -79,6 +80,11 @@
     refusedOperations = refused;
   }
 
+  /** Returns how many files were read. */
+  int reads() {
+    return reads;
+  }
+
   /** Gives syncs of a target no effect, as if the process left them out. */
   void ignoreSyncs(@Nullable SyncTarget target) {
     ignoredSyncs = target;
@@ -159,6 +165,7 @@
 
   @Override
   public byte[] read(String name) throws IOException {
+    reads++;
     return find(name).written.clone();
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaSupervisor.java
@@ -22,16 +22,23 @@
   private static final int RING_CAPACITY = 16;
   private static final long IDLE_TICK_NANOS = TimeUnit.MINUTES.toNanos(1);
 
+  /**
+   * Time between two attempts to open the replica. An attempt begins with a check of the free
+   * space, so that it reads no log while the disk is full.
+   */
+  private static final long REOPEN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
   private final ControlPlaneSettings settings;
   private final ControlPlaneContext context;
   private final RandomGenerator random;
   private final Path folder;
   private final FallbackControlPlane plane;
   private final DutyThread<Runnable> duty;
-  private final ReopenSchedule schedule;
   private @Nullable ReplicaService replica;
   private @Nullable FollowService follower;
   private boolean awaitsReopening;
+  private long nextAttemptNanos;
+  private String lastCause = "";
 
   ReplicaSupervisor(
       ControlPlaneSettings settings,
@@ -43,7 +50,7 @@
     this.random = random;
     this.folder = folder;
     this.plane = new FallbackControlPlane(this::close);
-    this.schedule = new ReopenSchedule(context.clock().nowNanos());
+    this.nextAttemptNanos = context.clock().nowNanos();
     this.duty =
         new DutyThread<>(
             "replica-supervisor",
@@ -63,7 +70,7 @@
       replica = startReplica(openReplica(FileReplicaStorage::open));
     } catch (TrestleException e) {
       awaitsReopening = e.code() != ErrorCode.DATA_CORRUPTED;
-      schedule.openFailed(context.clock().nowNanos());
+      nextAttemptNanos = context.clock().nowNanos() + REOPEN_INTERVAL_NANOS;
       followInstead(e);
     }
     duty.start();
@@ -77,18 +84,19 @@
   }
 
   private synchronized long nextTickNanos(long lastTickNanos) {
-    return awaitsReopening ? schedule.dueAtNanos() : lastTickNanos + IDLE_TICK_NANOS;
+    return awaitsReopening ? nextAttemptNanos : lastTickNanos + IDLE_TICK_NANOS;
   }
 
   private synchronized void tick(long nowNanos) {
-    if (awaitsReopening && nowNanos - schedule.dueAtNanos() >= 0) {
-      reopen(nowNanos);
+    if (awaitsReopening && nowNanos - nextAttemptNanos >= 0) {
+      reopen();
     }
   }
 
   /** Called on the thread of a replica that has stopped. */
   private synchronized void replicaStopped() {
-    schedule.stopped(context.clock().nowNanos());
+    nextAttemptNanos = context.clock().nowNanos() + REOPEN_INTERVAL_NANOS;
+    lastCause = "";
     awaitsReopening = true;
     followInstead(null);
     // Makes the duty read the new due time.
@@ -110,7 +118,7 @@
     plane.replace(service, service::start);
   }
 
-  private void reopen(long nowNanos) {
+  private void reopen() {
     ReplicaService stopped = replica;
     if (stopped != null) {
       stopped.close();
@@ -121,21 +129,11 @@
       service = openReplica(FileReplicaStorage::reopen);
     } catch (TrestleException e) {
       awaitsReopening = e.code() != ErrorCode.DATA_CORRUPTED;
-      schedule.openFailed(nowNanos);
-      LOG.warn(
-          ReplicaEvent.REOPEN_FAILED,
-          "folder",
-          folder,
-          "code",
-          e.code(),
-          "cause",
-          e.getMessage(),
-          "reopens",
-          awaitsReopening);
+      nextAttemptNanos = context.clock().nowNanos() + REOPEN_INTERVAL_NANOS;
+      logOpenFailed(e);
       return;
     }
     awaitsReopening = false;
-    schedule.opened(nowNanos);
     FollowService following = follower;
     if (following != null) {
       following.close();
@@ -144,6 +142,25 @@
     replica = startReplica(service);
   }
 
+  /** Logs each cause once: attempts are frequent. */
+  private void logOpenFailed(TrestleException failure) {
+    String cause = String.valueOf(failure.getMessage());
+    if (cause.equals(lastCause)) {
+      return;
+    }
+    lastCause = cause;
+    LOG.warn(
+        ReplicaEvent.REOPEN_FAILED,
+        "folder",
+        folder,
+        "code",
+        failure.code(),
+        "cause",
+        cause,
+        "reopens",
+        awaitsReopening);
+  }
+
   private ReplicaService openReplica(StorageOpener opener) {
     FileReplicaStorage storage =
         opener.open(folder, settings.instance(), random.nextLong(), settings.maximumDataBytes());
