Don't send an at-most-once request again to a server that refused it

Callers could be told "not run" (503) for a booking that a server was running: the server refused the request, got it a second time, and repeated the earlier refusal, which carries the same identifier, while it ran the second copy.

Change: a server that refused a request that must run at most once is no candidate for it any more (ServerState.allows). Other servers are tried as before; once all have refused, the caller is refused at once instead of waiting for them. Idempotent requests are sent again as before.

RetriesTest$RefusalTest needs the new behaviour and was not run before.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -237,6 +237,9 @@
       request.possibleRuns++;
       request.recordPossibleRun(code);
     }
+    if (RetryTable.isRefusal(failure)) {
+      request.recordRefusal(server.server.id());
+    }
     Progress progress = request.outputTokens > 0 ? Progress.PARTIAL : Progress.NONE;
     RetryAction action = RetryTable.action(failure, request.work.repeatability(), progress);
     // A partly delivered response waits even if no server remains: one may return before the
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -20,6 +20,10 @@
   final long[] prefix;
 
   final List<BackendServerId> triedServers = new ArrayList<>(1);
+
+  /** Servers that refused this request. */
+  private final List<BackendServerId> refusedBy = new ArrayList<>(0);
+
   long queueDeadlineNanos;
   Phase phase = Phase.QUEUED;
 
@@ -110,6 +114,20 @@
     return Math.max(1, work.expectedOutputTokens() - outputTokens);
   }
 
+  /** Records that a server refused this request without running it. */
+  void recordRefusal(BackendServerId server) {
+    refusedBy.add(server);
+  }
+
+  /**
+   * Returns whether this request may be sent to a server. One that must run at most once is not
+   * sent again to a server that refused it: the earlier refusal, repeated, would hide a run.
+   */
+  boolean maySendTo(BackendServerId server) {
+    return work.repeatability() != WorkRequest.Repeatability.AT_MOST_ONCE
+        || !refusedBy.contains(server);
+  }
+
   /** Records the code of the first failed attempt that may have run. */
   void recordPossibleRun(RefusalCode code) {
     if (possibleRunCode == null) {
--- a/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RetryTable.java
@@ -57,6 +57,11 @@
     };
   }
 
+  /** Returns whether the backend server received the request and said that it did not run it. */
+  static boolean isRefusal(FailureKind failure) {
+    return failure == FailureKind.REFUSED_BUSY || failure == FailureKind.REFUSED_LEAVING;
+  }
+
   /**
    * Returns whether a remote prefill that failed this way loads the servers with one more attempt:
    * an engine received it, and another one receives the whole request afterwards.
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -77,11 +77,13 @@
         && nowNanos >= leavingUntilNanos;
   }
 
-  /**
-   * Returns whether the server's capacity class permits the request: preemptible servers may be
-   * reclaimed while it runs.
-   */
+  /** Returns whether the server may run the request, whatever its load is. */
   boolean allows(RequestState request) {
+    return request.maySendTo(server.id()) && allowsOnItsCapacity(request);
+  }
+
+  /** Preemptible servers may be reclaimed while they run a request. */
+  private boolean allowsOnItsCapacity(RequestState request) {
     return server.capacity() == BackendServer.Capacity.REGULAR
         || cheapWork == PolicyConfiguration.CheapWork.ALL
         || (request.work.repeatability() == WorkRequest.Repeatability.IDEMPOTENT
--- a/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/RetriesTest.java
@@ -5,7 +5,9 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.NotRun;
 import org.teaseltrestle.policy.AdmissionCoreTest.Harness;
 import org.teaseltrestle.policy.RetryTable.Progress;
@@ -54,6 +56,71 @@
     }
   }
 
+  /** Requests that servers refused without running them. */
+  public static final class RefusalTest {
+
+    private static final int REQUESTS = 200;
+
+    private static List<BackendServerId> serversOf(Repeatability repeatability, FailureKind kind) {
+      Harness harness = harness();
+      for (int i = 0; i < REQUESTS; i++) {
+        AdmissionAction.Dispatch earlier = Harness.dispatch(harness.arrive(work(harness, -1 - i)));
+        harness.finish(earlier, new AttemptOutcome(null, 10, 1_000_000));
+      }
+      List<BackendServerId> servers = new ArrayList<>();
+      List<AdmissionAction> actions =
+          harness.arrive(
+              Samples.request(
+                  "refused", "north", 10, 10, harness.now + Samples.SECOND, repeatability, 1));
+      while (!Harness.actionsOfType(AdmissionAction.Dispatch.class, actions).isEmpty()) {
+        AdmissionAction.Dispatch dispatch = Harness.dispatch(actions);
+        servers.add(dispatch.server());
+        actions = harness.finish(dispatch, new AttemptOutcome(kind, 0, 0));
+      }
+      return servers;
+    }
+
+    /**
+     * Guards against a refusal that a server repeats while it runs the request, which would be
+     * taken for the answer to the later attempt.
+     */
+    @Test
+    public void atMostOnceRequestIsNotSentAgainToServerThatRefusedIt() {
+      for (FailureKind kind : List.of(FailureKind.REFUSED_BUSY, FailureKind.REFUSED_LEAVING)) {
+        List<BackendServerId> servers = serversOf(Repeatability.AT_MOST_ONCE, kind);
+        assertTrue(servers.size() > 1, kind + " at " + servers);
+        assertEquals(new HashSet<>(servers).size(), servers.size(), kind + " at " + servers);
+      }
+    }
+
+    /** Guards against a wait for servers all of which have refused the request. */
+    @Test
+    public void requestThatAllServersRefusedIsRefusedAtOnce() {
+      Harness harness =
+          new Harness(
+              PolicyConfiguration.builder().build(),
+              List.of(Samples.engine("e0", "a")),
+              Samples.highLimits("north", 1, 0));
+      List<AdmissionAction> actions =
+          harness.arrive(
+              Samples.request(
+                  "refused",
+                  "north",
+                  10,
+                  10,
+                  harness.now + Samples.SECOND,
+                  Repeatability.AT_MOST_ONCE,
+                  1));
+      actions =
+          harness.finish(
+              Harness.dispatch(actions), new AttemptOutcome(FailureKind.REFUSED_BUSY, 0, 0));
+      List<AdmissionAction.Refuse> refusals =
+          Harness.actionsOfType(AdmissionAction.Refuse.class, actions);
+      assertEquals(refusals.size(), 1);
+      assertEquals(refusals.get(0).code().notRun(), NotRun.CERTAIN);
+    }
+  }
+
   /** Guards against retry storms, and against lost responses when a failure domain fails. */
   public static final class BudgetTest {
 
