Refuse a response whose chunk is longer than its size

Callers could get a success with a part of the body missing: OkHttp skips what stands between the end of a chunk and the next line end, so that the bytes of a faulty replica were dropped and the response looked complete.

Change: ChunkFraming follows the framing of a response as its bytes arrive at the socket and fails the read at the first byte that stands where a chunk must end.

--- a/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
@@ -16,7 +16,8 @@
  * Socket that bounds how much a backend server may send without delivering any part of a response
  * body: heads, chunk extensions and trailers without end, and heads that never become complete.
  * Without a bound such bytes fill the memory or occupy a thread forever. Bytes that arrive before
- * the request belong to no request, so the connection fails.
+ * the request belong to no request, so the connection fails, and so do chunks that are longer than
+ * their size.
  */
 final class BoundedSocket extends Socket {
 
@@ -29,6 +30,7 @@
   private int undeliveredBytes;
   private boolean headComplete;
   private long headDeadlineNanos;
+  private ChunkFraming framing = new ChunkFraming();
   private @Nullable InputStream input;
 
   /** Creates an unconnected socket; the bounds apply from {@link #startResponse}. */
@@ -46,6 +48,7 @@
     synchronized (lock) {
       bounded = true;
       requestStarted = false;
+      framing = new ChunkFraming();
       undeliveredBytes = 0;
       headComplete = false;
       headDeadlineNanos = clock.nowNanos() + headTimeout.toNanos();
@@ -109,6 +112,14 @@
     }
   }
 
+  private void check(byte[] bytes, int offset, int length) throws ProtocolException {
+    synchronized (lock) {
+      if (bounded && length > 0) {
+        framing.accept(bytes, offset, length);
+      }
+    }
+  }
+
   private void count(int bytes) throws ProtocolException {
     synchronized (lock) {
       undeliveredBytes += Math.max(0, bytes);
@@ -160,6 +171,9 @@
       checkHeadDeadline();
       int value = super.read();
       count(value < 0 ? 0 : 1);
+      if (value >= 0) {
+        check(new byte[] {(byte) value}, 0, 1);
+      }
       return value;
     }
 
@@ -169,6 +183,7 @@
       checkHeadDeadline();
       int count = super.read(bytes, offset, length);
       count(count);
+      check(bytes, offset, count);
       return count;
     }
   }
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/backend/ChunkFramingTest.java
@@ -0,0 +1,54 @@
+package org.teaseltrestle.node.backend;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+import static org.testng.Assert.assertThrows;
+
+import java.net.ProtocolException;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/** Tests of the framing of chunks, with the bytes split at each position. */
+public final class ChunkFramingTest {
+
+  private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  private static void accept(String text, int split) throws ProtocolException {
+    ChunkFraming framing = new ChunkFraming();
+    byte[] bytes = text.getBytes(US_ASCII);
+    framing.accept(bytes, 0, split);
+    framing.accept(bytes, split, bytes.length - split);
+  }
+
+  /** Guards against sound responses that are refused. */
+  @Test
+  public void soundResponsesAreAccepted() throws ProtocolException {
+    List<String> sound =
+        List.of(
+            CHUNKED + "5\r\n01234\r\nA;name=x\r\n0123456789\r\n0\r\nX-Sum: 1\r\n\r\n",
+            CHUNKED + "3\r\n\r\n\r\r\n0\r\n\r\n",
+            "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + CHUNKED + "1\r\nx\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n5\r\n012345",
+            "HTTP/1.1 200 OK\ntransfer-encoding:chunked\n\n2\nab\n0\n\n");
+    for (String each : sound) {
+      for (int split = 0; split <= each.length(); split++) {
+        accept(each, split);
+      }
+    }
+  }
+
+  /** Guards against a chunk whose bytes after its size are dropped unnoticed. */
+  @Test
+  public void chunkLongerThanItsSizeIsRefused() {
+    List<String> faulty =
+        List.of(
+            CHUNKED + "5\r\n012345\r\n0\r\n\r\n",
+            CHUNKED + "5\r\n01234\r\n2\r\nabc\r\n0\r\n\r\n",
+            CHUNKED + "1\r\nx\rx\n0\r\n\r\n");
+    for (String each : faulty) {
+      for (int split = 0; split <= each.length(); split++) {
+        int position = split;
+        assertThrows(ProtocolException.class, () -> accept(each, position));
+      }
+    }
+  }
+}
