Copy usage records only to instances that hold copies

An entry node took the next instance of its failure domain as the partner for copies of its usage records, and that was a control node, which has no usage service; until the copy failed and the next partner was tried, its records had no copy.

Change: UsageService is told which instances hold copies.

--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -227,6 +227,7 @@
         settings.usageWindowSeconds(),
         control,
         transport,
+        instance -> true,
         instance -> {
           addresses.update(control.view());
           return addresses.find(instance);
--- a/node/src/main/java/org/teaseltrestle/node/usage/PartnerSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/PartnerSelector.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.wire.InstanceRecord;
@@ -19,11 +20,19 @@
 
   private final InstanceId self;
   private final FailureDomain failureDomain;
+  private final Predicate<InstanceRecord> holdsCopies;
   private final Map<String, Long> avoidedUntilNanos = new HashMap<>();
 
-  PartnerSelector(InstanceId self, FailureDomain failureDomain) {
+  /**
+   * Creates a selector.
+   *
+   * @param holdsCopies whether an instance holds copies of usage records of others
+   */
+  PartnerSelector(
+      InstanceId self, FailureDomain failureDomain, Predicate<InstanceRecord> holdsCopies) {
     this.self = self;
     this.failureDomain = failureDomain;
+    this.holdsCopies = holdsCopies;
   }
 
   /** Skips an instance until a monotonic time. */
@@ -36,6 +45,7 @@
     avoidedUntilNanos.values().removeIf(until -> nowNanos - until >= 0);
     List<InstanceRecord> candidates =
         instances.stream()
+            .filter(holdsCopies)
             .filter(each -> !each.getInstance().equals(self.value()))
             .filter(each -> !avoidedUntilNanos.containsKey(each.getInstance()))
             .sorted(
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.usage.UsageCopies;
@@ -29,6 +30,7 @@
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.Envelope;
+import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.UsageBatch;
 import org.teaseltrestle.wire.UsageCopy;
 import org.teaseltrestle.wire.UsageCopyAnswer;
@@ -80,6 +82,7 @@
    * Creates the service; {@link #start()} starts it.
    *
    * @param windowSeconds duration of a usage window in seconds
+   * @param holdsCopies whether an instance holds copies of usage records of others
    * @param addresses returns the peer address of an instance, if known
    */
   public UsageService(
@@ -89,6 +92,7 @@
       long windowSeconds,
       ControlGateway control,
       PeerTransport transport,
+      Predicate<InstanceRecord> holdsCopies,
       Function<InstanceId, Optional<InetSocketAddress>> addresses,
       MonotonicClock clock,
       WallClock wallClock) {
@@ -100,7 +104,7 @@
     this.addresses = addresses;
     this.clock = clock;
     this.wallClock = wallClock;
-    this.partners = new PartnerSelector(instance, failureDomain);
+    this.partners = new PartnerSelector(instance, failureDomain, holdsCopies);
     this.journal = new UsageJournal(instance.value(), boot);
     this.nextCommitNanos = clock.nowNanos();
     this.duty =
