--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -11,7 +11,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -56,7 +55,7 @@
 
   private static final AtomicLong NEXT_REQUEST = new AtomicLong();
 
-  final Map<String, Node> nodes = new HashMap<>();
+  final Map<String, Node> nodes = new ConcurrentHashMap<>();
   private final Path folder;
   private final List<VoterSettings> voters = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom();
@@ -151,6 +150,11 @@
     cutOff.add(voter(instance).peerAddress());
   }
 
+  /** Ends what {@link #cutVoterOff} began. */
+  void reconnectVoter(String instance) {
+    cutOff.remove(voter(instance).peerAddress());
+  }
+
   /** Subscribes to a voter as a child that lacks no entries and returns its first message. */
   CommittedCommands askForNews(String voter) {
     InetSocketAddress address = freeAddress();
@@ -305,6 +309,10 @@
   }
 
   CompletableFuture<CommandAnswer> propose(String through, String subject) {
+    return propose(node(through), subject);
+  }
+
+  CompletableFuture<CommandAnswer> propose(Node through, String subject) {
     Command command =
         Command.newBuilder()
             .setRequestId("test-" + NEXT_REQUEST.incrementAndGet())
@@ -312,7 +320,7 @@
                 RegisterInstance.newBuilder()
                     .setInstance(InstanceRecord.newBuilder().setInstance(subject)))
             .build();
-    return node(through).plane().propose(command);
+    return through.plane().propose(command);
   }
 
   /** Commits a serving configuration of a given size and returns its index. */
