Replace machines and lose disks and power in the simulated group

Cause: the seeded schedules of the consensus module had no machines that are replaced for good by new ones at new addresses, no voter that loses its disk right after it accepted an entry while others lose power, and no check of the time as of which a replica claims to know all committed entries. Their disks were a model, without torn writes and unsynced names.

Change (tests only): variant REPLACEMENTS of RandomSchedule does this once the group has formed, in an open group with the platform's election times, with FileReplicaStorage on SimulatedDisk. After each event a replica's claim is compared with the entries accepted before it, less the time that the news was on its way, since news is dated by its arrival.

That news counts as newer by its time on the way is left out of the check.

--- a/consensus/src/test/java/org/teaseltrestle/consensus/RaftCoreTest.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/RaftCoreTest.java
@@ -12,6 +12,7 @@
   private static final long FIRST_SEED = Long.getLong("trestle.seed", 1);
   private static final long FAULT_SECONDS = Long.getLong("trestle.faultSeconds", 0);
   private static final int DEFAULT_SEEDS = 60;
+  private static final int REPLACEMENT_SEEDS = Integer.getInteger("trestle.replacementSeeds", 60);
 
   /** Guards against violations of the safety of Raft or of the authority lease under faults. */
   public static final class RandomFaultsTest {
@@ -33,6 +34,26 @@
         run(seed, RandomSchedule.Variant.OPEN_MEMBERSHIP);
       }
     }
+
+    /**
+     * Guards against entries that are lost, or counted as known before they are, when machines are
+     * replaced for good and lose disks and power right after they accepted an entry.
+     */
+    @Test
+    public void staysSafeWhenMachinesAreReplacedAndLoseDisksAndPower() {
+      long replacements = 0;
+      long disksLost = 0;
+      for (long seed = FIRST_SEED; seed < FIRST_SEED + REPLACEMENT_SEEDS; seed++) {
+        RandomSchedule schedule = run(seed, RandomSchedule.Variant.REPLACEMENTS);
+        replacements += schedule.replacements();
+        disksLost += schedule.disksLostAfterAcceptance();
+      }
+      System.out.printf(
+          "raft schedules on disks: %d to %d, machines replaced: %d, disks lost: %d%n",
+          FIRST_SEED, FIRST_SEED + REPLACEMENT_SEEDS - 1, replacements, disksLost);
+      assertTrue(2 * replacements > REPLACEMENT_SEEDS, "too few replacements");
+      assertTrue(2 * disksLost > REPLACEMENT_SEEDS, "too few disks lost");
+    }
   }
 
   /** Guards against a checker that does not detect a missing safety mechanism. */
@@ -67,9 +88,11 @@
     }
   }
 
-  private static void run(long seed, RandomSchedule.Variant variant) {
+  private static RandomSchedule run(long seed, RandomSchedule.Variant variant) {
     try {
-      new RandomSchedule(seed, variant).run();
+      RandomSchedule schedule = new RandomSchedule(seed, variant);
+      schedule.run();
+      return schedule;
     } catch (AssertionError | RuntimeException e) {
       throw new AssertionError("-Dtrestle.seed=" + seed + ": " + e.getMessage(), e);
     }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/RandomSchedule.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/RandomSchedule.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -23,6 +24,10 @@
 
   private static final long NANOS_PER_MILLISECOND = 1_000_000;
   private static final long FAULTS_END_NANOS = 25_000 * NANOS_PER_MILLISECOND;
+
+  /** Drift of two clocks over the age of news, which is below an election timeout. */
+  private static final long MAXIMUM_DRIFT_OF_NEWS_NANOS = 40 * NANOS_PER_MILLISECOND;
+
   private static final long RECOVERY_END_NANOS = 120_000 * NANOS_PER_MILLISECOND;
 
   /** Safety mechanism that a schedule leaves out, to show that the checker detects it. */
@@ -30,6 +35,11 @@
     COMPLETE,
     /** Complete, in a group that any replica may join and that removes silent voters. */
     OPEN_MEMBERSHIP,
+    /**
+     * Open, on the product's storage: machines are replaced for good, and voters lose their disks
+     * right after they accepted a proposal, while others lose power.
+     */
+    REPLACEMENTS,
     VOTE_NOT_PERSISTED,
     EMPTY_DISK_KEEPS_IDENTITY,
     RESPONSE_BEFORE_SYNC,
@@ -44,6 +54,8 @@
   private final Random random;
   private final Variant variant;
   private final RaftSettings settings;
+  private final double drift;
+  private final int snapshotChunkBytes;
   private final List<SimulatedReplica> replicas = new ArrayList<>();
   private final Map<InstanceId, SimulatedReplica> byInstance = new HashMap<>();
   private final PriorityQueue<ScheduledStep> queue =
@@ -56,6 +68,10 @@
   private long sequence;
   private long nextIncarnation = 1;
   private boolean diskLostBeforeFormation;
+  private boolean replacesOnceRepaired;
+  private boolean losesDiskAfterAcceptance;
+  private long replacements;
+  private long disksLostAfterAcceptance;
 
   RandomSchedule(long seed, Variant variant) {
     this.random = new Random(seed);
@@ -65,25 +81,42 @@
     for (int i = 0; i < voters; i++) {
       instances.add(new InstanceId("voter-" + i));
     }
-    settings =
+    snapshotChunkBytes = random.nextBoolean() ? 64 : 1 << 20;
+    settings = settings(instances);
+    drift = variant == Variant.CLOCK_DRIFT_BEYOND_BOUND ? 0.9 : 0.02;
+    settings.initialVoters().forEach(this::addReplica);
+  }
+
+  private RaftSettings settings(Set<InstanceId> initialVoters) {
+    boolean open = variant == Variant.OPEN_MEMBERSHIP || variant == Variant.REPLACEMENTS;
+    RaftSettings.Builder builder =
         RaftSettings.builder()
-            .initialVoters(instances)
-            .snapshotChunkBytes(random.nextBoolean() ? 64 : 1 << 20)
+            .initialVoters(initialVoters)
+            .snapshotChunkBytes(snapshotChunkBytes)
             .retainedEntries(8)
             .maximumInFlight(16)
             .membership(
-                variant == Variant.OPEN_MEMBERSHIP
-                    ? RaftSettings.Membership.OPEN
-                    : RaftSettings.Membership.INITIAL_VOTERS)
-            .build();
-    double drift = variant == Variant.CLOCK_DRIFT_BEYOND_BOUND ? 0.9 : 0.02;
-    for (InstanceId instance : settings.initialVoters()) {
-      double rate = 1 + drift * (2 * random.nextDouble() - 1);
-      SimulatedReplica replica =
-          new SimulatedReplica(newIdentity(instance), rate, random.nextInt(1_000_000_000));
-      replicas.add(replica);
-      byInstance.put(instance, replica);
+                open ? RaftSettings.Membership.OPEN : RaftSettings.Membership.INITIAL_VOTERS);
+    if (variant == Variant.REPLACEMENTS) {
+      // As on the platform.
+      builder
+          .electionNanos(800 * NANOS_PER_MILLISECOND, 1_600 * NANOS_PER_MILLISECOND)
+          .leaseNanos(720 * NANOS_PER_MILLISECOND);
     }
+    return builder.build();
+  }
+
+  private SimulatedReplica addReplica(InstanceId instance) {
+    double rate = 1 + drift * (2 * random.nextDouble() - 1);
+    ReplicaId id = newIdentity(instance);
+    long offset = random.nextInt(1_000_000_000);
+    SimulatedReplica replica =
+        variant == Variant.REPLACEMENTS
+            ? new DiskReplica(id, rate, offset, new Random(random.nextLong()))
+            : new SimulatedReplica(id, rate, offset);
+    replicas.add(replica);
+    byInstance.put(instance, replica);
+    return replica;
   }
 
   /** Runs with faults, then without, and checks that the group recovers with all entries. */
@@ -94,7 +127,7 @@
     }
     after(500, this::proposeOrRead);
     after(500, this::injectFault);
-    runUntil(FAULTS_END_NANOS);
+    runUntil(faultsEndNanos());
     repairAll();
     runUntil(now + 10_000 * NANOS_PER_MILLISECOND);
     while (now < RECOVERY_END_NANOS && !(isRepaired() && allCaughtUp())) {
@@ -130,8 +163,12 @@
     queue.add(new ScheduledStep(time, sequence++, step));
   }
 
+  private long faultsEndNanos() {
+    return variant == Variant.REPLACEMENTS ? 2 * FAULTS_END_NANOS : FAULTS_END_NANOS;
+  }
+
   private boolean injectsFaults() {
-    return now < FAULTS_END_NANOS;
+    return now < faultsEndNanos();
   }
 
   private ReplicaId newIdentity(InstanceId instance) {
@@ -139,11 +176,21 @@
   }
 
   private void startIfStopped(SimulatedReplica replica) {
-    if (replica.core == null) {
-      replica.start(settings, now);
+    if (replica.core == null && byInstance.get(replica.instance) == replica) {
+      // The settings of a replacement name the machines of its time.
+      replica.start(
+          variant == Variant.REPLACEMENTS ? settings(byInstance.keySet()) : settings, now);
     }
   }
 
+  long replacements() {
+    return replacements;
+  }
+
+  long disksLostAfterAcceptance() {
+    return disksLostAfterAcceptance;
+  }
+
   private void tick(SimulatedReplica replica) {
     handle(replica, new RaftEvent.Tick(random.nextDouble()));
     schedule(
@@ -152,15 +199,54 @@
   }
 
   private void handle(SimulatedReplica replica, RaftEvent event) {
+    handle(replica, event, now);
+  }
+
+  private void handle(SimulatedReplica replica, RaftEvent event, long sentAt) {
     RaftCore core = replica.core;
     if (core == null) {
       return;
     }
     if (now < replica.frozenUntil) {
-      schedule(replica.frozenUntil, () -> handle(replica, event));
+      schedule(replica.frozenUntil, () -> handle(replica, event, sentAt));
       return;
     }
+    OptionalLong knownBefore = core.committedKnownAtNanos();
     List<RaftAction> actions = core.handle(event, replica.localNanos(now));
+    if (!core.committedKnownAtNanos().equals(knownBefore)) {
+      replica.newsTransitNanos = isAppendRequest(event) ? now - sentAt : 0;
+    }
+    try {
+      if (!storeAndExecute(replica, core, actions)) {
+        crash(replica);
+      }
+    } catch (SimulatedDisk.Killed e) {
+      crash(replica);
+    }
+    if (replica.core == core) {
+      checkKnown(replica, core);
+    }
+  }
+
+  private static boolean isAppendRequest(RaftEvent event) {
+    return event instanceof RaftEvent.Received received
+        && received.envelope().message() instanceof RaftMessage.AppendRequest;
+  }
+
+  /** News is dated by its arrival, so that it counts as newer by the time on its way. */
+  private void checkKnown(SimulatedReplica replica, RaftCore core) {
+    if (core.committedKnownAtNanos().isPresent()) {
+      long claimed = replica.realNanos(core.committedKnownAtNanos().getAsLong());
+      checker.onKnown(
+          replica.id,
+          replica.appliedIndex,
+          claimed - replica.newsTransitNanos - MAXIMUM_DRIFT_OF_NEWS_NANOS);
+    }
+  }
+
+  /** Returns false if the process ends meanwhile. */
+  private boolean storeAndExecute(
+      SimulatedReplica replica, RaftCore core, List<RaftAction> actions) {
     for (RaftAction action : actions) {
       if (action instanceof RaftAction.StorageAction storage) {
         replica.store(storage, variant);
@@ -171,18 +257,18 @@
       if (variant == Variant.RESPONSE_BEFORE_SYNC) {
         actions.forEach(action -> execute(replica, core, action));
       }
-      crash(replica);
-      return;
+      return false;
     }
     replica.sync();
     int executed =
         injectsFaults() && random.nextInt(10_000) == 0 ? random.nextInt(4) : actions.size();
     for (int i = 0; i < actions.size() && i < executed; i++) {
       execute(replica, core, actions.get(i));
+      if (replica.core != core) {
+        return true;
+      }
     }
-    if (executed < actions.size()) {
-      crash(replica);
-    }
+    return executed == actions.size();
   }
 
   private void execute(SimulatedReplica replica, RaftCore core, RaftAction action) {
@@ -203,7 +289,12 @@
       checker.onRoleChange(core);
     } else if (action instanceof RaftAction.ProposalCommitted committed
         && proposals.containsKey(committed.proposalId())) {
-      checker.onProposalAccepted(proposals.get(committed.proposalId()), committed.index());
+      checker.onProposalAccepted(proposals.get(committed.proposalId()), committed.index(), now);
+      if (losesDiskAfterAcceptance && injectsFaults() && isRepaired()) {
+        losesDiskAfterAcceptance = false;
+        disksLostAfterAcceptance++;
+        loseDiskWhileOthersLosePower(replica);
+      }
     } else if (action instanceof RaftAction.ReadConfirmed read) {
       checker.onRead(read.index(), reads.getOrDefault(read.readId(), 0L));
     }
@@ -230,19 +321,25 @@
       if (injectsFaults() && random.nextInt(100) < 3) {
         delay += random.nextInt(2_000) * NANOS_PER_MILLISECOND;
       }
-      schedule(now + delay, () -> deliver(envelope));
+      long sentAt = now;
+      schedule(now + delay, () -> deliver(envelope, sentAt));
     }
   }
 
-  private void deliver(RaftEnvelope envelope) {
+  private void deliver(RaftEnvelope envelope, long sentAt) {
     Link link = new Link(envelope.from().instance(), envelope.instance());
     SimulatedReplica receiver = byInstance.get(envelope.instance());
     if (receiver != null && !blockedLinks.contains(link)) {
-      handle(receiver, new RaftEvent.Received(envelope));
+      handle(receiver, new RaftEvent.Received(envelope), sentAt);
     }
   }
 
   private void proposeOrRead() {
+    boolean replaces = replacesOnceRepaired && !losesDiskAfterAcceptance && injectsFaults();
+    if (replaces && isRepaired()) {
+      replacesOnceRepaired = false;
+      replace(randomReplica());
+    }
     long id = sequence++;
     SimulatedReplica replica = randomReplica();
     if (random.nextInt(4) == 0) {
@@ -264,6 +361,11 @@
     if (!injectsFaults()) {
       return;
     }
+    if (variant == Variant.REPLACEMENTS && checker.acceptedIndex() == 0) {
+      // Other variants disturb the formation of the group.
+      after(500, this::injectFault);
+      return;
+    }
     SimulatedReplica replica = randomReplica();
     switch (random.nextInt(7)) {
       case 0, 1 -> crash(replica);
@@ -273,12 +375,19 @@
       case 5 -> loseDisk(replica);
       default -> remove(replica);
     }
+    if (variant == Variant.REPLACEMENTS) {
+      switch (random.nextInt(4)) {
+        case 0, 1 -> replacesOnceRepaired = true;
+        case 2 -> losesDiskAfterAcceptance = true;
+        default -> List.copyOf(replicas).forEach(SimulatedReplica::failSoon);
+      }
+    }
     after(200 + random.nextInt(2_000), this::injectFault);
   }
 
   private void crash(SimulatedReplica replica) {
     if (replica.core != null) {
-      replica.core = null;
+      replica.end();
       after(100 + random.nextInt(3_000), () -> startIfStopped(replica));
     }
   }
@@ -315,6 +424,34 @@
     }
   }
 
+  /** Removes a machine for good and starts another with an empty disk at a new address. */
+  private void replace(SimulatedReplica replica) {
+    replica.end();
+    replicas.remove(replica);
+    byInstance.remove(replica.instance);
+    SimulatedReplica added = addReplica(new InstanceId("voter-new-" + ++replacements));
+    after(random.nextInt(1_000), () -> startIfStopped(added));
+    after(1, () -> tick(added));
+  }
+
+  /** Of the others, each loses power at once, during one of its next writes, or not at all. */
+  private void loseDiskWhileOthersLosePower(SimulatedReplica replica) {
+    for (SimulatedReplica other : List.copyOf(replicas)) {
+      int kind = other == replica ? -1 : random.nextInt(4);
+      if (kind == 0) {
+        other.failSoon();
+      } else if (kind > 1) {
+        crash(other);
+      }
+    }
+    if (random.nextBoolean()) {
+      replica.loseDisk(newIdentity(replica.instance));
+      after(100 + random.nextInt(1_000), () -> startIfStopped(replica));
+    } else {
+      replace(replica);
+    }
+  }
+
   private void remove(SimulatedReplica replica) {
     if (isRepaired()) {
       latestLeader()
--- a/consensus/src/test/java/org/teaseltrestle/consensus/SafetyChecker.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/SafetyChecker.java
@@ -23,6 +23,7 @@
   private final Map<Long, Long> commitTerm = new HashMap<>();
 
   private final Set<String> accepted = new HashSet<>();
+  private final TreeMap<Long, Long> acceptedIndexByTime = new TreeMap<>();
   private long acceptedIndex;
 
   void onRoleChange(RaftCore core) {
@@ -58,9 +59,10 @@
         "state machine safety: entry " + entry.index());
   }
 
-  void onProposalAccepted(String command, long index) {
+  void onProposalAccepted(String command, long index, long atNanos) {
     accepted.add(command);
     acceptedIndex = Math.max(acceptedIndex, index);
+    acceptedIndexByTime.put(atNanos, acceptedIndex);
   }
 
   long acceptedIndex() {
@@ -71,6 +73,14 @@
     check(confirmedIndex >= acceptedAtStart, "linearizability: read index below an accepted entry");
   }
 
+  /** Checks that a replica that claims to know all entries as of a time has those accepted then. */
+  void onKnown(ReplicaId replica, long appliedIndex, long claimedAtNanos) {
+    Map.Entry<Long, Long> before = acceptedIndexByTime.lowerEntry(claimedAtNanos);
+    check(
+        before == null || appliedIndex >= before.getValue(),
+        "knowledge: " + replica + " has " + appliedIndex + " and claims to know " + before);
+  }
+
   void onLeaseHolders(List<ReplicaId> holders) {
     check(holders.size() <= 1, "two authority leases at once: " + holders);
   }
--- a/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedReplica.java
+++ b/consensus/src/test/java/org/teaseltrestle/consensus/SimulatedReplica.java
@@ -12,7 +12,7 @@
  * Replica of a random schedule: a core, a disk that loses unsynced writes, a state machine and a
  * clock of its own.
  */
-final class SimulatedReplica {
+class SimulatedReplica {
 
   final InstanceId instance;
   final double clockRate;
@@ -24,6 +24,9 @@
   long appliedIndex;
   long snapshotIndex;
 
+  /** Time on the way of the message from which this replica knows what is committed. */
+  long newsTransitNanos;
+
   private Disk durable = new Disk();
   private Disk written = new Disk();
 
@@ -52,26 +55,41 @@
     return clockOffset + (long) (realNanos * clockRate);
   }
 
+  long realNanos(long localNanos) {
+    return (long) ((localNanos - clockOffset) / clockRate);
+  }
+
   boolean isFormed() {
     return durable.snapshot != null || !durable.entries.isEmpty();
   }
 
   void start(RaftSettings settings, long realNanos) {
     written = durable.copy();
-    Snapshot snapshot = durable.snapshot;
-    core =
-        new RaftCore(
-            id,
-            settings,
-            new RecoveredState(durable.hardState, snapshot, durable.entries),
-            localNanos(realNanos));
+    startCore(
+        settings,
+        new RecoveredState(durable.hardState, durable.snapshot, durable.entries),
+        realNanos);
+  }
+
+  final void startCore(RaftSettings settings, RecoveredState recovered, long realNanos) {
+    core = new RaftCore(id, settings, recovered, localNanos(realNanos));
+    newsTransitNanos = 0;
     applied = new ArrayList<>();
     appliedIndex = 0;
+    Snapshot snapshot = recovered.snapshot();
     if (snapshot != null) {
       restore(snapshot);
     }
   }
 
+  /** Ends the process; what is not synced may be lost. */
+  void end() {
+    core = null;
+  }
+
+  /** Ends the process during one of its next writes, if this replica can. */
+  void failSoon() {}
+
   void loseDisk(ReplicaId newId) {
     core = null;
     id = newId;
