Campaign at the next tick after refusing a shorter log

Cause: after the loss of a leader, the replica that campaigns first may lack its last entry. The other one refuses it and then waits for its own election timeout, although it has just learned that there is no leader and that only it can win. After a restart of all processes all have the same first timeout, so the one that starts last campaigns with success, unless its log is shorter; the others have reset their timeout by then.

Change: a voter that refuses a pre-vote because of its log, and has heard no leader for the minimum election timeout, campaigns at its next tick. Pre-vote, check-quorum and the refusal of votes are as before. No loop: only a shorter log provokes a longer one, once per campaign.

Conclusion: this wait ends with the state that it waited for.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Elections.java
@@ -36,9 +36,7 @@
    */
   void onVoteRequest(ReplicaId from, VoteRequest request) {
     boolean granted =
-        request.kind() == VoteKind.PRE_VOTE
-            ? request.term() > context.term && !context.refusesVotes() && isUpToDate(request)
-            : vote(from, request);
+        request.kind() == VoteKind.PRE_VOTE ? grantsPreVote(request) : vote(from, request);
     long term = granted ? request.term() : context.term;
     context.send(from, new VoteResponse(term, request.kind(), granted));
   }
@@ -68,6 +66,28 @@
         || context.log.configurationAt(context.commitIndex).voters().contains(context.self);
   }
 
+  private boolean grantsPreVote(VoteRequest request) {
+    if (request.term() <= context.term || context.refusesVotes()) {
+      return false;
+    }
+    boolean upToDate = isUpToDate(request);
+    if (!upToDate) {
+      campaignAtNextTick();
+    }
+    return upToDate;
+  }
+
+  /**
+   * Ends the wait of this replica for its own timeout: a candidate has shown that there is no
+   * leader, and needs a vote that only this replica's log is good enough for.
+   */
+  private void campaignAtNextTick() {
+    boolean mayLead = context.role == RaftRole.FOLLOWER || context.role == RaftRole.PRE_CANDIDATE;
+    if (mayLead && mayCampaign() && context.electionDeadlineNanos - context.nowNanos > 0) {
+      context.electionDeadlineNanos = context.nowNanos;
+    }
+  }
+
   private boolean vote(ReplicaId from, VoteRequest request) {
     if (request.term() < context.term || context.refusesVotes()) {
       return false;
