Send open calls to a leader as soon as a node hears of it

Cause: the news that a node receives did not name the leader, and LeaderCalls waited for what a count of failures decided: it asked the voters one after the other, those that are gone among them, up to its timeout each, with a delay that grows by the failures of the call.

Change: CommittedCommands names the leader with its term and age; each level passes it on while it is not older than the root timeout. LeaderCallSchedule decides without network, threads or clock where and when calls are sent: a leader of a later term gets every open call that waits or asks another instance, once. Old news changes nothing, news of the same leader sends nothing and restores it as the target only if it is younger than its failure, so the rate during an election is the one of the delays. Two instances that name each other were asked every 50 ms without limit; that delay grows now. A late answer counts, a late refusal is ignored. E3020 is logged once for each later leader.

LeaderCallsTest names the delay at its new place; ChildFeedsTest passes no leader. LoopbackCluster records where nodes call.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -47,6 +47,7 @@
   private final PeerAddresses addresses;
   private final MonotonicClock clock;
   private final Supplier<KnownState> known;
+  private final Supplier<Optional<KnownLeader>> leader;
   private final Map<String, Child> children = new HashMap<>();
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
@@ -67,12 +68,20 @@
     }
   }
 
+  /**
+   * Creates the feeds without children.
+   *
+   * @param known what this process knows of the committed log
+   * @param leader leader that this process has recent news of
+   */
   ChildFeeds(
       PeerTransport transport,
       PeerAddresses addresses,
       MonotonicClock clock,
-      Supplier<KnownState> known) {
+      Supplier<KnownState> known,
+      Supplier<Optional<KnownLeader>> leader) {
     this.known = known;
+    this.leader = leader;
     this.transport = transport;
     this.addresses = addresses;
     this.clock = clock;
@@ -209,7 +218,9 @@
   private boolean sendCommands(Child child, List<LoggedCommand> commands, long appliedIndex) {
     CommittedCommands.Builder message =
         CommittedCommands.newBuilder().addAllCommands(commands).setAppliedIndex(appliedIndex);
-    known.get().writeTo(message, clock.nowNanos());
+    long now = clock.nowNanos();
+    known.get().writeTo(message, now);
+    leader.get().ifPresent(each -> message.setLeader(each.toNews(now)));
     return send(child, FollowMessage.COMMANDS, message.build().toByteArray());
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
@@ -50,6 +51,7 @@
   private final DutyInbox inbox;
   private final FollowerKnowledge knowledge = new FollowerKnowledge();
   private final KnowledgeWatch knowledgeWatch;
+  private @Nullable KnownLeader heardLeader;
   private long publishedIndex;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
@@ -69,7 +71,8 @@
     this.gapDetector = new GapDetector(now);
     this.knowledgeWatch = new KnowledgeWatch(settings.tree().rootTimeoutNanos());
     this.children =
-        new ChildFeeds(context.transport(), addresses, context.clock(), knowledge::known);
+        new ChildFeeds(
+            context.transport(), addresses, context.clock(), knowledge::known, this::recentLeader);
     this.leaseRenewer =
         new LeaseRenewer(
             settings,
@@ -239,6 +242,9 @@
     long now = context.clock().nowNanos();
     KnownState news = KnownState.received(message, now);
     parentSelector.newsReceived(sender, news, now);
+    KnownLeader.received(message, now)
+        .filter(each -> !each.isOlderThan(settings.tree().rootTimeoutNanos(), now))
+        .ifPresent(each -> leaderHeard(each, sender));
     apply(message.getCommandsList());
     knowledge.received(news, state.appliedIndex());
     watchKnowledge(now);
@@ -260,6 +266,32 @@
     updateParent(now);
   }
 
+  private void leaderHeard(KnownLeader news, String sender) {
+    KnownLeader earlier = heardLeader;
+    if (earlier != null && !news.isNewsAfter(earlier)) {
+      return;
+    }
+    heardLeader = news;
+    if (earlier == null || news.term() > earlier.term()) {
+      LOG.info(
+          ReplicaEvent.LEADER_HEARD,
+          "leader",
+          news.instance(),
+          "term",
+          news.term(),
+          "parent",
+          sender);
+    }
+    leaderCalls.heard(news);
+  }
+
+  /** Returns the leader that the children may be told of. */
+  private Optional<KnownLeader> recentLeader() {
+    long now = context.clock().nowNanos();
+    return Optional.ofNullable(heardLeader)
+        .filter(each -> !each.isOlderThan(settings.tree().rootTimeoutNanos(), now));
+  }
+
   private void watchKnowledge(long nowNanos) {
     knowledgeWatch.update(
         knowledge.known(), parentSelector.parent(), state.appliedIndex(), nowNanos);
--- /dev/null
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
@@ -0,0 +1,187 @@
+package org.teaseltrestle.node.replica;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides where and when the open calls to the leader are sent. While no leader is known, a call
+ * asks one voter after the other, with growing delays. As soon as a later leader is heard of, every
+ * call that waits or asks another instance is sent to it, once; further news of the same leader
+ * causes no attempts, so that a leader that refuses is asked at the rate of the delays. Not
+ * thread-safe.
+ */
+final class LeaderCallSchedule {
+
+  private static final int SHORTEST_RETRY_DELAY_MILLISECONDS = 50;
+
+  /** Without a limit on the rate, the calls of a hundred instances delay the election itself. */
+  private static final int LONGEST_RETRY_DELAY_MILLISECONDS = 400;
+
+  private static final int MAXIMUM_DOUBLINGS = 3;
+
+  private final Supplier<List<String>> voters;
+  private final Map<Long, OpenCall> calls = new LinkedHashMap<>();
+  private @Nullable KnownLeader heard;
+  private @Nullable String leader;
+  private long leaderFailedAtNanos;
+  private int nextVoter;
+
+  /**
+   * One attempt of a call.
+   *
+   * @param call identifier of the call
+   * @param number number of the attempt; a later one of the same call supersedes it
+   * @param target instance that is asked
+   */
+  record Attempt(long call, int number, String target) {}
+
+  private static final class OpenCall {
+    Attempt latest;
+    boolean waiting;
+    int failures;
+    int redirections;
+
+    OpenCall(Attempt first) {
+      latest = first;
+    }
+  }
+
+  /**
+   * Creates a schedule without calls.
+   *
+   * @param voters instances to ask while no leader is known, in this order; never empty
+   */
+  LeaderCallSchedule(Supplier<List<String>> voters) {
+    this.voters = voters;
+  }
+
+  /** Opens a call and returns its first attempt. */
+  Attempt open(long call) {
+    Attempt first = new Attempt(call, 1, target());
+    calls.put(call, new OpenCall(first));
+    return first;
+  }
+
+  /** Ends a call. */
+  void close(long call) {
+    calls.remove(call);
+  }
+
+  /** Returns whether no later attempt of an open call has superseded an attempt. */
+  boolean isLatest(Attempt attempt) {
+    return find(attempt).isPresent();
+  }
+
+  /**
+   * Records a later leader, or that a leader is still the same. Earlier news changes nothing.
+   *
+   * @return attempts to send now
+   */
+  List<Attempt> heard(KnownLeader news) {
+    KnownLeader earlier = heard;
+    if (earlier != null && !news.isNewsAfter(earlier)) {
+      return List.of();
+    }
+    heard = news;
+    if (earlier != null && news.term() == earlier.term()) {
+      if (leader == null && news.asOfNanos() - leaderFailedAtNanos > 0) {
+        leader = news.instance();
+      }
+      return List.of();
+    }
+    leader = news.instance();
+    List<Attempt> attempts = new ArrayList<>();
+    for (OpenCall call : calls.values()) {
+      if (call.waiting || !call.latest.target().equals(leader)) {
+        attempts.add(next(call));
+      }
+    }
+    return attempts;
+  }
+
+  /** Records that the leader is no longer known. */
+  void lost() {
+    leader = null;
+  }
+
+  /**
+   * Records that an attempt got no answer, or a refusal that names no leader.
+   *
+   * @return time of the retry, empty if a later attempt has superseded this one
+   */
+  OptionalLong failed(Attempt attempt, long nowNanos) {
+    OpenCall call = find(attempt).orElse(null);
+    if (call == null) {
+      return OptionalLong.empty();
+    }
+    if (attempt.target().equals(leader)) {
+      leader = null;
+      leaderFailedAtNanos = nowNanos;
+    }
+    nextVoter++;
+    return retryAt(call, call.failures++, nowNanos);
+  }
+
+  /**
+   * Records that an instance does not lead and names the leader that it knows.
+   *
+   * @return time of the retry, empty if a later attempt has superseded this one
+   */
+  OptionalLong redirected(Attempt attempt, String namedLeader, long nowNanos) {
+    OpenCall call = find(attempt).orElse(null);
+    if (call == null || namedLeader.equals(attempt.target())) {
+      return failed(attempt, nowNanos);
+    }
+    if (leader == null || leader.equals(attempt.target())) {
+      leader = namedLeader;
+      leaderFailedAtNanos = nowNanos;
+    }
+    // Two instances that name each other must not be asked in a busy loop.
+    return retryAt(call, call.redirections++, nowNanos);
+  }
+
+  /** Returns the next attempt after a delay, empty if one was sent meanwhile. */
+  Optional<Attempt> retry(Attempt failed) {
+    return find(failed).filter(call -> call.waiting).map(this::next);
+  }
+
+  /** Returns the delay before the next attempt of a call that has failed this often before. */
+  static int retryDelayMilliseconds(int earlierFailures) {
+    int doublings = Math.min(MAXIMUM_DOUBLINGS, earlierFailures);
+    return Math.min(
+        LONGEST_RETRY_DELAY_MILLISECONDS, SHORTEST_RETRY_DELAY_MILLISECONDS << doublings);
+  }
+
+  private static OptionalLong retryAt(OpenCall call, int earlierFailures, long nowNanos) {
+    call.waiting = true;
+    return OptionalLong.of(
+        nowNanos + TimeUnit.MILLISECONDS.toNanos(retryDelayMilliseconds(earlierFailures)));
+  }
+
+  private Optional<OpenCall> find(Attempt attempt) {
+    return Optional.ofNullable(calls.get(attempt.call()))
+        .filter(call -> call.latest.number() == attempt.number());
+  }
+
+  private Attempt next(OpenCall call) {
+    call.waiting = false;
+    call.latest = new Attempt(call.latest.call(), call.latest.number() + 1, target());
+    return call.latest;
+  }
+
+  private String target() {
+    String knownLeader = leader;
+    if (knownLeader != null) {
+      return knownLeader;
+    }
+    List<String> candidates = voters.get();
+    return candidates.get(Math.floorMod(nextVoter, candidates.size()));
+  }
+}
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -3,10 +3,14 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.ErrorCode;
@@ -17,33 +21,32 @@
 
 /**
  * Sends requests to the leader from any instance. A request is retried unchanged until its deadline
- * after a lost response or a change of leader; commands are safe to repeat because they carry a
- * request id.
+ * after a lost response or a change of leader, and sent to a new leader as soon as this instance
+ * hears of it; commands are safe to repeat because they carry a request id.
  */
 final class LeaderCalls {
 
   private static final long ATTEMPT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
-  private static final int SHORTEST_RETRY_DELAY_MILLISECONDS = 50;
-
-  /** Without a limit on the rate, the calls of a hundred instances delay the election itself. */
-  private static final int LONGEST_RETRY_DELAY_MILLISECONDS = 400;
-
-  private static final int MAXIMUM_DOUBLINGS = 3;
-
   private final PeerTransport transport;
   private final PeerAddresses addresses;
   private final MonotonicClock clock;
   private final InstanceId self;
   private final @Nullable LeaderRequestHandler localHandler;
-  private final AtomicInteger nextVoter = new AtomicInteger();
-  private volatile @Nullable String leader;
+  private final AtomicLong nextCall = new AtomicLong();
+
+  /** Calls by their identifier in the schedule. */
+  private final Map<Long, Call> calls = new ConcurrentHashMap<>();
+
+  /** Guarded by itself. */
+  private final LeaderCallSchedule schedule;
+
   private volatile boolean closed;
 
   private record Call(
+      long id,
       LeaderRequest request,
       byte[] body,
       long deadlineNanos,
-      AtomicInteger failures,
       CompletableFuture<LeaderAnswer> result) {}
 
   /**
@@ -61,6 +64,7 @@
     this.clock = clock;
     this.self = settings.instance();
     this.localHandler = localHandler;
+    this.schedule = new LeaderCallSchedule(addresses::voters);
   }
 
   /**
@@ -71,102 +75,150 @@
    */
   CompletableFuture<LeaderAnswer> call(LeaderRequest request, byte[] body, long deadlineNanos) {
     Call call =
-        new Call(request, body, deadlineNanos, new AtomicInteger(), new CompletableFuture<>());
-    attempt(call);
+        new Call(
+            nextCall.getAndIncrement(), request, body, deadlineNanos, new CompletableFuture<>());
+    calls.put(call.id(), call);
+    LeaderCallSchedule.Attempt first;
+    synchronized (schedule) {
+      first = schedule.open(call.id());
+    }
+    send(call, first);
     return call.result();
   }
 
-  /** Records the leader to which the next attempt is sent, null if it is unknown. */
-  void setLeader(@Nullable InstanceId instance) {
-    leader = instance == null ? null : instance.value();
+  /** Records a leader; open calls that wait or ask another instance are sent to it now. */
+  void heard(KnownLeader news) {
+    List<LeaderCallSchedule.Attempt> attempts;
+    synchronized (schedule) {
+      attempts = schedule.heard(news);
+    }
+    attempts.forEach(this::send);
+  }
+
+  /** Records that the leader is no longer known. */
+  void leaderLost() {
+    synchronized (schedule) {
+      schedule.lost();
+    }
   }
 
   void close() {
     closed = true;
   }
 
-  private void attempt(Call call) {
+  private void send(LeaderCallSchedule.Attempt attempt) {
+    Call call = calls.get(attempt.call());
+    if (call != null) {
+      send(call, attempt);
+    }
+  }
+
+  private void send(Call call, LeaderCallSchedule.Attempt attempt) {
     long now = clock.nowNanos();
     if (closed || now - call.deadlineNanos() >= 0) {
       ErrorCode code = closed ? ErrorCode.CLOSED : ErrorCode.UNREACHABLE;
       fail(call, new TrestleException(code, "no leader responded before the deadline"));
       return;
     }
-    String target = target();
+    String target = attempt.target();
     LeaderRequestHandler handler = localHandler;
     if (handler != null && target.equals(self.value())) {
-      handler.handle(call.request(), call.body(), answer -> onAnswer(call, answer));
+      handler.handle(call.request(), call.body(), answer -> onAnswer(call, attempt, answer));
       return;
     }
     InetSocketAddress address = addresses.find(target).orElse(null);
     if (address == null || target.equals(self.value())) {
-      retry(call);
+      onFailure(attempt);
       return;
     }
     long deadline = now + Math.min(ATTEMPT_TIMEOUT_NANOS, call.deadlineNanos() - now);
     transport
         .call(address, LeaderRequest.SERVICE, call.request().kind(), call.body(), deadline)
-        .whenComplete((body, failure) -> onResponse(call, body));
+        .whenComplete((body, failure) -> onResponse(call, attempt, body));
   }
 
-  private void onResponse(Call call, byte @Nullable [] body) {
+  private void onResponse(Call call, LeaderCallSchedule.Attempt attempt, byte @Nullable [] body) {
     if (body == null) {
-      retry(call);
+      onFailure(attempt);
       return;
     }
     try {
-      onAnswer(call, LeaderAnswer.parseFrom(body));
+      onAnswer(call, attempt, LeaderAnswer.parseFrom(body));
     } catch (InvalidProtocolBufferException e) {
-      retry(call);
+      onFailure(attempt);
     }
   }
 
-  private void onAnswer(Call call, LeaderAnswer answer) {
+  /** An answer counts also if a later attempt is under way; a refusal does not. */
+  private void onAnswer(Call call, LeaderCallSchedule.Attempt attempt, LeaderAnswer answer) {
     switch (answer.getStatus()) {
-      case ANSWERED -> call.result().completeAsync(() -> answer);
-      case OVERLOADED ->
+      case ANSWERED -> {
+        forget(call);
+        call.result().completeAsync(() -> answer);
+      }
+      case OVERLOADED -> {
+        if (isLatest(attempt)) {
           fail(call, new TrestleException(ErrorCode.OVERLOADED, "the leader rejected the request"));
+        }
+      }
       case NOT_LEADER -> {
-        if (answer.getLeader().isEmpty() || answer.getLeader().equals(leader)) {
-          retry(call);
+        if (answer.getLeader().isEmpty()) {
+          onFailure(attempt);
         } else {
-          leader = answer.getLeader();
-          attemptAfter(call, SHORTEST_RETRY_DELAY_MILLISECONDS);
+          onRedirection(attempt, answer.getLeader());
         }
       }
-      default -> retry(call);
+      default -> onFailure(attempt);
     }
   }
 
-  // Continuations of the future must not run on a duty or network thread.
-  private static void fail(Call call, TrestleException failure) {
-    ForkJoinPool.commonPool().execute(() -> call.result().completeExceptionally(failure));
+  private void onFailure(LeaderCallSchedule.Attempt attempt) {
+    long now = clock.nowNanos();
+    OptionalLong retryAtNanos;
+    synchronized (schedule) {
+      retryAtNanos = schedule.failed(attempt, now);
+    }
+    retryAtNanos.ifPresent(atNanos -> retryAfter(attempt, atNanos - now));
   }
 
-  private void retry(Call call) {
-    leader = null;
-    nextVoter.incrementAndGet();
-    attemptAfter(call, retryDelayMilliseconds(call.failures().getAndIncrement()));
+  private void onRedirection(LeaderCallSchedule.Attempt attempt, String namedLeader) {
+    long now = clock.nowNanos();
+    OptionalLong retryAtNanos;
+    synchronized (schedule) {
+      retryAtNanos = schedule.redirected(attempt, namedLeader, now);
+    }
+    retryAtNanos.ifPresent(atNanos -> retryAfter(attempt, atNanos - now));
   }
 
-  private void attemptAfter(Call call, int delayMilliseconds) {
-    CompletableFuture.delayedExecutor(delayMilliseconds, TimeUnit.MILLISECONDS)
-        .execute(() -> attempt(call));
+  private void retryAfter(LeaderCallSchedule.Attempt attempt, long delayNanos) {
+    CompletableFuture.delayedExecutor(delayNanos, TimeUnit.NANOSECONDS)
+        .execute(() -> retry(attempt));
   }
 
-  /** Returns the delay before the next attempt of a call that has failed this often before. */
-  static int retryDelayMilliseconds(int earlierFailures) {
-    int doublings = Math.min(MAXIMUM_DOUBLINGS, earlierFailures);
-    return Math.min(
-        LONGEST_RETRY_DELAY_MILLISECONDS, SHORTEST_RETRY_DELAY_MILLISECONDS << doublings);
+  private void retry(LeaderCallSchedule.Attempt failed) {
+    Optional<LeaderCallSchedule.Attempt> next;
+    synchronized (schedule) {
+      next = schedule.retry(failed);
+    }
+    next.ifPresent(this::send);
   }
 
-  private String target() {
-    String knownLeader = leader;
-    if (knownLeader != null) {
-      return knownLeader;
+  private boolean isLatest(LeaderCallSchedule.Attempt attempt) {
+    synchronized (schedule) {
+      return schedule.isLatest(attempt);
     }
-    List<String> voters = addresses.voters();
-    return voters.get(Math.floorMod(nextVoter.get(), voters.size()));
+  }
+
+  private void forget(Call call) {
+    calls.remove(call.id());
+    synchronized (schedule) {
+      schedule.close(call.id());
+    }
+  }
+
+  // Continuations of the future must not run on a duty or network thread.
+  private void fail(Call call, TrestleException failure) {
+    forget(call);
+    ForkJoinPool.commonPool().execute(() -> call.result().completeExceptionally(failure));
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -23,7 +23,8 @@
   ENTRIES_MISSING(3017, "entries of the committed log are missing; the parent is asked for them"),
   KNOWLEDGE_OLD(
       3018, "no recent news of the committed log; requests may be decided by an older version"),
-  KNOWLEDGE_RECENT(3019, "news of the committed log is recent again");
+  KNOWLEDGE_RECENT(3019, "news of the committed log is recent again"),
+  LEADER_HEARD(3020, "this instance has heard of another leader; waiting calls are sent to it");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -20,7 +20,6 @@
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
-import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.model.ReplicaId;
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.wire.Command;
@@ -104,7 +103,9 @@
             settings, context.transport(), addresses, context.clock(), this::serveLocally);
     this.leader = new LeaderClient(leaderCalls, context.clock());
     this.lease = new KeyLease(settings, context.clock());
-    this.children = new ChildFeeds(context.transport(), addresses, context.clock(), () -> known);
+    this.children =
+        new ChildFeeds(
+            context.transport(), addresses, context.clock(), () -> known, this::recentLeader);
     this.leaseRenewer =
         new LeaseRenewer(
             settings,
@@ -293,8 +294,12 @@
         "leader",
         String.valueOf(change.leader()));
     ReplicaId newLeader = change.leader();
-    InstanceId instance = newLeader == null ? null : newLeader.instance();
-    leaderCalls.setLeader(instance);
+    if (newLeader == null) {
+      leaderCalls.leaderLost();
+    } else {
+      leaderCalls.heard(
+          new KnownLeader(newLeader.instance().value(), change.term(), context.clock().nowNanos()));
+    }
     if (change.role() == RaftRole.LEADER) {
       authority.onElected();
       leaderOperations.onElected();
@@ -309,6 +314,18 @@
     knowledgeWatch.update(known, status.leader(), state.appliedIndex(), context.clock().nowNanos());
   }
 
+  /** Returns the leader that the children may be told of. */
+  private Optional<KnownLeader> recentLeader() {
+    ReplicaId currentLeader = driver.core().leader();
+    long now = context.clock().nowNanos();
+    if (currentLeader == null || known.isOlderThan(settings.tree().rootTimeoutNanos(), now)) {
+      return Optional.empty();
+    }
+    long asOfNanos = known.asOfNanos().orElse(now);
+    return Optional.of(
+        new KnownLeader(currentLeader.instance().value(), driver.core().term(), asOfNanos));
+  }
+
   private void publishStatus() {
     RaftCore core = driver.core();
     ReplicaId currentLeader = core.leader();
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
@@ -252,7 +253,11 @@
             1_000,
             1_000);
     return new ChildFeeds(
-        new RecordingTransport(), new PeerAddresses(settings), clock, () -> KnownState.asOf(0, 0));
+        new RecordingTransport(),
+        new PeerAddresses(settings),
+        clock,
+        () -> KnownState.asOf(0, 0),
+        Optional::empty);
   }
 
   private void replaceLists() {
--- a/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertTrue;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.testng.annotations.Test;
 
@@ -13,11 +14,21 @@
   /** Time after which a node counts as in touch again after a fault of its parent or its links. */
   private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** Time from the first news of a leader to readiness: one call, and a tick of the duty. */
+  private static final long READY_AFTER_NEWS_MILLISECONDS = 300;
+
+  /** So many that the questions to all of them take several seconds. */
+  private static final int MANY_GONE_VOTERS = 8;
+
   private static LoopbackCluster clusterWithEntryBelow(String parent) {
+    return clusterWithEntryBelow(parent, GONE_VOTERS);
+  }
+
+  private static LoopbackCluster clusterWithEntryBelow(String parent, int goneVoters) {
     LoopbackCluster cluster = new LoopbackCluster(3, DisseminationTreeSettings.FLAT);
     cluster.startVoters();
     cluster.awaitLeader();
-    cluster.addGoneVoters(parent, GONE_VOTERS);
+    cluster.addGoneVoters(parent, goneVoters);
     ControlPlane entry = cluster.startNonVoterBelow(parent, "entry-1").plane();
     cluster.awaitApplied("entry-1", cluster.commit(parent, "before"));
     LoopbackCluster.await("parent", () -> entry.status().leader().equals(parent));
@@ -53,4 +64,29 @@
       assertAppliesInTime(cluster, index, System.nanoTime());
     }
   }
+
+  /**
+   * Guards against a node that knows of a leader and goes on asking control nodes that are gone.
+   */
+  @Test
+  public void nodeIsReadyAsSoonAsItHearsOfLeaderAfterLossOfPower() {
+    try (LoopbackCluster cluster = clusterWithEntryBelow("voter-0", MANY_GONE_VOTERS)) {
+      List.copyOf(cluster.nodes.keySet()).forEach(cluster::stop);
+      final ControlPlane entry = cluster.startNonVoterBelow("voter-0", "entry-1").plane();
+      cluster.isolate("entry-1");
+      cluster.startVoters();
+      cluster.awaitLeader();
+      // The node hears of the leader when it has begun to ask the gone voters.
+      LoopbackCluster.await("call to a live voter", () -> !cluster.callsGoneVoter("entry-1"));
+      LoopbackCluster.await("call to a gone voter", () -> cluster.callsGoneVoter("entry-1"));
+      cluster.heal("entry-1");
+      LoopbackCluster.await("news of a leader", () -> !entry.status().leader().isEmpty());
+      final long newsAtNanos = System.nanoTime();
+      LoopbackCluster.await("ready entry node", entry::isReady);
+      long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - newsAtNanos);
+      assertTrue(
+          tookMillis <= READY_AFTER_NEWS_MILLISECONDS,
+          "ready " + tookMillis + " ms after the first news of a leader");
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
@@ -65,6 +66,9 @@
   private final List<VoterSettings> goneVoters = new ArrayList<>();
   private final List<ServerSocket> silentSockets = new ArrayList<>();
 
+  /** Address that each node called last, by the address of the node. */
+  private final Map<InetSocketAddress, InetSocketAddress> latestCalls = new ConcurrentHashMap<>();
+
   /** One node's control plane with its transport. */
   record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
       implements AutoCloseable {
@@ -136,6 +140,12 @@
     }
   }
 
+  /** Returns whether the latest call of a running node went to a voter that is gone. */
+  boolean callsGoneVoter(String instance) {
+    InetSocketAddress called = latestCalls.get(node(instance).transport().localAddress());
+    return goneVoters.stream().anyMatch(voter -> voter.peerAddress().equals(called));
+  }
+
   /** Loses all messages between a running node and all others until {@link #heal}. */
   void isolate(String instance) {
     isolated.add(node(instance).transport().localAddress());
@@ -207,9 +217,11 @@
         || (bothVote && (cutOff.contains(from) || cutOff.contains(to)));
   }
 
-  /** Transport that loses the messages to nodes that are cut off. */
+  /** Transport that records calls and loses the messages to nodes that are cut off. */
   private record LossyTransport(
-      NettyPeerTransport delegate, Predicate<InetSocketAddress> losesMessagesTo)
+      NettyPeerTransport delegate,
+      Consumer<InetSocketAddress> called,
+      Predicate<InetSocketAddress> losesMessagesTo)
       implements PeerTransport {
 
     @Override
@@ -225,6 +237,7 @@
     @Override
     public CompletableFuture<byte[]> call(
         InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
+      called.accept(peer);
       return losesMessagesTo.test(peer)
           ? CompletableFuture.failedFuture(
               new TrestleException(ErrorCode.UNREACHABLE, "the voter is cut off"))
@@ -421,7 +434,8 @@
     Map<ClientAccount, Double> shares = new ConcurrentHashMap<>();
     ControlPlaneContext context =
         new ControlPlaneContext(
-            new LossyTransport(transport, peer -> isCut(address, peer)),
+            new LossyTransport(
+                transport, peer -> latestCalls.put(address, peer), peer -> isCut(address, peer)),
             new MessageHandlerRegistry(transport),
             MonotonicClock.SYSTEM,
             WallClock.SYSTEM,
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -48,6 +48,7 @@
             org.teaseltrestle.wire.CommittedCommands.class, org.teaseltrestle.wire.CommittedCommands.Builder.class);
   }
 
+  private int bitField0_;
   public static final int COMMANDS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.teaseltrestle.wire.LoggedCommand> commands_;
@@ -130,6 +131,44 @@
     return rootAgeUnknown_;
   }
 
+  public static final int LEADER_FIELD_NUMBER = 5;
+  private org.teaseltrestle.wire.LeaderNews leader_;
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   * @return Whether the leader field is set.
+   */
+  @java.lang.Override
+  public boolean hasLeader() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   * @return The leader.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.LeaderNews getLeader() {
+    return leader_ == null ? org.teaseltrestle.wire.LeaderNews.getDefaultInstance() : leader_;
+  }
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.LeaderNewsOrBuilder getLeaderOrBuilder() {
+    return leader_ == null ? org.teaseltrestle.wire.LeaderNews.getDefaultInstance() : leader_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +195,9 @@
     if (rootAgeUnknown_ != false) {
       output.writeBool(4, rootAgeUnknown_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(5, getLeader());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -181,6 +223,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(4, rootAgeUnknown_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getLeader());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -204,6 +250,11 @@
         != other.getRootAgeMillis()) return false;
     if (getRootAgeUnknown()
         != other.getRootAgeUnknown()) return false;
+    if (hasLeader() != other.hasLeader()) return false;
+    if (hasLeader()) {
+      if (!getLeader()
+          .equals(other.getLeader())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -228,6 +279,10 @@
     hash = (37 * hash) + ROOT_AGE_UNKNOWN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getRootAgeUnknown());
+    if (hasLeader()) {
+      hash = (37 * hash) + LEADER_FIELD_NUMBER;
+      hash = (53 * hash) + getLeader().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -351,13 +406,20 @@
 
     // Construct using org.teaseltrestle.wire.CommittedCommands.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetCommandsFieldBuilder();
+        internalGetLeaderFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -373,6 +435,11 @@
       appliedIndex_ = 0L;
       rootAgeMillis_ = 0L;
       rootAgeUnknown_ = false;
+      leader_ = null;
+      if (leaderBuilder_ != null) {
+        leaderBuilder_.dispose();
+        leaderBuilder_ = null;
+      }
       return this;
     }
 
@@ -428,6 +495,14 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.rootAgeUnknown_ = rootAgeUnknown_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.leader_ = leaderBuilder_ == null
+            ? leader_
+            : leaderBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -477,6 +552,9 @@
       if (other.getRootAgeUnknown() != false) {
         setRootAgeUnknown(other.getRootAgeUnknown());
       }
+      if (other.hasLeader()) {
+        mergeLeader(other.getLeader());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -531,6 +609,13 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              input.readMessage(
+                  internalGetLeaderFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -908,6 +993,163 @@
       return this;
     }
 
+    private org.teaseltrestle.wire.LeaderNews leader_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.LeaderNews, org.teaseltrestle.wire.LeaderNews.Builder, org.teaseltrestle.wire.LeaderNewsOrBuilder> leaderBuilder_;
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     * @return Whether the leader field is set.
+     */
+    public boolean hasLeader() {
+      return ((bitField0_ & 0x00000010) != 0);
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     * @return The leader.
+     */
+    public org.teaseltrestle.wire.LeaderNews getLeader() {
+      if (leaderBuilder_ == null) {
+        return leader_ == null ? org.teaseltrestle.wire.LeaderNews.getDefaultInstance() : leader_;
+      } else {
+        return leaderBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public Builder setLeader(org.teaseltrestle.wire.LeaderNews value) {
+      if (leaderBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        leader_ = value;
+      } else {
+        leaderBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public Builder setLeader(
+        org.teaseltrestle.wire.LeaderNews.Builder builderForValue) {
+      if (leaderBuilder_ == null) {
+        leader_ = builderForValue.build();
+      } else {
+        leaderBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public Builder mergeLeader(org.teaseltrestle.wire.LeaderNews value) {
+      if (leaderBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          leader_ != null &&
+          leader_ != org.teaseltrestle.wire.LeaderNews.getDefaultInstance()) {
+          getLeaderBuilder().mergeFrom(value);
+        } else {
+          leader_ = value;
+        }
+      } else {
+        leaderBuilder_.mergeFrom(value);
+      }
+      if (leader_ != null) {
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public Builder clearLeader() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      leader_ = null;
+      if (leaderBuilder_ != null) {
+        leaderBuilder_.dispose();
+        leaderBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public org.teaseltrestle.wire.LeaderNews.Builder getLeaderBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetLeaderFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    public org.teaseltrestle.wire.LeaderNewsOrBuilder getLeaderOrBuilder() {
+      if (leaderBuilder_ != null) {
+        return leaderBuilder_.getMessageOrBuilder();
+      } else {
+        return leader_ == null ?
+            org.teaseltrestle.wire.LeaderNews.getDefaultInstance() : leader_;
+      }
+    }
+    /**
+     * <pre>
+     * Absent if the sender knows of no leader, or only from news that is not recent.
+     * </pre>
+     *
+     * <code>.trestle.LeaderNews leader = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.LeaderNews, org.teaseltrestle.wire.LeaderNews.Builder, org.teaseltrestle.wire.LeaderNewsOrBuilder> 
+        internalGetLeaderFieldBuilder() {
+      if (leaderBuilder_ == null) {
+        leaderBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.LeaderNews, org.teaseltrestle.wire.LeaderNews.Builder, org.teaseltrestle.wire.LeaderNewsOrBuilder>(
+                getLeader(),
+                getParentForChildren(),
+                isClean());
+        leader_ = null;
+      }
+      return leaderBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommittedCommands)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -59,4 +59,31 @@
    * @return The rootAgeUnknown.
    */
   boolean getRootAgeUnknown();
+
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   * @return Whether the leader field is set.
+   */
+  boolean hasLeader();
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   * @return The leader.
+   */
+  org.teaseltrestle.wire.LeaderNews getLeader();
+  /**
+   * <pre>
+   * Absent if the sender knows of no leader, or only from news that is not recent.
+   * </pre>
+   *
+   * <code>.trestle.LeaderNews leader = 5;</code>
+   */
+  org.teaseltrestle.wire.LeaderNewsOrBuilder getLeaderOrBuilder();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -76,6 +76,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_LoggedCommand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_LeaderNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_LeaderNews_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_CommittedCommands_descriptor;
   static final 
@@ -126,13 +131,16 @@
       "\030\001 \003(\0132\023.trestle.LeaseGrant\022,\n\014total_dem" +
       "and\030\002 \003(\0132\026.trestle.AccountDemand\022\034\n\024reg" +
       "istered_instances\030\003 \001(\r\"/\n\rLoggedCommand" +
-      "\022\r\n\005index\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\"\207\001\n\021Com" +
-      "mittedCommands\022(\n\010commands\030\001 \003(\0132\026.trest" +
-      "le.LoggedCommand\022\025\n\rapplied_index\030\002 \001(\004\022" +
-      "\027\n\017root_age_millis\030\003 \001(\004\022\030\n\020root_age_unk" +
-      "nown\030\004 \001(\010\"9\n\016CommittedState\022\025\n\rapplied_" +
-      "index\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014B\032\n\026org.tea" +
-      "seltrestle.wireP\001b\006proto3"
+      "\022\r\n\005index\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\"@\n\nLead" +
+      "erNews\022\020\n\010instance\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022" +
+      "\n\nage_millis\030\003 \001(\004\"\254\001\n\021CommittedCommands" +
+      "\022(\n\010commands\030\001 \003(\0132\026.trestle.LoggedComma" +
+      "nd\022\025\n\rapplied_index\030\002 \001(\004\022\027\n\017root_age_mi" +
+      "llis\030\003 \001(\004\022\030\n\020root_age_unknown\030\004 \001(\010\022#\n\006" +
+      "leader\030\005 \001(\0132\023.trestle.LeaderNews\"9\n\016Com" +
+      "mittedState\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010sn" +
+      "apshot\030\002 \001(\014B\032\n\026org.teaseltrestle.wireP\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -199,14 +207,20 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LoggedCommand_descriptor,
         new java.lang.String[] { "Index", "Command", });
-    internal_static_trestle_CommittedCommands_descriptor =
+    internal_static_trestle_LeaderNews_descriptor =
       getDescriptor().getMessageTypes().get(10);
+    internal_static_trestle_LeaderNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_LeaderNews_descriptor,
+        new java.lang.String[] { "Instance", "Term", "AgeMillis", });
+    internal_static_trestle_CommittedCommands_descriptor =
+      getDescriptor().getMessageTypes().get(11);
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
-        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", });
+        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", });
     internal_static_trestle_CommittedState_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedState_descriptor,
