--- a/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/RaftCore.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.consensus;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -100,6 +101,16 @@
     return context.configuration();
   }
 
+  /**
+   * Returns the latest configuration in the log if it is committed and this replica leads, after it
+   * has committed an entry of its own term.
+   */
+  public Optional<Configuration> committedConfiguration() {
+    boolean committed =
+        hasCommittedInCurrentTerm() && context.log.configurationIndex() <= context.commitIndex;
+    return committed ? Optional.of(context.configuration()) : Optional.empty();
+  }
+
   /** Returns whether this replica is the leader and has committed an entry of its own term. */
   public boolean hasCommittedInCurrentTerm() {
     return context.leadership != null && context.leadership.hasCommittedInTerm();
--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -111,6 +111,7 @@
         lists.plansJson(),
         keys.keys(),
         instances.instances(),
+        instances.voters(),
         fleet.servers(),
         fleet.changes(),
         engineOrders.openByEngine(),
@@ -186,6 +187,7 @@
       case RECORD_OUTCOME -> claims.record(command.getRecordOutcome(), context);
       case PUBLISH_CONFIGURATION -> serving.publish(command.getPublishConfiguration());
       case REPORT_PROMPT_PARTS -> suspectParts.report(command.getReportPromptParts(), context);
+      case RECORD_VOTERS -> instances.recordVoters(command.getRecordVoters().getInstancesList());
       case CHANGE_NOT_SET -> CommandAnswers.rejected("", "the command holds no known change");
     };
   }
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -43,6 +43,14 @@
   /** Returns the registered instances. */
   Collection<InstanceRecord> instances();
 
+  /**
+   * Returns the voters of the group as a leader recorded them, sorted; empty before that. Former
+   * voters remain among the registered instances.
+   */
+  default List<String> recordedVoters() {
+    return List.of();
+  }
+
   /**
    * Returns the backend servers of the committed fleet; views return the same collection object
    * until one of the servers changes.
--- a/control/src/main/java/org/teaseltrestle/control/InstancesArea.java
+++ b/control/src/main/java/org/teaseltrestle/control/InstancesArea.java
@@ -1,5 +1,7 @@
 package org.teaseltrestle.control;
 
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +21,12 @@
 
   private PersistentMap<String, InstanceRecord> instances = PersistentMap.empty();
   private PersistentMap<ProcessStart, Long> pastBoots = PersistentMap.empty();
+  private List<String> voters = List.of();
+
+  /** Returns the recorded voters of the group in order, empty until a leader has recorded them. */
+  List<String> voters() {
+    return voters;
+  }
 
   PersistentMap<String, InstanceRecord> instances() {
     return instances;
@@ -63,6 +71,15 @@
     return CommandAnswers.accepted(instance);
   }
 
+  /** Records the voters; registrations of former voters stay, since key leases depend on them. */
+  CommandAnswer.Builder recordVoters(Collection<String> recorded) {
+    if (recorded.isEmpty() || !recorded.stream().allMatch(Identifiers::isValid)) {
+      return CommandAnswers.rejected("", "not valid instance ids: " + recorded);
+    }
+    voters = recorded.stream().sorted().distinct().toList();
+    return CommandAnswers.accepted("");
+  }
+
   void prune(long stateTimeMillis) {
     for (Map.Entry<ProcessStart, Long> past : pastBoots.entries()) {
       if (past.getValue() + PAST_BOOT_RETENTION_MILLIS < stateTimeMillis) {
@@ -72,7 +89,7 @@
   }
 
   void save(ControlSnapshot.Builder snapshot) {
-    snapshot.addAllInstances(instances.values());
+    snapshot.addAllInstances(instances.values()).addAllRecordedVoters(voters);
     for (Map.Entry<ProcessStart, Long> past : pastBoots.entries()) {
       snapshot.addPastBoots(
           PastBoot.newBuilder()
@@ -83,6 +100,7 @@
   }
 
   void load(ControlSnapshot snapshot) {
+    voters = List.copyOf(snapshot.getRecordedVotersList());
     snapshot.getInstancesList().forEach(r -> instances = instances.with(r.getInstance(), r));
     for (PastBoot past : snapshot.getPastBootsList()) {
       ProcessStart process = new ProcessStart(past.getInstance(), past.getBoot());
--- a/control/src/main/java/org/teaseltrestle/control/StateView.java
+++ b/control/src/main/java/org/teaseltrestle/control/StateView.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.control;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.wire.AuthorityRecord;
@@ -25,6 +26,7 @@
     String plansJson,
     PersistentMap<String, KeyRecord> keysById,
     PersistentMap<String, InstanceRecord> instancesById,
+    List<String> recordedVoters,
     PersistentMap<String, BackendServerRecord> serversById,
     PersistentMap<String, PlanChange> changesByServer,
     PersistentMap<String, EngineOrder> engineOrdersByEngine,
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -21,6 +21,7 @@
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.PublishConfiguration;
 import org.teaseltrestle.wire.RecordOutcome;
+import org.teaseltrestle.wire.RecordVoters;
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.ReplaceLists;
 import org.teaseltrestle.wire.ReportPromptParts;
@@ -93,6 +94,12 @@
         .build();
   }
 
+  static Command recordVoters(String... instances) {
+    return command("voters")
+        .setRecordVoters(RecordVoters.newBuilder().addAllInstances(List.of(instances)))
+        .build();
+  }
+
   static Command retire(String instance) {
     return command("retire")
         .setRetireInstance(RetireInstance.newBuilder().setInstance(instance))
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -67,6 +67,38 @@
     }
   }
 
+  /** Recorded voters of the group. */
+  public static class Voters extends StateFixture {
+
+    /** Guards against voters that a restart forgets, or that depend on how they are listed. */
+    @Test
+    public void recordedVotersSurviveRestart() {
+      assertEquals(state.view().recordedVoters(), List.of());
+      expect(Status.ACCEPTED, Commands.recordVoters("b", "a", "b"));
+      assertEquals(state.view().recordedVoters(), List.of("a", "b"));
+      ControlState restored = ControlState.restore(state.snapshot());
+      assertEquals(restored.view().recordedVoters(), List.of("a", "b"));
+      expect(Status.ACCEPTED, Commands.recordVoters("a", "c"));
+      assertEquals(state.view().recordedVoters(), List.of("a", "c"));
+    }
+
+    /** Guards against a registration that ends before the key lease of the instance has. */
+    @Test
+    public void registrationOfFormerVoterStays() {
+      expect(Status.ACCEPTED, Commands.register("a", 1));
+      expect(Status.ACCEPTED, Commands.recordVoters("b"));
+      assertEquals(state.view().instances().size(), 1);
+    }
+
+    /** Guards against a group without voters. */
+    @Test
+    public void emptyGroupIsRejected() {
+      expect(Status.ACCEPTED, Commands.recordVoters("a"));
+      expect(Status.REJECTED, Commands.recordVoters());
+      assertEquals(state.view().recordedVoters(), List.of("a"));
+    }
+  }
+
   /** Prompt parts that ran at lost backend servers. */
   public static class SuspectParts extends StateFixture {
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.consensus.Configuration;
 import org.teaseltrestle.consensus.RaftAction.Refusal;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
@@ -19,6 +20,7 @@
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.LeaderAnswer;
 import org.teaseltrestle.wire.PoolDemand;
+import org.teaseltrestle.wire.RecordVoters;
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.RenewalBundle;
 import org.teaseltrestle.wire.RetireInstance;
@@ -33,6 +35,9 @@
   // Nodes whose voter failed report through another voter after a few seconds.
   private static final long DEMAND_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(5);
 
+  /** Time between two attempts to record the voters. */
+  private static final long VOTERS_RECORD_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   private final ControlPlaneSettings settings;
   private final ReplicaDriver driver;
   private final AppliedState state;
@@ -44,6 +49,7 @@
   private final Set<String> retiring = new HashSet<>();
   private @Nullable KeyLeaseRegistry keyLeases;
   private long nextRequest;
+  private long votersRecordNotBeforeNanos;
 
   private record Demand(
       Map<String, Double> tokensPerSecond, List<PoolDemand> pools, long receivedAtNanos) {}
@@ -61,6 +67,7 @@
     this.authority = authority;
     this.clock = clock;
     this.wallClock = wallClock;
+    this.votersRecordNotBeforeNanos = clock.nowNanos();
   }
 
   /** Returns the demand by pool that this leader knows of all nodes. Safe for any thread. */
@@ -75,6 +82,29 @@
     retiring.clear();
   }
 
+  /** Records the voters of the committed membership if the state names others. */
+  void recordVotersIfChanged() {
+    Configuration committed = driver.core().committedConfiguration().orElse(null);
+    long now = clock.nowNanos();
+    if (committed == null || now - votersRecordNotBeforeNanos < 0) {
+      return;
+    }
+    List<String> voters =
+        committed.voters().stream()
+            .map(each -> each.instance().value())
+            .distinct()
+            .sorted()
+            .toList();
+    if (voters.equals(state.view().recordedVoters())) {
+      return;
+    }
+    votersRecordNotBeforeNanos = now + VOTERS_RECORD_INTERVAL_NANOS;
+    LOG.info(ReplicaEvent.VOTERS_RECORDED, "voters", voters);
+    propose(
+        Command.newBuilder().setRecordVoters(RecordVoters.newBuilder().addAllInstances(voters)),
+        answer -> {});
+  }
+
   void onLeadershipLost() {
     keyLeases = null;
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -20,7 +20,11 @@
   private final Map<String, InetSocketAddress> routes = new HashMap<>();
   private final Map<String, InetSocketAddress> voters = new HashMap<>();
   private volatile Map<String, InetSocketAddress> registered = Map.of();
-  private volatile List<String> registeredVoters = List.of();
+
+  /** Voters of the latest view: the recorded ones, or the registered ones if none are recorded. */
+  private volatile Voters known = new Voters(List.of(), false);
+
+  private record Voters(List<String> instances, boolean recorded) {}
 
   /** Creates addresses with the routes and voters of the settings. */
   public PeerAddresses(ControlPlaneSettings settings) {
@@ -55,17 +59,28 @@
       parse(each.getPeerAddress()).ifPresent(address -> updated.put(each.getInstance(), address));
     }
     registered = Map.copyOf(updated);
-    registeredVoters =
-        view.instances().stream()
-            .filter(InstanceRecord::getVoter)
-            .map(InstanceRecord::getInstance)
-            .toList();
+    List<String> recorded = view.recordedVoters();
+    known =
+        recorded.isEmpty()
+            ? new Voters(
+                view.instances().stream()
+                    .filter(InstanceRecord::getVoter)
+                    .map(InstanceRecord::getInstance)
+                    .toList(),
+                false)
+            : new Voters(recorded, true);
   }
 
-  /** Returns the voters of the settings, then other registered voters. */
+  /**
+   * Returns the recorded voters, then other voters of the settings, since a node that was away may
+   * know an outdated group. Before voters are recorded, returns the voters of the settings, then
+   * other registered ones.
+   */
   List<String> voters() {
-    Set<String> names = new LinkedHashSet<>(voters.keySet());
-    names.addAll(registeredVoters);
+    Voters latest = known;
+    Set<String> names = new LinkedHashSet<>(latest.recorded() ? latest.instances() : List.of());
+    names.addAll(voters.keySet());
+    names.addAll(latest.instances());
     return List.copyOf(names);
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -229,6 +229,7 @@
             sendRenewals(leaseRenewer.bundle(state, nowNanos));
           }
           readiness.tick(state.appliedIndex());
+          leaderOperations.recordVotersIfChanged();
           flushAndPublish();
         });
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
@@ -19,9 +19,16 @@
  */
 final class TreePlacement {
 
+  /** Domain of a voter that is neither registered nor in the settings; no name is empty. */
+  private static final String UNKNOWN_DOMAIN = "";
+
   private TreePlacement() {}
 
-  /** Returns the possible parents of an instance: its ancestors, nearest first, then the voters. */
+  /**
+   * Returns the possible parents of an instance: its ancestors, nearest first, then the voters.
+   * Once voters are recorded, they come first, then other voters of the settings; a registered
+   * voter that is neither is no parent.
+   */
   static List<String> parents(
       InstanceId self,
       FailureDomain domain,
@@ -37,7 +44,18 @@
         ancestor = parentOf(ancestor, fanOut)) {
       parents.add(members.get(ancestor - 1));
     }
-    parents.addAll(roots(domain, domainByVoter));
+    List<String> recorded = view.recordedVoters();
+    if (recorded.isEmpty()) {
+      parents.addAll(roots(domain, domainByVoter));
+    } else {
+      Map<String, String> domainByMember = new TreeMap<>();
+      recorded.forEach(
+          each -> domainByMember.put(each, domainByVoter.getOrDefault(each, UNKNOWN_DOMAIN)));
+      parents.addAll(roots(domain, domainByMember));
+      // A node that was away may know an outdated group.
+      domainByVoter.keySet().retainAll(voters.stream().map(v -> v.instance().value()).toList());
+      parents.addAll(roots(domain, domainByVoter));
+    }
     parents.remove(self.value());
     return new ArrayList<>(parents);
   }
@@ -55,7 +73,10 @@
         .toList();
   }
 
-  /** Returns the failure domains of all voters; registrations override the settings. */
+  /**
+   * Returns the failure domains of all voters, former ones included; registrations override the
+   * settings.
+   */
   private static Map<String, String> domainByVoter(List<VoterSettings> voters, ControlView view) {
     Map<String, String> domains = new TreeMap<>();
     voters.forEach(each -> domains.put(each.instance().value(), each.failureDomain().value()));
--- a/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.replica;
 
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
@@ -89,4 +90,24 @@
           "ready " + tookMillis + " ms after the first news of a leader");
     }
   }
+
+  /** Guards against a node that goes on asking registered voters that were replaced. */
+  @Test
+  public void replacedVotersAreNotAsked() {
+    try (LoopbackCluster cluster = new LoopbackCluster(3, DisseminationTreeSettings.FLAT)) {
+      cluster.startVoters();
+      String leader = cluster.awaitLeader();
+      cluster.registerGoneVoters(leader, leader, GONE_VOTERS);
+      ControlPlane plane = cluster.node(leader).plane();
+      LoopbackCluster.await("recorded voters", () -> plane.view().recordedVoters().size() == 3);
+      final ControlPlane entry = cluster.startNonVoterBelow(leader, "entry-1").plane();
+      cluster.awaitApplied("entry-1", cluster.commit(leader, "before"));
+      LoopbackCluster.await("parent", () -> entry.status().leader().equals(leader));
+      cluster.stop(leader);
+      cluster.awaitApplied("entry-1", cluster.commit(cluster.awaitLeader(), "after"));
+      cluster.startVoter(leader, Long.MAX_VALUE);
+      LoopbackCluster.await("preferred parent", () -> entry.status().leader().equals(leader));
+      assertFalse(cluster.hasContactedGoneVoter("entry-1"), "a replaced voter was asked");
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -69,6 +69,10 @@
   /** Address that each node called last, by the address of the node. */
   private final Map<InetSocketAddress, InetSocketAddress> latestCalls = new ConcurrentHashMap<>();
 
+  /** Addresses that each node has sent messages to, by the address of the node. */
+  private final Map<InetSocketAddress, Set<InetSocketAddress>> contacted =
+      new ConcurrentHashMap<>();
+
   /** One node's control plane with its transport. */
   record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
       implements AutoCloseable {
@@ -129,17 +133,49 @@
   void addGoneVoters(String domainOf, int count) {
     FailureDomain domain = voter(domainOf).failureDomain();
     for (int i = 0; i < count; i++) {
-      try {
-        ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-        silentSockets.add(socket);
-        InetSocketAddress address = (InetSocketAddress) socket.getLocalSocketAddress();
-        goneVoters.add(new VoterSettings(new InstanceId(domainOf + "-gone-" + i), domain, address));
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
-      }
+      goneVoters.add(
+          new VoterSettings(new InstanceId(domainOf + "-gone-" + i), domain, silentAddress()));
     }
   }
 
+  /** Registers voters, in the domain of another one, that were replaced and are gone. */
+  void registerGoneVoters(String through, String domainOf, int count) {
+    for (int i = 0; i < count; i++) {
+      InstanceRecord record =
+          InstanceRecord.newBuilder()
+              .setInstance("a-gone-" + i)
+              .setFailureDomain(voter(domainOf).failureDomain().value())
+              .setPeerAddress(PeerAddresses.format(silentAddress()))
+              .setBoot(i)
+              .setVoter(true)
+              .build();
+      Command command =
+          Command.newBuilder()
+              .setRequestId("test-" + NEXT_REQUEST.incrementAndGet())
+              .setRegisterInstance(RegisterInstance.newBuilder().setInstance(record))
+              .build();
+      node(through).plane().propose(command).join();
+    }
+  }
+
+  private InetSocketAddress silentAddress() {
+    try {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+      silentSockets.add(socket);
+      return (InetSocketAddress) socket.getLocalSocketAddress();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns whether a running node has sent a message to an address that never answers. */
+  boolean hasContactedGoneVoter(String instance) {
+    Set<InetSocketAddress> peers =
+        contacted.getOrDefault(node(instance).transport().localAddress(), Set.of());
+    return silentSockets.stream()
+        .anyMatch(socket -> peers.contains((InetSocketAddress) socket.getLocalSocketAddress()));
+  }
+
   /** Returns whether the latest call of a running node went to a voter that is gone. */
   boolean callsGoneVoter(String instance) {
     InetSocketAddress called = latestCalls.get(node(instance).transport().localAddress());
@@ -217,10 +253,17 @@
         || (bothVote && (cutOff.contains(from) || cutOff.contains(to)));
   }
 
-  /** Transport that records calls and loses the messages to nodes that are cut off. */
+  private void recordContact(InetSocketAddress from, InetSocketAddress to) {
+    contacted.computeIfAbsent(from, id -> ConcurrentHashMap.newKeySet()).add(to);
+  }
+
+  /**
+   * Transport that records calls and messages, and loses the messages to nodes that are cut off.
+   */
   private record LossyTransport(
       NettyPeerTransport delegate,
       Consumer<InetSocketAddress> called,
+      Consumer<InetSocketAddress> contacted,
       Predicate<InetSocketAddress> losesMessagesTo)
       implements PeerTransport {
 
@@ -231,6 +274,7 @@
 
     @Override
     public boolean send(InetSocketAddress peer, String service, int kind, byte[] body) {
+      contacted.accept(peer);
       return losesMessagesTo.test(peer) || delegate.send(peer, service, kind, body);
     }
 
@@ -238,6 +282,7 @@
     public CompletableFuture<byte[]> call(
         InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
       called.accept(peer);
+      contacted.accept(peer);
       return losesMessagesTo.test(peer)
           ? CompletableFuture.failedFuture(
               new TrestleException(ErrorCode.UNREACHABLE, "the voter is cut off"))
@@ -435,7 +480,10 @@
     ControlPlaneContext context =
         new ControlPlaneContext(
             new LossyTransport(
-                transport, peer -> latestCalls.put(address, peer), peer -> isCut(address, peer)),
+                transport,
+                peer -> latestCalls.put(address, peer),
+                peer -> recordContact(address, peer),
+                peer -> isCut(address, peer)),
             new MessageHandlerRegistry(transport),
             MonotonicClock.SYSTEM,
             WallClock.SYSTEM,
--- a/wire/src/main/java/org/teaseltrestle/wire/Command.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Command.java
@@ -74,6 +74,7 @@
     RECORD_OUTCOME(27),
     PUBLISH_CONFIGURATION(28),
     REPORT_PROMPT_PARTS(29),
+    RECORD_VOTERS(30),
     CHANGE_NOT_SET(0);
     private final int value;
     private ChangeCase(int value) {
@@ -111,6 +112,7 @@
         case 27: return RECORD_OUTCOME;
         case 28: return PUBLISH_CONFIGURATION;
         case 29: return REPORT_PROMPT_PARTS;
+        case 30: return RECORD_VOTERS;
         case 0: return CHANGE_NOT_SET;
         default: return null;
       }
@@ -808,6 +810,37 @@
     return org.teaseltrestle.wire.ReportPromptParts.getDefaultInstance();
   }
 
+  public static final int RECORD_VOTERS_FIELD_NUMBER = 30;
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   * @return Whether the recordVoters field is set.
+   */
+  @java.lang.Override
+  public boolean hasRecordVoters() {
+    return changeCase_ == 30;
+  }
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   * @return The recordVoters.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.RecordVoters getRecordVoters() {
+    if (changeCase_ == 30) {
+       return (org.teaseltrestle.wire.RecordVoters) change_;
+    }
+    return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+  }
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.RecordVotersOrBuilder getRecordVotersOrBuilder() {
+    if (changeCase_ == 30) {
+       return (org.teaseltrestle.wire.RecordVoters) change_;
+    }
+    return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -888,6 +921,9 @@
     if (changeCase_ == 29) {
       output.writeMessage(29, (org.teaseltrestle.wire.ReportPromptParts) change_);
     }
+    if (changeCase_ == 30) {
+      output.writeMessage(30, (org.teaseltrestle.wire.RecordVoters) change_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -984,6 +1020,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(29, (org.teaseltrestle.wire.ReportPromptParts) change_);
     }
+    if (changeCase_ == 30) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, (org.teaseltrestle.wire.RecordVoters) change_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1085,6 +1125,10 @@
         if (!getReportPromptParts()
             .equals(other.getReportPromptParts())) return false;
         break;
+      case 30:
+        if (!getRecordVoters()
+            .equals(other.getRecordVoters())) return false;
+        break;
       case 0:
       default:
     }
@@ -1185,6 +1229,10 @@
         hash = (37 * hash) + REPORT_PROMPT_PARTS_FIELD_NUMBER;
         hash = (53 * hash) + getReportPromptParts().hashCode();
         break;
+      case 30:
+        hash = (37 * hash) + RECORD_VOTERS_FIELD_NUMBER;
+        hash = (53 * hash) + getRecordVoters().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1385,6 +1433,9 @@
       if (reportPromptPartsBuilder_ != null) {
         reportPromptPartsBuilder_.clear();
       }
+      if (recordVotersBuilder_ != null) {
+        recordVotersBuilder_.clear();
+      }
       changeCase_ = 0;
       change_ = null;
       return this;
@@ -1512,6 +1563,10 @@
           reportPromptPartsBuilder_ != null) {
         result.change_ = reportPromptPartsBuilder_.build();
       }
+      if (changeCase_ == 30 &&
+          recordVotersBuilder_ != null) {
+        result.change_ = recordVotersBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1615,6 +1670,10 @@
           mergeReportPromptParts(other.getReportPromptParts());
           break;
         }
+        case RECORD_VOTERS: {
+          mergeRecordVoters(other.getRecordVoters());
+          break;
+        }
         case CHANGE_NOT_SET: {
           break;
         }
@@ -1795,6 +1854,13 @@
               changeCase_ = 29;
               break;
             } // case 234
+            case 242: {
+              input.readMessage(
+                  internalGetRecordVotersFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              changeCase_ = 30;
+              break;
+            } // case 242
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -4803,6 +4869,148 @@
       return reportPromptPartsBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.RecordVoters, org.teaseltrestle.wire.RecordVoters.Builder, org.teaseltrestle.wire.RecordVotersOrBuilder> recordVotersBuilder_;
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     * @return Whether the recordVoters field is set.
+     */
+    @java.lang.Override
+    public boolean hasRecordVoters() {
+      return changeCase_ == 30;
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     * @return The recordVoters.
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.RecordVoters getRecordVoters() {
+      if (recordVotersBuilder_ == null) {
+        if (changeCase_ == 30) {
+          return (org.teaseltrestle.wire.RecordVoters) change_;
+        }
+        return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+      } else {
+        if (changeCase_ == 30) {
+          return recordVotersBuilder_.getMessage();
+        }
+        return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    public Builder setRecordVoters(org.teaseltrestle.wire.RecordVoters value) {
+      if (recordVotersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        change_ = value;
+        onChanged();
+      } else {
+        recordVotersBuilder_.setMessage(value);
+      }
+      changeCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    public Builder setRecordVoters(
+        org.teaseltrestle.wire.RecordVoters.Builder builderForValue) {
+      if (recordVotersBuilder_ == null) {
+        change_ = builderForValue.build();
+        onChanged();
+      } else {
+        recordVotersBuilder_.setMessage(builderForValue.build());
+      }
+      changeCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    public Builder mergeRecordVoters(org.teaseltrestle.wire.RecordVoters value) {
+      if (recordVotersBuilder_ == null) {
+        if (changeCase_ == 30 &&
+            change_ != org.teaseltrestle.wire.RecordVoters.getDefaultInstance()) {
+          change_ = org.teaseltrestle.wire.RecordVoters.newBuilder((org.teaseltrestle.wire.RecordVoters) change_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          change_ = value;
+        }
+        onChanged();
+      } else {
+        if (changeCase_ == 30) {
+          recordVotersBuilder_.mergeFrom(value);
+        } else {
+          recordVotersBuilder_.setMessage(value);
+        }
+      }
+      changeCase_ = 30;
+      return this;
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    public Builder clearRecordVoters() {
+      if (recordVotersBuilder_ == null) {
+        if (changeCase_ == 30) {
+          changeCase_ = 0;
+          change_ = null;
+          onChanged();
+        }
+      } else {
+        if (changeCase_ == 30) {
+          changeCase_ = 0;
+          change_ = null;
+        }
+        recordVotersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    public org.teaseltrestle.wire.RecordVoters.Builder getRecordVotersBuilder() {
+      return internalGetRecordVotersFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.RecordVotersOrBuilder getRecordVotersOrBuilder() {
+      if ((changeCase_ == 30) && (recordVotersBuilder_ != null)) {
+        return recordVotersBuilder_.getMessageOrBuilder();
+      } else {
+        if (changeCase_ == 30) {
+          return (org.teaseltrestle.wire.RecordVoters) change_;
+        }
+        return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.RecordVoters record_voters = 30;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.RecordVoters, org.teaseltrestle.wire.RecordVoters.Builder, org.teaseltrestle.wire.RecordVotersOrBuilder> 
+        internalGetRecordVotersFieldBuilder() {
+      if (recordVotersBuilder_ == null) {
+        if (!(changeCase_ == 30)) {
+          change_ = org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
+        }
+        recordVotersBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.RecordVoters, org.teaseltrestle.wire.RecordVoters.Builder, org.teaseltrestle.wire.RecordVotersOrBuilder>(
+                (org.teaseltrestle.wire.RecordVoters) change_,
+                getParentForChildren(),
+                isClean());
+        change_ = null;
+      }
+      changeCase_ = 30;
+      onChanged();
+      return recordVotersBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.Command)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
@@ -340,5 +340,20 @@
    */
   org.teaseltrestle.wire.ReportPromptPartsOrBuilder getReportPromptPartsOrBuilder();
 
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   * @return Whether the recordVoters field is set.
+   */
+  boolean hasRecordVoters();
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   * @return The recordVoters.
+   */
+  org.teaseltrestle.wire.RecordVoters getRecordVoters();
+  /**
+   * <code>.trestle.RecordVoters record_voters = 30;</code>
+   */
+  org.teaseltrestle.wire.RecordVotersOrBuilder getRecordVotersOrBuilder();
+
   org.teaseltrestle.wire.Command.ChangeCase getChangeCase();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -71,6 +71,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_RetireInstance_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_RecordVoters_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_RecordVoters_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_ClaimAuthority_descriptor;
   static final 
@@ -195,7 +200,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rcontrol.proto\022\007trestle\"\370\010\n\007Command\022\022\n\n" +
+      "\n\rcontrol.proto\022\007trestle\"\250\t\n\007Command\022\022\n\n" +
       "request_id\030\001 \001(\t\022\032\n\022proposed_at_millis\030\002" +
       " \001(\003\022.\n\rreplace_lists\030\n \001(\0132\025.trestle.Re" +
       "placeListsH\000\022&\n\tissue_key\030\013 \001(\0132\021.trestl" +
@@ -224,94 +229,96 @@
       "\n\025publish_configuration\030\034 \001(\0132\035.trestle." +
       "PublishConfigurationH\000\0229\n\023report_prompt_" +
       "parts\030\035 \001(\0132\032.trestle.ReportPromptPartsH" +
-      "\000B\010\n\006change\"\256\002\n\rCommandAnswer\022-\n\006status\030" +
-      "\001 \001(\0162\035.trestle.CommandAnswer.Status\022\017\n\007" +
-      "message\030\002 \001(\t\022\025\n\rapplied_index\030\003 \001(\004\022\026\n\016" +
-      "lists_revision\030\004 \001(\004\022)\n\005claim\030\005 \001(\0132\032.tr" +
-      "estle.IdempotencyRecord\022\026\n\016fencing_numbe" +
-      "r\030\006 \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast_sequenc" +
-      "e\030\010 \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED\020\000\022\014\n\010AC" +
-      "CEPTED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECTED\020\003\"g\n\014" +
-      "ReplaceLists\022\025\n\rbase_revision\030\001 \001(\004\022\025\n\ra" +
-      "ccounts_json\030\002 \001(\t\022\022\n\nplans_json\030\003 \001(\t\022\025" +
-      "\n\roperator_name\030\004 \001(\t\"\225\001\n\tKeyRecord\022\016\n\006k" +
-      "ey_id\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\014\n\004salt\030\003 \001" +
-      "(\014\022\023\n\013secret_hash\030\004 \001(\014\022\030\n\020issued_at_mil" +
-      "lis\030\005 \001(\003\022\033\n\023withdrawn_at_millis\030\006 \001(\003\022\r" +
-      "\n\005label\030\007 \001(\t\"+\n\010IssueKey\022\037\n\003key\030\001 \001(\0132\022" +
-      ".trestle.KeyRecord\"\035\n\013WithdrawKey\022\016\n\006key" +
-      "_id\030\001 \001(\t\"}\n\016InstanceRecord\022\020\n\010instance\030" +
-      "\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n\006region\030" +
-      "\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\022\014\n\004boot\030\005 \001(" +
-      "\006\022\r\n\005voter\030\006 \001(\010\"=\n\020RegisterInstance\022)\n\010" +
-      "instance\030\001 \001(\0132\027.trestle.InstanceRecord\"" +
-      "2\n\016RetireInstance\022\020\n\010instance\030\001 \001(\t\022\016\n\006r" +
-      "eason\030\002 \001(\t\">\n\016ClaimAuthority\022\014\n\004term\030\001 " +
-      "\001(\004\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013" +
-      "EngineOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016backend" +
-      "_server\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004\022\014\n" +
-      "\004kind\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\022\r\n\005model\030\006 \001(\t" +
-      "\022\026\n\016owner_instance\030\007 \001(\t\022\022\n\nowner_boot\030\010" +
-      " \001(\006\022\017\n\007settled\030\t \001(\010\022\016\n\006result\030\n \001(\t\"O\n" +
-      "\020PlaceEngineOrder\022#\n\005order\030\001 \001(\0132\024.trest" +
-      "le.EngineOrder\022\026\n\016authority_term\030\002 \001(\004\"M" +
-      "\n\021SettleEngineOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n" +
-      "\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\221\001" +
-      "\n\027TransferEngineOwnership\022\026\n\016backend_ser" +
-      "ver\030\001 \001(\t\022\025\n\rfrom_instance\030\002 \001(\t\022\021\n\tfrom" +
-      "_boot\030\003 \001(\006\022\023\n\013to_instance\030\004 \001(\t\022\017\n\007to_b" +
-      "oot\030\005 \001(\006\022\016\n\006reason\030\006 \001(\t\"\311\001\n\rPlatformOr" +
-      "der\022\020\n\010order_id\030\001 \001(\t\022\026\n\016fencing_number\030" +
-      "\002 \001(\004\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain\030\004 " +
-      "\001(\t\022\020\n\010capacity\030\005 \001(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007" +
-      "release\030\007 \001(\t\022\017\n\007settled\030\010 \001(\010\022\016\n\006result" +
-      "\030\t \001(\t\022\025\n\rwanted_in_all\030\n \001(\010\"S\n\022PlacePl" +
-      "atformOrder\022%\n\005order\030\001 \001(\0132\026.trestle.Pla" +
-      "tformOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n\023Se" +
-      "ttlePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016\n\006r" +
-      "esult\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275\001\n\023" +
-      "BackendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030" +
-      "\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007address" +
-      "\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(\t\022\026" +
-      "\n\016checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(\t\022\r" +
-      "\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014ObserveFl" +
-      "eet\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendServe" +
-      "rRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_term\030" +
-      "\003 \001(\004\"2\n\nPlanChange\022\026\n\016backend_server\030\001 " +
-      "\001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007acc" +
-      "ount\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_token" +
-      "s\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010reques" +
-      "ts\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nUsag" +
-      "eBatch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026" +
-      "\n\016first_sequence\030\003 \001(\004\022\025\n\rlast_sequence\030" +
-      "\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(\0132\024" +
-      ".trestle.UsageFigure\":\n\020CloseUsageWindow" +
-      "\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004" +
-      "\"7\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016aut" +
-      "hority_term\030\002 \001(\004\"\361\002\n\021IdempotencyRecord\022" +
-      "\017\n\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017ide" +
-      "mpotency_key\030\003 \001(\t\022\026\n\016request_digest\030\004 \001" +
-      "(\014\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner_bo" +
-      "ot\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/\n\005s" +
-      "tate\030\010 \001(\0162 .trestle.IdempotencyRecord.S" +
-      "tate\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_typ" +
-      "e\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNSPEC" +
-      "IFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017O" +
-      "UTCOME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020ClaimId" +
-      "empotency\022)\n\005claim\030\001 \001(\0132\032.trestle.Idemp" +
-      "otencyRecord\"V\n\rRecordOutcome\022+\n\007outcome" +
-      "\030\001 \001(\0132\032.trestle.IdempotencyRecord\022\030\n\020cl" +
-      "aim_request_id\030\002 \001(\t\"9\n\024PublishConfigura" +
-      "tion\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001(\014\"" +
-      "S\n\021ReportPromptParts\022&\n\004lost\030\001 \003(\0132\030.tre" +
-      "stle.LostPromptParts\022\026\n\016answered_parts\030\002" +
-      " \003(\006\"8\n\017LostPromptParts\022\026\n\016backend_serve" +
-      "r\030\001 \001(\t\022\r\n\005parts\030\002 \003(\006\"m\n\021SuspectPromptP" +
-      "art\022\014\n\004part\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006lat" +
-      "est\030\003 \003(\0132\023.trestle.ServerLoss\022\025\n\rchange" +
-      "d_index\030\004 \001(\004\"@\n\nServerLoss\022\026\n\016backend_s" +
-      "erver\030\001 \001(\t\022\032\n\022reported_at_millis\030\002 \001(\003B" +
-      "\032\n\026org.teaseltrestle.wireP\001b\006proto3"
+      "\000\022.\n\rrecord_voters\030\036 \001(\0132\025.trestle.Recor" +
+      "dVotersH\000B\010\n\006change\"\256\002\n\rCommandAnswer\022-\n" +
+      "\006status\030\001 \001(\0162\035.trestle.CommandAnswer.St" +
+      "atus\022\017\n\007message\030\002 \001(\t\022\025\n\rapplied_index\030\003" +
+      " \001(\004\022\026\n\016lists_revision\030\004 \001(\004\022)\n\005claim\030\005 " +
+      "\001(\0132\032.trestle.IdempotencyRecord\022\026\n\016fenci" +
+      "ng_number\030\006 \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast" +
+      "_sequence\030\010 \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED" +
+      "\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECT" +
+      "ED\020\003\"g\n\014ReplaceLists\022\025\n\rbase_revision\030\001 " +
+      "\001(\004\022\025\n\raccounts_json\030\002 \001(\t\022\022\n\nplans_json" +
+      "\030\003 \001(\t\022\025\n\roperator_name\030\004 \001(\t\"\225\001\n\tKeyRec" +
+      "ord\022\016\n\006key_id\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\014\n\004" +
+      "salt\030\003 \001(\014\022\023\n\013secret_hash\030\004 \001(\014\022\030\n\020issue" +
+      "d_at_millis\030\005 \001(\003\022\033\n\023withdrawn_at_millis" +
+      "\030\006 \001(\003\022\r\n\005label\030\007 \001(\t\"+\n\010IssueKey\022\037\n\003key" +
+      "\030\001 \001(\0132\022.trestle.KeyRecord\"\035\n\013WithdrawKe" +
+      "y\022\016\n\006key_id\030\001 \001(\t\"}\n\016InstanceRecord\022\020\n\010i" +
+      "nstance\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n" +
+      "\006region\030\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\022\014\n\004b" +
+      "oot\030\005 \001(\006\022\r\n\005voter\030\006 \001(\010\"=\n\020RegisterInst" +
+      "ance\022)\n\010instance\030\001 \001(\0132\027.trestle.Instanc" +
+      "eRecord\"2\n\016RetireInstance\022\020\n\010instance\030\001 " +
+      "\001(\t\022\016\n\006reason\030\002 \001(\t\"!\n\014RecordVoters\022\021\n\ti" +
+      "nstances\030\001 \003(\t\">\n\016ClaimAuthority\022\014\n\004term" +
+      "\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"\307" +
+      "\001\n\013EngineOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016back" +
+      "end_server\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004" +
+      "\022\014\n\004kind\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\022\r\n\005model\030\006 " +
+      "\001(\t\022\026\n\016owner_instance\030\007 \001(\t\022\022\n\nowner_boo" +
+      "t\030\010 \001(\006\022\017\n\007settled\030\t \001(\010\022\016\n\006result\030\n \001(\t" +
+      "\"O\n\020PlaceEngineOrder\022#\n\005order\030\001 \001(\0132\024.tr" +
+      "estle.EngineOrder\022\026\n\016authority_term\030\002 \001(" +
+      "\004\"M\n\021SettleEngineOrder\022\020\n\010order_id\030\001 \001(\t" +
+      "\022\016\n\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004" +
+      "\"\221\001\n\027TransferEngineOwnership\022\026\n\016backend_" +
+      "server\030\001 \001(\t\022\025\n\rfrom_instance\030\002 \001(\t\022\021\n\tf" +
+      "rom_boot\030\003 \001(\006\022\023\n\013to_instance\030\004 \001(\t\022\017\n\007t" +
+      "o_boot\030\005 \001(\006\022\016\n\006reason\030\006 \001(\t\"\311\001\n\rPlatfor" +
+      "mOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016fencing_numb" +
+      "er\030\002 \001(\004\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain" +
+      "\030\004 \001(\t\022\020\n\010capacity\030\005 \001(\t\022\r\n\005count\030\006 \001(\r\022" +
+      "\017\n\007release\030\007 \001(\t\022\017\n\007settled\030\010 \001(\010\022\016\n\006res" +
+      "ult\030\t \001(\t\022\025\n\rwanted_in_all\030\n \001(\010\"S\n\022Plac" +
+      "ePlatformOrder\022%\n\005order\030\001 \001(\0132\026.trestle." +
+      "PlatformOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n" +
+      "\023SettlePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016" +
+      "\n\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275" +
+      "\001\n\023BackendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004po" +
+      "ol\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007addr" +
+      "ess\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(" +
+      "\t\022\026\n\016checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(" +
+      "\t\022\r\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014Observ" +
+      "eFleet\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendSe" +
+      "rverRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_te" +
+      "rm\030\003 \001(\004\"2\n\nPlanChange\022\026\n\016backend_server" +
+      "\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007" +
+      "account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_to" +
+      "kens\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010req" +
+      "uests\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nU" +
+      "sageBatch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(" +
+      "\006\022\026\n\016first_sequence\030\003 \001(\004\022\025\n\rlast_sequen" +
+      "ce\030\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(" +
+      "\0132\024.trestle.UsageFigure\":\n\020CloseUsageWin" +
+      "dow\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 " +
+      "\001(\004\"7\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016" +
+      "authority_term\030\002 \001(\004\"\361\002\n\021IdempotencyReco" +
+      "rd\022\017\n\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017" +
+      "idempotency_key\030\003 \001(\t\022\026\n\016request_digest\030" +
+      "\004 \001(\014\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner" +
+      "_boot\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/" +
+      "\n\005state\030\010 \001(\0162 .trestle.IdempotencyRecor" +
+      "d.State\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_" +
+      "type\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNS" +
+      "PECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023" +
+      "\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020Clai" +
+      "mIdempotency\022)\n\005claim\030\001 \001(\0132\032.trestle.Id" +
+      "empotencyRecord\"V\n\rRecordOutcome\022+\n\007outc" +
+      "ome\030\001 \001(\0132\032.trestle.IdempotencyRecord\022\030\n" +
+      "\020claim_request_id\030\002 \001(\t\"9\n\024PublishConfig" +
+      "uration\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001" +
+      "(\014\"S\n\021ReportPromptParts\022&\n\004lost\030\001 \003(\0132\030." +
+      "trestle.LostPromptParts\022\026\n\016answered_part" +
+      "s\030\002 \003(\006\"8\n\017LostPromptParts\022\026\n\016backend_se" +
+      "rver\030\001 \001(\t\022\r\n\005parts\030\002 \003(\006\"m\n\021SuspectProm" +
+      "ptPart\022\014\n\004part\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006" +
+      "latest\030\003 \003(\0132\023.trestle.ServerLoss\022\025\n\rcha" +
+      "nged_index\030\004 \001(\004\"@\n\nServerLoss\022\026\n\016backen" +
+      "d_server\030\001 \001(\t\022\032\n\022reported_at_millis\030\002 \001" +
+      "(\003B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -322,7 +329,7 @@
     internal_static_trestle_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_Command_descriptor,
-        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "ReportPromptParts", "Change", });
+        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "ReportPromptParts", "RecordVoters", "Change", });
     internal_static_trestle_CommandAnswer_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_trestle_CommandAnswer_fieldAccessorTable = new
@@ -371,140 +378,146 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RetireInstance_descriptor,
         new java.lang.String[] { "Instance", "Reason", });
-    internal_static_trestle_ClaimAuthority_descriptor =
+    internal_static_trestle_RecordVoters_descriptor =
       getDescriptor().getMessageTypes().get(9);
+    internal_static_trestle_RecordVoters_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_RecordVoters_descriptor,
+        new java.lang.String[] { "Instances", });
+    internal_static_trestle_ClaimAuthority_descriptor =
+      getDescriptor().getMessageTypes().get(10);
     internal_static_trestle_ClaimAuthority_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ClaimAuthority_descriptor,
         new java.lang.String[] { "Term", "Instance", "Boot", });
     internal_static_trestle_EngineOrder_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_trestle_EngineOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_EngineOrder_descriptor,
         new java.lang.String[] { "OrderId", "BackendServer", "FencingNumber", "Kind", "Role", "Model", "OwnerInstance", "OwnerBoot", "Settled", "Result", });
     internal_static_trestle_PlaceEngineOrder_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_trestle_PlaceEngineOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PlaceEngineOrder_descriptor,
         new java.lang.String[] { "Order", "AuthorityTerm", });
     internal_static_trestle_SettleEngineOrder_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_trestle_SettleEngineOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_SettleEngineOrder_descriptor,
         new java.lang.String[] { "OrderId", "Result", "AuthorityTerm", });
     internal_static_trestle_TransferEngineOwnership_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_trestle_TransferEngineOwnership_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_TransferEngineOwnership_descriptor,
         new java.lang.String[] { "BackendServer", "FromInstance", "FromBoot", "ToInstance", "ToBoot", "Reason", });
     internal_static_trestle_PlatformOrder_descriptor =
-      getDescriptor().getMessageTypes().get(14);
+      getDescriptor().getMessageTypes().get(15);
     internal_static_trestle_PlatformOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PlatformOrder_descriptor,
         new java.lang.String[] { "OrderId", "FencingNumber", "Pool", "FailureDomain", "Capacity", "Count", "Release", "Settled", "Result", "WantedInAll", });
     internal_static_trestle_PlacePlatformOrder_descriptor =
-      getDescriptor().getMessageTypes().get(15);
+      getDescriptor().getMessageTypes().get(16);
     internal_static_trestle_PlacePlatformOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PlacePlatformOrder_descriptor,
         new java.lang.String[] { "Order", "AuthorityTerm", });
     internal_static_trestle_SettlePlatformOrder_descriptor =
-      getDescriptor().getMessageTypes().get(16);
+      getDescriptor().getMessageTypes().get(17);
     internal_static_trestle_SettlePlatformOrder_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_SettlePlatformOrder_descriptor,
         new java.lang.String[] { "OrderId", "Result", "AuthorityTerm", });
     internal_static_trestle_BackendServerRecord_descriptor =
-      getDescriptor().getMessageTypes().get(17);
+      getDescriptor().getMessageTypes().get(18);
     internal_static_trestle_BackendServerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_BackendServerRecord_descriptor,
         new java.lang.String[] { "Id", "Pool", "FailureDomain", "Address", "Kind", "Capacity", "ChecksFencing", "Models", "State", "Role", });
     internal_static_trestle_ObserveFleet_descriptor =
-      getDescriptor().getMessageTypes().get(18);
+      getDescriptor().getMessageTypes().get(19);
     internal_static_trestle_ObserveFleet_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ObserveFleet_descriptor,
         new java.lang.String[] { "Seen", "Gone", "AuthorityTerm", });
     internal_static_trestle_PlanChange_descriptor =
-      getDescriptor().getMessageTypes().get(19);
+      getDescriptor().getMessageTypes().get(20);
     internal_static_trestle_PlanChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PlanChange_descriptor,
         new java.lang.String[] { "BackendServer", "Kind", });
     internal_static_trestle_UsageFigure_descriptor =
-      getDescriptor().getMessageTypes().get(20);
+      getDescriptor().getMessageTypes().get(21);
     internal_static_trestle_UsageFigure_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageFigure_descriptor,
         new java.lang.String[] { "Account", "Item", "PromptTokens", "OutputTokens", "Requests", "LateRequests", });
     internal_static_trestle_UsageBatch_descriptor =
-      getDescriptor().getMessageTypes().get(21);
+      getDescriptor().getMessageTypes().get(22);
     internal_static_trestle_UsageBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageBatch_descriptor,
         new java.lang.String[] { "Instance", "Boot", "FirstSequence", "LastSequence", "Window", "Figures", });
     internal_static_trestle_CloseUsageWindow_descriptor =
-      getDescriptor().getMessageTypes().get(22);
+      getDescriptor().getMessageTypes().get(23);
     internal_static_trestle_CloseUsageWindow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CloseUsageWindow_descriptor,
         new java.lang.String[] { "Window", "AuthorityTerm", });
     internal_static_trestle_UsageReported_descriptor =
-      getDescriptor().getMessageTypes().get(23);
+      getDescriptor().getMessageTypes().get(24);
     internal_static_trestle_UsageReported_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageReported_descriptor,
         new java.lang.String[] { "Window", "AuthorityTerm", });
     internal_static_trestle_IdempotencyRecord_descriptor =
-      getDescriptor().getMessageTypes().get(24);
+      getDescriptor().getMessageTypes().get(25);
     internal_static_trestle_IdempotencyRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_IdempotencyRecord_descriptor,
         new java.lang.String[] { "Account", "Service", "IdempotencyKey", "RequestDigest", "RunnerInstance", "RunnerBoot", "ClaimedAtMillis", "State", "HttpStatus", "ContentType", "Body", });
     internal_static_trestle_ClaimIdempotency_descriptor =
-      getDescriptor().getMessageTypes().get(25);
+      getDescriptor().getMessageTypes().get(26);
     internal_static_trestle_ClaimIdempotency_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ClaimIdempotency_descriptor,
         new java.lang.String[] { "Claim", });
     internal_static_trestle_RecordOutcome_descriptor =
-      getDescriptor().getMessageTypes().get(26);
+      getDescriptor().getMessageTypes().get(27);
     internal_static_trestle_RecordOutcome_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RecordOutcome_descriptor,
         new java.lang.String[] { "Outcome", "ClaimRequestId", });
     internal_static_trestle_PublishConfiguration_descriptor =
-      getDescriptor().getMessageTypes().get(27);
+      getDescriptor().getMessageTypes().get(28);
     internal_static_trestle_PublishConfiguration_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PublishConfiguration_descriptor,
         new java.lang.String[] { "Version", "Document", });
     internal_static_trestle_ReportPromptParts_descriptor =
-      getDescriptor().getMessageTypes().get(28);
+      getDescriptor().getMessageTypes().get(29);
     internal_static_trestle_ReportPromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ReportPromptParts_descriptor,
         new java.lang.String[] { "Lost", "AnsweredParts", });
     internal_static_trestle_LostPromptParts_descriptor =
-      getDescriptor().getMessageTypes().get(29);
+      getDescriptor().getMessageTypes().get(30);
     internal_static_trestle_LostPromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LostPromptParts_descriptor,
         new java.lang.String[] { "BackendServer", "Parts", });
     internal_static_trestle_SuspectPromptPart_descriptor =
-      getDescriptor().getMessageTypes().get(30);
+      getDescriptor().getMessageTypes().get(31);
     internal_static_trestle_SuspectPromptPart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_SuspectPromptPart_descriptor,
         new java.lang.String[] { "Part", "Losses", "Latest", "ChangedIndex", });
     internal_static_trestle_ServerLoss_descriptor =
-      getDescriptor().getMessageTypes().get(31);
+      getDescriptor().getMessageTypes().get(32);
     internal_static_trestle_ServerLoss_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ServerLoss_descriptor,
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -50,6 +50,8 @@
     usageSources_ = java.util.Collections.emptyList();
     claims_ = java.util.Collections.emptyList();
     suspectPromptParts_ = java.util.Collections.emptyList();
+    recordedVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -953,6 +955,59 @@
     return suspectPromptParts_.get(index);
   }
 
+  public static final int RECORDED_VOTERS_FIELD_NUMBER = 26;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList recordedVoters_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @return A list containing the recordedVoters.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getRecordedVotersList() {
+    return recordedVoters_;
+  }
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @return The count of recordedVoters.
+   */
+  public int getRecordedVotersCount() {
+    return recordedVoters_.size();
+  }
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @param index The index of the element to return.
+   * @return The recordedVoters at the given index.
+   */
+  public java.lang.String getRecordedVoters(int index) {
+    return recordedVoters_.get(index);
+  }
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the recordedVoters at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getRecordedVotersBytes(int index) {
+    return recordedVoters_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1042,6 +1097,9 @@
     for (int i = 0; i < suspectPromptParts_.size(); i++) {
       output.writeMessage(25, suspectPromptParts_.get(i));
     }
+    for (int i = 0; i < recordedVoters_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 26, recordedVoters_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1149,6 +1207,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(25, suspectPromptParts_.get(i));
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < recordedVoters_.size(); i++) {
+        dataSize += computeStringSizeNoTag(recordedVoters_.getRaw(i));
+      }
+      size += dataSize;
+      size += 2 * getRecordedVotersList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1220,6 +1286,8 @@
     }
     if (!getSuspectPromptPartsList()
         .equals(other.getSuspectPromptPartsList())) return false;
+    if (!getRecordedVotersList()
+        .equals(other.getRecordedVotersList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1321,6 +1389,10 @@
       hash = (37 * hash) + SUSPECT_PROMPT_PARTS_FIELD_NUMBER;
       hash = (53 * hash) + getSuspectPromptPartsList().hashCode();
     }
+    if (getRecordedVotersCount() > 0) {
+      hash = (37 * hash) + RECORDED_VOTERS_FIELD_NUMBER;
+      hash = (53 * hash) + getRecordedVotersList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1602,6 +1674,8 @@
         suspectPromptPartsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x01000000);
+      recordedVoters_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -1811,6 +1885,10 @@
             : servingConfigurationBuilder_.build();
         to_bitField0_ |= 0x00000002;
       }
+      if (((from_bitField0_ & 0x02000000) != 0)) {
+        recordedVoters_.makeImmutable();
+        result.recordedVoters_ = recordedVoters_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -2250,6 +2328,16 @@
           }
         }
       }
+      if (!other.recordedVoters_.isEmpty()) {
+        if (recordedVoters_.isEmpty()) {
+          recordedVoters_ = other.recordedVoters_;
+          bitField0_ |= 0x02000000;
+        } else {
+          ensureRecordedVotersIsMutable();
+          recordedVoters_.addAll(other.recordedVoters_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2525,6 +2613,12 @@
               }
               break;
             } // case 202
+            case 210: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureRecordedVotersIsMutable();
+              recordedVoters_.add(s);
+              break;
+            } // case 210
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -6984,6 +7078,153 @@
       return suspectPromptPartsBuilder_;
     }
 
+    private com.google.protobuf.LazyStringArrayList recordedVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureRecordedVotersIsMutable() {
+      if (!recordedVoters_.isModifiable()) {
+        recordedVoters_ = new com.google.protobuf.LazyStringArrayList(recordedVoters_);
+      }
+      bitField0_ |= 0x02000000;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @return A list containing the recordedVoters.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getRecordedVotersList() {
+      recordedVoters_.makeImmutable();
+      return recordedVoters_;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @return The count of recordedVoters.
+     */
+    public int getRecordedVotersCount() {
+      return recordedVoters_.size();
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param index The index of the element to return.
+     * @return The recordedVoters at the given index.
+     */
+    public java.lang.String getRecordedVoters(int index) {
+      return recordedVoters_.get(index);
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the recordedVoters at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getRecordedVotersBytes(int index) {
+      return recordedVoters_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param index The index to set the value at.
+     * @param value The recordedVoters to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRecordedVoters(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRecordedVotersIsMutable();
+      recordedVoters_.set(index, value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param value The recordedVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRecordedVoters(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRecordedVotersIsMutable();
+      recordedVoters_.add(value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param values The recordedVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllRecordedVoters(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureRecordedVotersIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, recordedVoters_);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRecordedVoters() {
+      recordedVoters_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x02000000);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Empty until a leader has recorded them.
+     * </pre>
+     *
+     * <code>repeated string recorded_voters = 26;</code>
+     * @param value The bytes of the recordedVoters to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRecordedVotersBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureRecordedVotersIsMutable();
+      recordedVoters_.add(value);
+      bitField0_ |= 0x02000000;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -535,4 +535,45 @@
    */
   org.teaseltrestle.wire.SuspectPromptPartOrBuilder getSuspectPromptPartsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @return A list containing the recordedVoters.
+   */
+  java.util.List<java.lang.String>
+      getRecordedVotersList();
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @return The count of recordedVoters.
+   */
+  int getRecordedVotersCount();
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @param index The index of the element to return.
+   * @return The recordedVoters at the given index.
+   */
+  java.lang.String getRecordedVoters(int index);
+  /**
+   * <pre>
+   * Empty until a leader has recorded them.
+   * </pre>
+   *
+   * <code>repeated string recorded_voters = 26;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the recordedVoters at the given index.
+   */
+  com.google.protobuf.ByteString
+      getRecordedVotersBytes(int index);
 }
