--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -36,6 +36,7 @@
   private final ClaimsArea claims = new ClaimsArea();
   private final ServingArea serving = new ServingArea();
   private final SuspectPartsArea suspectParts = new SuspectPartsArea();
+  private final ServerLimitsArea serverLimits = new ServerLimitsArea(fleet);
   private long appliedIndex;
   private long stateTimeMillis;
 
@@ -121,7 +122,8 @@
         usage.windows(),
         claims.claims(),
         serving.document(),
-        suspectParts.suspects());
+        suspectParts.suspects(),
+        serverLimits.limits());
   }
 
   /** Returns the encoded state; equal states have equal bytes. */
@@ -142,6 +144,7 @@
     claims.save(snapshot);
     serving.save(snapshot);
     suspectParts.save(snapshot);
+    serverLimits.save(snapshot);
     return snapshot.build().toByteArray();
   }
 
@@ -160,6 +163,7 @@
     claims.load(snapshot);
     serving.load(snapshot);
     suspectParts.load(snapshot);
+    serverLimits.load(snapshot);
   }
 
   private CommandAnswer.Builder execute(Command command, CommandContext context) {
@@ -188,6 +192,7 @@
       case PUBLISH_CONFIGURATION -> serving.publish(command.getPublishConfiguration());
       case REPORT_PROMPT_PARTS -> suspectParts.report(command.getReportPromptParts(), context);
       case RECORD_VOTERS -> instances.recordVoters(command.getRecordVoters().getInstancesList());
+      case REPORT_SERVER_LIMIT -> serverLimits.report(command.getReportServerLimit(), context);
       case CHANGE_NOT_SET -> CommandAnswers.rejected("", "the command holds no known change");
     };
   }
@@ -210,6 +215,7 @@
     CommandAnswer.Builder answer = fleet.observe(observed, authority);
     if (answer.getStatus() == CommandAnswer.Status.ACCEPTED) {
       observed.getGoneList().forEach(engineOrders::removeOwnerOfRemovedEngine);
+      observed.getGoneList().forEach(serverLimits::remove);
       observed.getSeenList().stream()
           .map(BackendServerRecord::getId)
           .forEach(engineOrders::removeOwnerOfRemovedEngine);
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -13,6 +13,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.ServerLimit;
 import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 
@@ -99,6 +100,14 @@
     return List.of();
   }
 
+  /**
+   * Returns the requests a second that backend servers take from all instances together, of those
+   * servers that name a limit; views return the same collection object until one of them changes.
+   */
+  default Collection<ServerLimit> serverLimits() {
+    return List.of();
+  }
+
   /** Returns how many backend servers of open purchases are not available yet. */
   default int outstandingServers(String pool, String failureDomain, String capacity) {
     return openPlatformOrders().stream()
--- a/control/src/main/java/org/teaseltrestle/control/StateView.java
+++ b/control/src/main/java/org/teaseltrestle/control/StateView.java
@@ -14,6 +14,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.ServerLimit;
 import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 
@@ -36,7 +37,8 @@
     PersistentMap<Long, UsageArea.Window> windowsByNumber,
     PersistentMap<ClaimsArea.ClaimKey, ClaimSnapshot> claimsByKey,
     ServingDocument servingDocument,
-    PersistentMap<Long, SuspectPromptPart> suspectsByPart)
+    PersistentMap<Long, SuspectPromptPart> suspectsByPart,
+    PersistentMap<String, ServerLimit> limitsByServer)
     implements ControlView {
 
   @Override
@@ -44,6 +46,11 @@
     return suspectsByPart.values();
   }
 
+  @Override
+  public Collection<ServerLimit> serverLimits() {
+    return limitsByServer.values();
+  }
+
   @Override
   public Optional<KeyRecord> key(String keyId) {
     return keysById.get(keyId);
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -25,6 +25,7 @@
 import org.teaseltrestle.wire.RegisterInstance;
 import org.teaseltrestle.wire.ReplaceLists;
 import org.teaseltrestle.wire.ReportPromptParts;
+import org.teaseltrestle.wire.ReportServerLimit;
 import org.teaseltrestle.wire.RetireInstance;
 import org.teaseltrestle.wire.SettleEngineOrder;
 import org.teaseltrestle.wire.SettlePlatformOrder;
@@ -304,6 +305,28 @@
         .build();
   }
 
+  /** Reports that a server names a limit. */
+  static Command limit(String server, double requestsPerSecond, long replacedVersion) {
+    return command("limit")
+        .setReportServerLimit(
+            ReportServerLimit.newBuilder()
+                .setServer(server)
+                .setRequestsPerSecond(requestsPerSecond)
+                .setReplacedVersion(replacedVersion))
+        .build();
+  }
+
+  /** Reports that a server names no limit any more. */
+  static Command limitEnded(String server, long replacedVersion) {
+    return command("limit-ended")
+        .setReportServerLimit(
+            ReportServerLimit.newBuilder()
+                .setServer(server)
+                .setEnded(true)
+                .setReplacedVersion(replacedVersion))
+        .build();
+  }
+
   static KeyRecord randomKey(Random random, String account) {
     return KeyRecord.newBuilder()
         .setKeyId(String.format("%016x", 1 + random.nextInt(12)))
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertSame;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -14,9 +15,11 @@
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.CommandAnswer.Status;
+import org.teaseltrestle.wire.ControlSnapshot;
 import org.teaseltrestle.wire.EngineOrder;
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.IdempotencyRecord.State;
+import org.teaseltrestle.wire.ServerLimit;
 import org.teaseltrestle.wire.SuspectPromptPart;
 import org.teaseltrestle.wire.UsageWindow;
 import org.testng.annotations.BeforeMethod;
@@ -99,6 +102,129 @@
     }
   }
 
+  /** Limits that backend servers name. */
+  public static class ServerLimits extends StateFixture {
+
+    private String limits() {
+      StringBuilder text = new StringBuilder();
+      for (ServerLimit limit : state.view().serverLimits()) {
+        text.append(limit.getServer())
+            .append('=')
+            .append(limit.getRequestsPerSecond())
+            .append('@')
+            .append(limit.getVersion())
+            .append(' ');
+      }
+      return text.toString().strip();
+    }
+
+    /** Guards against a limit that a report decided on older knowledge reverts or ends. */
+    @Test
+    public void reportReplacesOnlyTheVersionThatItKnew() {
+      expect(Status.ACCEPTED, Commands.limit("s1", 2, 0));
+      expect(Status.CONFLICT, Commands.limit("s1", 9, 0));
+      expect(Status.CONFLICT, Commands.limitEnded("s1", 0));
+      assertEquals(limits(), "s1=2.0@1");
+      expect(Status.ACCEPTED, Commands.limit("s1", 0.5, 1));
+      expect(Status.CONFLICT, Commands.limitEnded("s1", 1));
+      assertEquals(limits(), "s1=0.5@4");
+      expect(Status.ACCEPTED, Commands.limitEnded("s1", 4));
+      assertEquals(limits(), "");
+      expect(Status.CONFLICT, Commands.limit("s1", 2, 4));
+      assertEquals(limits(), "");
+    }
+
+    /** Guards against a resent report that takes effect again. */
+    @Test
+    public void duplicateReportChangesNothing() {
+      expect(Status.ACCEPTED, Commands.limit("s1", 2, 0));
+      expect(Status.CONFLICT, Commands.limit("s1", 2, 0));
+      assertEquals(limits(), "s1=2.0@1");
+      expect(Status.ACCEPTED, Commands.limitEnded("s1", 1));
+      expect(Status.CONFLICT, Commands.limitEnded("s1", 1));
+      assertEquals(limits(), "");
+    }
+
+    /** Guards against nodes that see a change of the limits where there is none. */
+    @Test
+    public void viewsShareUnchangedLimits() {
+      expect(Status.ACCEPTED, Commands.limit("s1", 2, 0));
+      final var before = state.view().serverLimits();
+      expect(Status.CONFLICT, Commands.limit("s1", 9, 0));
+      expect(Status.ACCEPTED, Commands.observe("s2", false));
+      expect(Status.ACCEPTED, Commands.removeServer("s2"));
+      assertSame(state.view().serverLimits(), before);
+    }
+
+    /** Guards against a value that is no rate and spoils the decisions of all nodes. */
+    @Test
+    public void valueThatIsNoLimitIsRejected() {
+      expect(Status.REJECTED, Commands.limit("", 2, 0));
+      for (double value : new double[] {-1, Double.NaN, Double.POSITIVE_INFINITY}) {
+        expect(Status.REJECTED, Commands.limit("s1", value, 0));
+      }
+      assertEquals(limits(), "");
+      expect(Status.ACCEPTED, Commands.limit("s1", 0, 0));
+      assertEquals(limits(), "s1=0.0@5");
+    }
+
+    /** Guards against the limit of an earlier server that binds a later one of the same id. */
+    @Test
+    public void limitOfServerThatIsGoneIsForgotten() {
+      expect(Status.ACCEPTED, Commands.observe("s1", false));
+      expect(Status.ACCEPTED, Commands.limit("s1", 2, 0));
+      expect(Status.ACCEPTED, Commands.limit("s2", 2, 0));
+      expect(Status.ACCEPTED, Commands.removeServer("s1"));
+      assertEquals(limits(), "s2=2.0@3");
+      expect(Status.ACCEPTED, Commands.limit("s1", 7, 0));
+      assertEquals(limits(), "s1=7.0@5 s2=2.0@3");
+    }
+
+    /** Guards against growth, and against a listed server's limit that makes way for others. */
+    @Test
+    public void limitsAreBounded() {
+      expect(Status.ACCEPTED, Commands.observe("listed", false));
+      expect(Status.ACCEPTED, Commands.limit("listed", 2, 0));
+      for (int i = 0; i <= ServerLimitsArea.CAPACITY; i++) {
+        expect(Status.ACCEPTED, Commands.limit("s" + i, 2, 0));
+      }
+      assertEquals(state.view().serverLimits().size(), ServerLimitsArea.CAPACITY);
+      List<String> servers =
+          state.view().serverLimits().stream().map(ServerLimit::getServer).toList();
+      assertTrue(servers.contains("listed"));
+      assertTrue(!servers.contains("s0") && !servers.contains("s1"), "the oldest were kept");
+    }
+
+    /** Guards against limits that a restarted instance doesn't know, or under other versions. */
+    @Test
+    public void limitsSurviveRestart() {
+      expect(Status.ACCEPTED, Commands.limit("s1", 2.5, 0));
+      expect(Status.ACCEPTED, Commands.limit("s2", 0, 0));
+      final ControlState restored = ControlState.restore(state.snapshot());
+      assertEquals(restored.snapshot(), state.snapshot());
+      assertEquals(restored.view(), state.view());
+      state = restored;
+      assertEquals(limits(), "s1=2.5@1 s2=0.0@2");
+      assertEquals(state.view().serverLimits().iterator().next().getReportedAtMillis(), 1_000);
+      assertEquals(state.apply(3, Commands.limitEnded("s1", 1)).getStatus(), Status.ACCEPTED);
+    }
+
+    /** Guards against an instance that cannot start from the snapshot of an earlier release. */
+    @Test
+    public void snapshotWithoutLimitsIsRestored() throws Exception {
+      expect(Status.ACCEPTED, Commands.observe("s1", false));
+      expect(Status.ACCEPTED, Commands.limit("s1", 2, 0));
+      byte[] earlier =
+          ControlSnapshot.parseFrom(state.snapshot()).toBuilder()
+              .clearServerLimits()
+              .build()
+              .toByteArray();
+      state = ControlState.restore(earlier);
+      assertEquals(limits(), "");
+      assertEquals(state.apply(3, Commands.limit("s1", 2, 0)).getStatus(), Status.ACCEPTED);
+    }
+  }
+
   /** Prompt parts that ran at lost backend servers. */
   public static class SuspectParts extends StateFixture {
 
--- a/wire/src/main/java/org/teaseltrestle/wire/Command.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Command.java
@@ -75,6 +75,7 @@
     PUBLISH_CONFIGURATION(28),
     REPORT_PROMPT_PARTS(29),
     RECORD_VOTERS(30),
+    REPORT_SERVER_LIMIT(31),
     CHANGE_NOT_SET(0);
     private final int value;
     private ChangeCase(int value) {
@@ -113,6 +114,7 @@
         case 28: return PUBLISH_CONFIGURATION;
         case 29: return REPORT_PROMPT_PARTS;
         case 30: return RECORD_VOTERS;
+        case 31: return REPORT_SERVER_LIMIT;
         case 0: return CHANGE_NOT_SET;
         default: return null;
       }
@@ -841,6 +843,37 @@
     return org.teaseltrestle.wire.RecordVoters.getDefaultInstance();
   }
 
+  public static final int REPORT_SERVER_LIMIT_FIELD_NUMBER = 31;
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   * @return Whether the reportServerLimit field is set.
+   */
+  @java.lang.Override
+  public boolean hasReportServerLimit() {
+    return changeCase_ == 31;
+  }
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   * @return The reportServerLimit.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ReportServerLimit getReportServerLimit() {
+    if (changeCase_ == 31) {
+       return (org.teaseltrestle.wire.ReportServerLimit) change_;
+    }
+    return org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+  }
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ReportServerLimitOrBuilder getReportServerLimitOrBuilder() {
+    if (changeCase_ == 31) {
+       return (org.teaseltrestle.wire.ReportServerLimit) change_;
+    }
+    return org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -924,6 +957,9 @@
     if (changeCase_ == 30) {
       output.writeMessage(30, (org.teaseltrestle.wire.RecordVoters) change_);
     }
+    if (changeCase_ == 31) {
+      output.writeMessage(31, (org.teaseltrestle.wire.ReportServerLimit) change_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1024,6 +1060,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(30, (org.teaseltrestle.wire.RecordVoters) change_);
     }
+    if (changeCase_ == 31) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, (org.teaseltrestle.wire.ReportServerLimit) change_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1129,6 +1169,10 @@
         if (!getRecordVoters()
             .equals(other.getRecordVoters())) return false;
         break;
+      case 31:
+        if (!getReportServerLimit()
+            .equals(other.getReportServerLimit())) return false;
+        break;
       case 0:
       default:
     }
@@ -1233,6 +1277,10 @@
         hash = (37 * hash) + RECORD_VOTERS_FIELD_NUMBER;
         hash = (53 * hash) + getRecordVoters().hashCode();
         break;
+      case 31:
+        hash = (37 * hash) + REPORT_SERVER_LIMIT_FIELD_NUMBER;
+        hash = (53 * hash) + getReportServerLimit().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1436,6 +1484,9 @@
       if (recordVotersBuilder_ != null) {
         recordVotersBuilder_.clear();
       }
+      if (reportServerLimitBuilder_ != null) {
+        reportServerLimitBuilder_.clear();
+      }
       changeCase_ = 0;
       change_ = null;
       return this;
@@ -1567,6 +1618,10 @@
           recordVotersBuilder_ != null) {
         result.change_ = recordVotersBuilder_.build();
       }
+      if (changeCase_ == 31 &&
+          reportServerLimitBuilder_ != null) {
+        result.change_ = reportServerLimitBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1674,6 +1729,10 @@
           mergeRecordVoters(other.getRecordVoters());
           break;
         }
+        case REPORT_SERVER_LIMIT: {
+          mergeReportServerLimit(other.getReportServerLimit());
+          break;
+        }
         case CHANGE_NOT_SET: {
           break;
         }
@@ -1861,6 +1920,13 @@
               changeCase_ = 30;
               break;
             } // case 242
+            case 250: {
+              input.readMessage(
+                  internalGetReportServerLimitFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              changeCase_ = 31;
+              break;
+            } // case 250
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -5011,6 +5077,148 @@
       return recordVotersBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.ReportServerLimit, org.teaseltrestle.wire.ReportServerLimit.Builder, org.teaseltrestle.wire.ReportServerLimitOrBuilder> reportServerLimitBuilder_;
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     * @return Whether the reportServerLimit field is set.
+     */
+    @java.lang.Override
+    public boolean hasReportServerLimit() {
+      return changeCase_ == 31;
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     * @return The reportServerLimit.
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.ReportServerLimit getReportServerLimit() {
+      if (reportServerLimitBuilder_ == null) {
+        if (changeCase_ == 31) {
+          return (org.teaseltrestle.wire.ReportServerLimit) change_;
+        }
+        return org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+      } else {
+        if (changeCase_ == 31) {
+          return reportServerLimitBuilder_.getMessage();
+        }
+        return org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    public Builder setReportServerLimit(org.teaseltrestle.wire.ReportServerLimit value) {
+      if (reportServerLimitBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        change_ = value;
+        onChanged();
+      } else {
+        reportServerLimitBuilder_.setMessage(value);
+      }
+      changeCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    public Builder setReportServerLimit(
+        org.teaseltrestle.wire.ReportServerLimit.Builder builderForValue) {
+      if (reportServerLimitBuilder_ == null) {
+        change_ = builderForValue.build();
+        onChanged();
+      } else {
+        reportServerLimitBuilder_.setMessage(builderForValue.build());
+      }
+      changeCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    public Builder mergeReportServerLimit(org.teaseltrestle.wire.ReportServerLimit value) {
+      if (reportServerLimitBuilder_ == null) {
+        if (changeCase_ == 31 &&
+            change_ != org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance()) {
+          change_ = org.teaseltrestle.wire.ReportServerLimit.newBuilder((org.teaseltrestle.wire.ReportServerLimit) change_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          change_ = value;
+        }
+        onChanged();
+      } else {
+        if (changeCase_ == 31) {
+          reportServerLimitBuilder_.mergeFrom(value);
+        } else {
+          reportServerLimitBuilder_.setMessage(value);
+        }
+      }
+      changeCase_ = 31;
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    public Builder clearReportServerLimit() {
+      if (reportServerLimitBuilder_ == null) {
+        if (changeCase_ == 31) {
+          changeCase_ = 0;
+          change_ = null;
+          onChanged();
+        }
+      } else {
+        if (changeCase_ == 31) {
+          changeCase_ = 0;
+          change_ = null;
+        }
+        reportServerLimitBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    public org.teaseltrestle.wire.ReportServerLimit.Builder getReportServerLimitBuilder() {
+      return internalGetReportServerLimitFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    @java.lang.Override
+    public org.teaseltrestle.wire.ReportServerLimitOrBuilder getReportServerLimitOrBuilder() {
+      if ((changeCase_ == 31) && (reportServerLimitBuilder_ != null)) {
+        return reportServerLimitBuilder_.getMessageOrBuilder();
+      } else {
+        if (changeCase_ == 31) {
+          return (org.teaseltrestle.wire.ReportServerLimit) change_;
+        }
+        return org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.ReportServerLimit, org.teaseltrestle.wire.ReportServerLimit.Builder, org.teaseltrestle.wire.ReportServerLimitOrBuilder> 
+        internalGetReportServerLimitFieldBuilder() {
+      if (reportServerLimitBuilder_ == null) {
+        if (!(changeCase_ == 31)) {
+          change_ = org.teaseltrestle.wire.ReportServerLimit.getDefaultInstance();
+        }
+        reportServerLimitBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.ReportServerLimit, org.teaseltrestle.wire.ReportServerLimit.Builder, org.teaseltrestle.wire.ReportServerLimitOrBuilder>(
+                (org.teaseltrestle.wire.ReportServerLimit) change_,
+                getParentForChildren(),
+                isClean());
+        change_ = null;
+      }
+      changeCase_ = 31;
+      onChanged();
+      return reportServerLimitBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.Command)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommandOrBuilder.java
@@ -355,5 +355,20 @@
    */
   org.teaseltrestle.wire.RecordVotersOrBuilder getRecordVotersOrBuilder();
 
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   * @return Whether the reportServerLimit field is set.
+   */
+  boolean hasReportServerLimit();
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   * @return The reportServerLimit.
+   */
+  org.teaseltrestle.wire.ReportServerLimit getReportServerLimit();
+  /**
+   * <code>.trestle.ReportServerLimit report_server_limit = 31;</code>
+   */
+  org.teaseltrestle.wire.ReportServerLimitOrBuilder getReportServerLimitOrBuilder();
+
   org.teaseltrestle.wire.Command.ChangeCase getChangeCase();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -191,6 +191,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_ServerLoss_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_ReportServerLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_ReportServerLimit_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_ServerLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_ServerLimit_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -200,7 +210,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\rcontrol.proto\022\007trestle\"\250\t\n\007Command\022\022\n\n" +
+      "\n\rcontrol.proto\022\007trestle\"\343\t\n\007Command\022\022\n\n" +
       "request_id\030\001 \001(\t\022\032\n\022proposed_at_millis\030\002" +
       " \001(\003\022.\n\rreplace_lists\030\n \001(\0132\025.trestle.Re" +
       "placeListsH\000\022&\n\tissue_key\030\013 \001(\0132\021.trestl" +
@@ -230,95 +240,102 @@
       "PublishConfigurationH\000\0229\n\023report_prompt_" +
       "parts\030\035 \001(\0132\032.trestle.ReportPromptPartsH" +
       "\000\022.\n\rrecord_voters\030\036 \001(\0132\025.trestle.Recor" +
-      "dVotersH\000B\010\n\006change\"\256\002\n\rCommandAnswer\022-\n" +
-      "\006status\030\001 \001(\0162\035.trestle.CommandAnswer.St" +
-      "atus\022\017\n\007message\030\002 \001(\t\022\025\n\rapplied_index\030\003" +
-      " \001(\004\022\026\n\016lists_revision\030\004 \001(\004\022)\n\005claim\030\005 " +
-      "\001(\0132\032.trestle.IdempotencyRecord\022\026\n\016fenci" +
-      "ng_number\030\006 \001(\004\022\017\n\007subject\030\007 \001(\t\022\025\n\rlast" +
-      "_sequence\030\010 \001(\004\"C\n\006Status\022\017\n\013UNSPECIFIED" +
-      "\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010CONFLICT\020\002\022\014\n\010REJECT" +
-      "ED\020\003\"g\n\014ReplaceLists\022\025\n\rbase_revision\030\001 " +
-      "\001(\004\022\025\n\raccounts_json\030\002 \001(\t\022\022\n\nplans_json" +
-      "\030\003 \001(\t\022\025\n\roperator_name\030\004 \001(\t\"\225\001\n\tKeyRec" +
-      "ord\022\016\n\006key_id\030\001 \001(\t\022\017\n\007account\030\002 \001(\t\022\014\n\004" +
-      "salt\030\003 \001(\014\022\023\n\013secret_hash\030\004 \001(\014\022\030\n\020issue" +
-      "d_at_millis\030\005 \001(\003\022\033\n\023withdrawn_at_millis" +
-      "\030\006 \001(\003\022\r\n\005label\030\007 \001(\t\"+\n\010IssueKey\022\037\n\003key" +
-      "\030\001 \001(\0132\022.trestle.KeyRecord\"\035\n\013WithdrawKe" +
-      "y\022\016\n\006key_id\030\001 \001(\t\"}\n\016InstanceRecord\022\020\n\010i" +
-      "nstance\030\001 \001(\t\022\026\n\016failure_domain\030\002 \001(\t\022\016\n" +
-      "\006region\030\003 \001(\t\022\024\n\014peer_address\030\004 \001(\t\022\014\n\004b" +
-      "oot\030\005 \001(\006\022\r\n\005voter\030\006 \001(\010\"=\n\020RegisterInst" +
-      "ance\022)\n\010instance\030\001 \001(\0132\027.trestle.Instanc" +
-      "eRecord\"2\n\016RetireInstance\022\020\n\010instance\030\001 " +
-      "\001(\t\022\016\n\006reason\030\002 \001(\t\"!\n\014RecordVoters\022\021\n\ti" +
-      "nstances\030\001 \003(\t\">\n\016ClaimAuthority\022\014\n\004term" +
-      "\030\001 \001(\004\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"\307" +
-      "\001\n\013EngineOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016back" +
-      "end_server\030\002 \001(\t\022\026\n\016fencing_number\030\003 \001(\004" +
-      "\022\014\n\004kind\030\004 \001(\t\022\014\n\004role\030\005 \001(\t\022\r\n\005model\030\006 " +
-      "\001(\t\022\026\n\016owner_instance\030\007 \001(\t\022\022\n\nowner_boo" +
-      "t\030\010 \001(\006\022\017\n\007settled\030\t \001(\010\022\016\n\006result\030\n \001(\t" +
-      "\"O\n\020PlaceEngineOrder\022#\n\005order\030\001 \001(\0132\024.tr" +
-      "estle.EngineOrder\022\026\n\016authority_term\030\002 \001(" +
-      "\004\"M\n\021SettleEngineOrder\022\020\n\010order_id\030\001 \001(\t" +
-      "\022\016\n\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004" +
-      "\"\221\001\n\027TransferEngineOwnership\022\026\n\016backend_" +
-      "server\030\001 \001(\t\022\025\n\rfrom_instance\030\002 \001(\t\022\021\n\tf" +
-      "rom_boot\030\003 \001(\006\022\023\n\013to_instance\030\004 \001(\t\022\017\n\007t" +
-      "o_boot\030\005 \001(\006\022\016\n\006reason\030\006 \001(\t\"\311\001\n\rPlatfor" +
-      "mOrder\022\020\n\010order_id\030\001 \001(\t\022\026\n\016fencing_numb" +
-      "er\030\002 \001(\004\022\014\n\004pool\030\003 \001(\t\022\026\n\016failure_domain" +
-      "\030\004 \001(\t\022\020\n\010capacity\030\005 \001(\t\022\r\n\005count\030\006 \001(\r\022" +
-      "\017\n\007release\030\007 \001(\t\022\017\n\007settled\030\010 \001(\010\022\016\n\006res" +
-      "ult\030\t \001(\t\022\025\n\rwanted_in_all\030\n \001(\010\"S\n\022Plac" +
-      "ePlatformOrder\022%\n\005order\030\001 \001(\0132\026.trestle." +
-      "PlatformOrder\022\026\n\016authority_term\030\002 \001(\004\"O\n" +
-      "\023SettlePlatformOrder\022\020\n\010order_id\030\001 \001(\t\022\016" +
-      "\n\006result\030\002 \001(\t\022\026\n\016authority_term\030\003 \001(\004\"\275" +
-      "\001\n\023BackendServerRecord\022\n\n\002id\030\001 \001(\t\022\014\n\004po" +
-      "ol\030\002 \001(\t\022\026\n\016failure_domain\030\003 \001(\t\022\017\n\007addr" +
-      "ess\030\004 \001(\t\022\014\n\004kind\030\005 \001(\t\022\020\n\010capacity\030\006 \001(" +
-      "\t\022\026\n\016checks_fencing\030\007 \001(\010\022\016\n\006models\030\010 \003(" +
-      "\t\022\r\n\005state\030\t \001(\t\022\014\n\004role\030\n \001(\t\"`\n\014Observ" +
-      "eFleet\022*\n\004seen\030\001 \003(\0132\034.trestle.BackendSe" +
-      "rverRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authority_te" +
-      "rm\030\003 \001(\004\"2\n\nPlanChange\022\026\n\016backend_server" +
-      "\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigure\022\017\n\007" +
-      "account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_to" +
-      "kens\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020\n\010req" +
-      "uests\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"\222\001\n\nU" +
-      "sageBatch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(" +
-      "\006\022\026\n\016first_sequence\030\003 \001(\004\022\025\n\rlast_sequen" +
-      "ce\030\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures\030\006 \003(" +
-      "\0132\024.trestle.UsageFigure\":\n\020CloseUsageWin" +
-      "dow\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 " +
-      "\001(\004\"7\n\rUsageReported\022\016\n\006window\030\001 \001(\004\022\026\n\016" +
-      "authority_term\030\002 \001(\004\"\361\002\n\021IdempotencyReco" +
-      "rd\022\017\n\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022\027\n\017" +
-      "idempotency_key\030\003 \001(\t\022\026\n\016request_digest\030" +
-      "\004 \001(\014\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013runner" +
-      "_boot\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 \001(\003\022/" +
-      "\n\005state\030\010 \001(\0162 .trestle.IdempotencyRecor" +
-      "d.State\022\023\n\013http_status\030\t \001(\r\022\024\n\014content_" +
-      "type\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017\n\013UNS" +
-      "PECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETED\020\002\022\023" +
-      "\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n\020Clai" +
-      "mIdempotency\022)\n\005claim\030\001 \001(\0132\032.trestle.Id" +
-      "empotencyRecord\"V\n\rRecordOutcome\022+\n\007outc" +
-      "ome\030\001 \001(\0132\032.trestle.IdempotencyRecord\022\030\n" +
-      "\020claim_request_id\030\002 \001(\t\"9\n\024PublishConfig" +
-      "uration\022\017\n\007version\030\001 \001(\004\022\020\n\010document\030\002 \001" +
-      "(\014\"S\n\021ReportPromptParts\022&\n\004lost\030\001 \003(\0132\030." +
-      "trestle.LostPromptParts\022\026\n\016answered_part" +
-      "s\030\002 \003(\006\"8\n\017LostPromptParts\022\026\n\016backend_se" +
-      "rver\030\001 \001(\t\022\r\n\005parts\030\002 \003(\006\"m\n\021SuspectProm" +
-      "ptPart\022\014\n\004part\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006" +
-      "latest\030\003 \003(\0132\023.trestle.ServerLoss\022\025\n\rcha" +
-      "nged_index\030\004 \001(\004\"@\n\nServerLoss\022\026\n\016backen" +
-      "d_server\030\001 \001(\t\022\032\n\022reported_at_millis\030\002 \001" +
-      "(\003B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
+      "dVotersH\000\0229\n\023report_server_limit\030\037 \001(\0132\032" +
+      ".trestle.ReportServerLimitH\000B\010\n\006change\"\256" +
+      "\002\n\rCommandAnswer\022-\n\006status\030\001 \001(\0162\035.trest" +
+      "le.CommandAnswer.Status\022\017\n\007message\030\002 \001(\t" +
+      "\022\025\n\rapplied_index\030\003 \001(\004\022\026\n\016lists_revisio" +
+      "n\030\004 \001(\004\022)\n\005claim\030\005 \001(\0132\032.trestle.Idempot" +
+      "encyRecord\022\026\n\016fencing_number\030\006 \001(\004\022\017\n\007su" +
+      "bject\030\007 \001(\t\022\025\n\rlast_sequence\030\010 \001(\004\"C\n\006St" +
+      "atus\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ACCEPTED\020\001\022\014\n\010C" +
+      "ONFLICT\020\002\022\014\n\010REJECTED\020\003\"g\n\014ReplaceLists\022" +
+      "\025\n\rbase_revision\030\001 \001(\004\022\025\n\raccounts_json\030" +
+      "\002 \001(\t\022\022\n\nplans_json\030\003 \001(\t\022\025\n\roperator_na" +
+      "me\030\004 \001(\t\"\225\001\n\tKeyRecord\022\016\n\006key_id\030\001 \001(\t\022\017" +
+      "\n\007account\030\002 \001(\t\022\014\n\004salt\030\003 \001(\014\022\023\n\013secret_" +
+      "hash\030\004 \001(\014\022\030\n\020issued_at_millis\030\005 \001(\003\022\033\n\023" +
+      "withdrawn_at_millis\030\006 \001(\003\022\r\n\005label\030\007 \001(\t" +
+      "\"+\n\010IssueKey\022\037\n\003key\030\001 \001(\0132\022.trestle.KeyR" +
+      "ecord\"\035\n\013WithdrawKey\022\016\n\006key_id\030\001 \001(\t\"}\n\016" +
+      "InstanceRecord\022\020\n\010instance\030\001 \001(\t\022\026\n\016fail" +
+      "ure_domain\030\002 \001(\t\022\016\n\006region\030\003 \001(\t\022\024\n\014peer" +
+      "_address\030\004 \001(\t\022\014\n\004boot\030\005 \001(\006\022\r\n\005voter\030\006 " +
+      "\001(\010\"=\n\020RegisterInstance\022)\n\010instance\030\001 \001(" +
+      "\0132\027.trestle.InstanceRecord\"2\n\016RetireInst" +
+      "ance\022\020\n\010instance\030\001 \001(\t\022\016\n\006reason\030\002 \001(\t\"!" +
+      "\n\014RecordVoters\022\021\n\tinstances\030\001 \003(\t\">\n\016Cla" +
+      "imAuthority\022\014\n\004term\030\001 \001(\004\022\020\n\010instance\030\002 " +
+      "\001(\t\022\014\n\004boot\030\003 \001(\006\"\307\001\n\013EngineOrder\022\020\n\010ord" +
+      "er_id\030\001 \001(\t\022\026\n\016backend_server\030\002 \001(\t\022\026\n\016f" +
+      "encing_number\030\003 \001(\004\022\014\n\004kind\030\004 \001(\t\022\014\n\004rol" +
+      "e\030\005 \001(\t\022\r\n\005model\030\006 \001(\t\022\026\n\016owner_instance" +
+      "\030\007 \001(\t\022\022\n\nowner_boot\030\010 \001(\006\022\017\n\007settled\030\t " +
+      "\001(\010\022\016\n\006result\030\n \001(\t\"O\n\020PlaceEngineOrder\022" +
+      "#\n\005order\030\001 \001(\0132\024.trestle.EngineOrder\022\026\n\016" +
+      "authority_term\030\002 \001(\004\"M\n\021SettleEngineOrde" +
+      "r\022\020\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016a" +
+      "uthority_term\030\003 \001(\004\"\221\001\n\027TransferEngineOw" +
+      "nership\022\026\n\016backend_server\030\001 \001(\t\022\025\n\rfrom_" +
+      "instance\030\002 \001(\t\022\021\n\tfrom_boot\030\003 \001(\006\022\023\n\013to_" +
+      "instance\030\004 \001(\t\022\017\n\007to_boot\030\005 \001(\006\022\016\n\006reaso" +
+      "n\030\006 \001(\t\"\311\001\n\rPlatformOrder\022\020\n\010order_id\030\001 " +
+      "\001(\t\022\026\n\016fencing_number\030\002 \001(\004\022\014\n\004pool\030\003 \001(" +
+      "\t\022\026\n\016failure_domain\030\004 \001(\t\022\020\n\010capacity\030\005 " +
+      "\001(\t\022\r\n\005count\030\006 \001(\r\022\017\n\007release\030\007 \001(\t\022\017\n\007s" +
+      "ettled\030\010 \001(\010\022\016\n\006result\030\t \001(\t\022\025\n\rwanted_i" +
+      "n_all\030\n \001(\010\"S\n\022PlacePlatformOrder\022%\n\005ord" +
+      "er\030\001 \001(\0132\026.trestle.PlatformOrder\022\026\n\016auth" +
+      "ority_term\030\002 \001(\004\"O\n\023SettlePlatformOrder\022" +
+      "\020\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016aut" +
+      "hority_term\030\003 \001(\004\"\275\001\n\023BackendServerRecor" +
+      "d\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\026\n\016failure_d" +
+      "omain\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001" +
+      "(\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007" +
+      " \001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004r" +
+      "ole\030\n \001(\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132" +
+      "\034.trestle.BackendServerRecord\022\014\n\004gone\030\002 " +
+      "\003(\t\022\026\n\016authority_term\030\003 \001(\004\"2\n\nPlanChang" +
+      "e\022\026\n\016backend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"" +
+      "\203\001\n\013UsageFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item" +
+      "\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_" +
+      "tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_r" +
+      "equests\030\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance" +
+      "\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003" +
+      " \001(\004\022\025\n\rlast_sequence\030\004 \001(\004\022\016\n\006window\030\005 " +
+      "\001(\004\022%\n\007figures\030\006 \003(\0132\024.trestle.UsageFigu" +
+      "re\":\n\020CloseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026" +
+      "\n\016authority_term\030\002 \001(\004\"7\n\rUsageReported\022" +
+      "\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"" +
+      "\361\002\n\021IdempotencyRecord\022\017\n\007account\030\001 \001(\t\022\017" +
+      "\n\007service\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t" +
+      "\022\026\n\016request_digest\030\004 \001(\014\022\027\n\017runner_insta" +
+      "nce\030\005 \001(\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claime" +
+      "d_at_millis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trest" +
+      "le.IdempotencyRecord.State\022\023\n\013http_statu" +
+      "s\030\t \001(\r\022\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 " +
+      "\001(\014\"V\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED" +
+      "\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013" +
+      "\n\007NOT_RUN\020\004\"=\n\020ClaimIdempotency\022)\n\005claim" +
+      "\030\001 \001(\0132\032.trestle.IdempotencyRecord\"V\n\rRe" +
+      "cordOutcome\022+\n\007outcome\030\001 \001(\0132\032.trestle.I" +
+      "dempotencyRecord\022\030\n\020claim_request_id\030\002 \001" +
+      "(\t\"9\n\024PublishConfiguration\022\017\n\007version\030\001 " +
+      "\001(\004\022\020\n\010document\030\002 \001(\014\"S\n\021ReportPromptPar" +
+      "ts\022&\n\004lost\030\001 \003(\0132\030.trestle.LostPromptPar" +
+      "ts\022\026\n\016answered_parts\030\002 \003(\006\"8\n\017LostPrompt" +
+      "Parts\022\026\n\016backend_server\030\001 \001(\t\022\r\n\005parts\030\002" +
+      " \003(\006\"m\n\021SuspectPromptPart\022\014\n\004part\030\001 \001(\006\022" +
+      "\016\n\006losses\030\002 \001(\r\022#\n\006latest\030\003 \003(\0132\023.trestl" +
+      "e.ServerLoss\022\025\n\rchanged_index\030\004 \001(\004\"@\n\nS" +
+      "erverLoss\022\026\n\016backend_server\030\001 \001(\t\022\032\n\022rep" +
+      "orted_at_millis\030\002 \001(\003\"i\n\021ReportServerLim" +
+      "it\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_per_secon" +
+      "d\030\002 \001(\001\022\r\n\005ended\030\003 \001(\010\022\030\n\020replaced_versi" +
+      "on\030\004 \001(\004\"g\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022" +
+      "\033\n\023requests_per_second\030\002 \001(\001\022\017\n\007version\030" +
+      "\003 \001(\004\022\032\n\022reported_at_millis\030\004 \001(\003B\032\n\026org" +
+      ".teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -329,7 +346,7 @@
     internal_static_trestle_Command_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_Command_descriptor,
-        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "ReportPromptParts", "RecordVoters", "Change", });
+        new java.lang.String[] { "RequestId", "ProposedAtMillis", "ReplaceLists", "IssueKey", "WithdrawKey", "RegisterInstance", "RetireInstance", "ClaimAuthority", "PlaceEngineOrder", "SettleEngineOrder", "TransferEngineOwnership", "PlacePlatformOrder", "SettlePlatformOrder", "ObserveFleet", "PlanChange", "UsageBatch", "CloseUsageWindow", "UsageReported", "ClaimIdempotency", "RecordOutcome", "PublishConfiguration", "ReportPromptParts", "RecordVoters", "ReportServerLimit", "Change", });
     internal_static_trestle_CommandAnswer_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_trestle_CommandAnswer_fieldAccessorTable = new
@@ -522,6 +539,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ServerLoss_descriptor,
         new java.lang.String[] { "BackendServer", "ReportedAtMillis", });
+    internal_static_trestle_ReportServerLimit_descriptor =
+      getDescriptor().getMessageTypes().get(33);
+    internal_static_trestle_ReportServerLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_ReportServerLimit_descriptor,
+        new java.lang.String[] { "Server", "RequestsPerSecond", "Ended", "ReplacedVersion", });
+    internal_static_trestle_ServerLimit_descriptor =
+      getDescriptor().getMessageTypes().get(34);
+    internal_static_trestle_ServerLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_ServerLimit_descriptor,
+        new java.lang.String[] { "Server", "RequestsPerSecond", "Version", "ReportedAtMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -52,6 +52,7 @@
     suspectPromptParts_ = java.util.Collections.emptyList();
     recordedVoters_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    serverLimits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1008,6 +1009,47 @@
     return recordedVoters_.getByteString(index);
   }
 
+  public static final int SERVER_LIMITS_FIELD_NUMBER = 27;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaseltrestle.wire.ServerLimit> serverLimits_;
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaseltrestle.wire.ServerLimit> getServerLimitsList() {
+    return serverLimits_;
+  }
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaseltrestle.wire.ServerLimitOrBuilder> 
+      getServerLimitsOrBuilderList() {
+    return serverLimits_;
+  }
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  @java.lang.Override
+  public int getServerLimitsCount() {
+    return serverLimits_.size();
+  }
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ServerLimit getServerLimits(int index) {
+    return serverLimits_.get(index);
+  }
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.ServerLimitOrBuilder getServerLimitsOrBuilder(
+      int index) {
+    return serverLimits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1100,6 +1142,9 @@
     for (int i = 0; i < recordedVoters_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 26, recordedVoters_.getRaw(i));
     }
+    for (int i = 0; i < serverLimits_.size(); i++) {
+      output.writeMessage(27, serverLimits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1215,6 +1260,10 @@
       size += dataSize;
       size += 2 * getRecordedVotersList().size();
     }
+    for (int i = 0; i < serverLimits_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, serverLimits_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1288,6 +1337,8 @@
         .equals(other.getSuspectPromptPartsList())) return false;
     if (!getRecordedVotersList()
         .equals(other.getRecordedVotersList())) return false;
+    if (!getServerLimitsList()
+        .equals(other.getServerLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1393,6 +1444,10 @@
       hash = (37 * hash) + RECORDED_VOTERS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordedVotersList().hashCode();
     }
+    if (getServerLimitsCount() > 0) {
+      hash = (37 * hash) + SERVER_LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getServerLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1545,6 +1600,7 @@
         internalGetClaimsFieldBuilder();
         internalGetServingConfigurationFieldBuilder();
         internalGetSuspectPromptPartsFieldBuilder();
+        internalGetServerLimitsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1676,6 +1732,13 @@
       bitField0_ = (bitField0_ & ~0x01000000);
       recordedVoters_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      if (serverLimitsBuilder_ == null) {
+        serverLimits_ = java.util.Collections.emptyList();
+      } else {
+        serverLimits_ = null;
+        serverLimitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x04000000);
       return this;
     }
 
@@ -1844,6 +1907,15 @@
       } else {
         result.suspectPromptParts_ = suspectPromptPartsBuilder_.build();
       }
+      if (serverLimitsBuilder_ == null) {
+        if (((bitField0_ & 0x04000000) != 0)) {
+          serverLimits_ = java.util.Collections.unmodifiableList(serverLimits_);
+          bitField0_ = (bitField0_ & ~0x04000000);
+        }
+        result.serverLimits_ = serverLimits_;
+      } else {
+        result.serverLimits_ = serverLimitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.teaseltrestle.wire.ControlSnapshot result) {
@@ -2338,6 +2410,32 @@
         }
         onChanged();
       }
+      if (serverLimitsBuilder_ == null) {
+        if (!other.serverLimits_.isEmpty()) {
+          if (serverLimits_.isEmpty()) {
+            serverLimits_ = other.serverLimits_;
+            bitField0_ = (bitField0_ & ~0x04000000);
+          } else {
+            ensureServerLimitsIsMutable();
+            serverLimits_.addAll(other.serverLimits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.serverLimits_.isEmpty()) {
+          if (serverLimitsBuilder_.isEmpty()) {
+            serverLimitsBuilder_.dispose();
+            serverLimitsBuilder_ = null;
+            serverLimits_ = other.serverLimits_;
+            bitField0_ = (bitField0_ & ~0x04000000);
+            serverLimitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetServerLimitsFieldBuilder() : null;
+          } else {
+            serverLimitsBuilder_.addAllMessages(other.serverLimits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2619,6 +2717,19 @@
               recordedVoters_.add(s);
               break;
             } // case 210
+            case 218: {
+              org.teaseltrestle.wire.ServerLimit m =
+                  input.readMessage(
+                      org.teaseltrestle.wire.ServerLimit.parser(),
+                      extensionRegistry);
+              if (serverLimitsBuilder_ == null) {
+                ensureServerLimitsIsMutable();
+                serverLimits_.add(m);
+              } else {
+                serverLimitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 218
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7225,6 +7336,246 @@
       return this;
     }
 
+    private java.util.List<org.teaseltrestle.wire.ServerLimit> serverLimits_ =
+      java.util.Collections.emptyList();
+    private void ensureServerLimitsIsMutable() {
+      if (!((bitField0_ & 0x04000000) != 0)) {
+        serverLimits_ = new java.util.ArrayList<org.teaseltrestle.wire.ServerLimit>(serverLimits_);
+        bitField0_ |= 0x04000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.ServerLimit, org.teaseltrestle.wire.ServerLimit.Builder, org.teaseltrestle.wire.ServerLimitOrBuilder> serverLimitsBuilder_;
+
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.ServerLimit> getServerLimitsList() {
+      if (serverLimitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(serverLimits_);
+      } else {
+        return serverLimitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public int getServerLimitsCount() {
+      if (serverLimitsBuilder_ == null) {
+        return serverLimits_.size();
+      } else {
+        return serverLimitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public org.teaseltrestle.wire.ServerLimit getServerLimits(int index) {
+      if (serverLimitsBuilder_ == null) {
+        return serverLimits_.get(index);
+      } else {
+        return serverLimitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder setServerLimits(
+        int index, org.teaseltrestle.wire.ServerLimit value) {
+      if (serverLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureServerLimitsIsMutable();
+        serverLimits_.set(index, value);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder setServerLimits(
+        int index, org.teaseltrestle.wire.ServerLimit.Builder builderForValue) {
+      if (serverLimitsBuilder_ == null) {
+        ensureServerLimitsIsMutable();
+        serverLimits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        serverLimitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder addServerLimits(org.teaseltrestle.wire.ServerLimit value) {
+      if (serverLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureServerLimitsIsMutable();
+        serverLimits_.add(value);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder addServerLimits(
+        int index, org.teaseltrestle.wire.ServerLimit value) {
+      if (serverLimitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureServerLimitsIsMutable();
+        serverLimits_.add(index, value);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder addServerLimits(
+        org.teaseltrestle.wire.ServerLimit.Builder builderForValue) {
+      if (serverLimitsBuilder_ == null) {
+        ensureServerLimitsIsMutable();
+        serverLimits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        serverLimitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder addServerLimits(
+        int index, org.teaseltrestle.wire.ServerLimit.Builder builderForValue) {
+      if (serverLimitsBuilder_ == null) {
+        ensureServerLimitsIsMutable();
+        serverLimits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        serverLimitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder addAllServerLimits(
+        java.lang.Iterable<? extends org.teaseltrestle.wire.ServerLimit> values) {
+      if (serverLimitsBuilder_ == null) {
+        ensureServerLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, serverLimits_);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder clearServerLimits() {
+      if (serverLimitsBuilder_ == null) {
+        serverLimits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x04000000);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public Builder removeServerLimits(int index) {
+      if (serverLimitsBuilder_ == null) {
+        ensureServerLimitsIsMutable();
+        serverLimits_.remove(index);
+        onChanged();
+      } else {
+        serverLimitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public org.teaseltrestle.wire.ServerLimit.Builder getServerLimitsBuilder(
+        int index) {
+      return internalGetServerLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public org.teaseltrestle.wire.ServerLimitOrBuilder getServerLimitsOrBuilder(
+        int index) {
+      if (serverLimitsBuilder_ == null) {
+        return serverLimits_.get(index);  } else {
+        return serverLimitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public java.util.List<? extends org.teaseltrestle.wire.ServerLimitOrBuilder> 
+         getServerLimitsOrBuilderList() {
+      if (serverLimitsBuilder_ != null) {
+        return serverLimitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(serverLimits_);
+      }
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public org.teaseltrestle.wire.ServerLimit.Builder addServerLimitsBuilder() {
+      return internalGetServerLimitsFieldBuilder().addBuilder(
+          org.teaseltrestle.wire.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public org.teaseltrestle.wire.ServerLimit.Builder addServerLimitsBuilder(
+        int index) {
+      return internalGetServerLimitsFieldBuilder().addBuilder(
+          index, org.teaseltrestle.wire.ServerLimit.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.ServerLimit.Builder> 
+         getServerLimitsBuilderList() {
+      return internalGetServerLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.ServerLimit, org.teaseltrestle.wire.ServerLimit.Builder, org.teaseltrestle.wire.ServerLimitOrBuilder> 
+        internalGetServerLimitsFieldBuilder() {
+      if (serverLimitsBuilder_ == null) {
+        serverLimitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaseltrestle.wire.ServerLimit, org.teaseltrestle.wire.ServerLimit.Builder, org.teaseltrestle.wire.ServerLimitOrBuilder>(
+                serverLimits_,
+                ((bitField0_ & 0x04000000) != 0),
+                getParentForChildren(),
+                isClean());
+        serverLimits_ = null;
+      }
+      return serverLimitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -576,4 +576,28 @@
    */
   com.google.protobuf.ByteString
       getRecordedVotersBytes(int index);
+
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  java.util.List<org.teaseltrestle.wire.ServerLimit> 
+      getServerLimitsList();
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  org.teaseltrestle.wire.ServerLimit getServerLimits(int index);
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  int getServerLimitsCount();
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  java.util.List<? extends org.teaseltrestle.wire.ServerLimitOrBuilder> 
+      getServerLimitsOrBuilderList();
+  /**
+   * <code>repeated .trestle.ServerLimit server_limits = 27;</code>
+   */
+  org.teaseltrestle.wire.ServerLimitOrBuilder getServerLimitsOrBuilder(
+      int index);
 }
