Read the limits that backend servers name and pass them to the decisions

Cause: nothing reads Server-Limit. Change: - RequestCodec.limit tells a limit, none, and nothing usable apart; the platform's codec alone knows the field. - Each response that belongs to its request, also refusals, errors and answers of remote prefills, goes to the decisions with the time at which its request was sent. Responses without a limit go there only from servers that are watched for its end. - AdmissionDuty tells the decisions the committed limits and the nodes that relay before the next event, and commits what they report. The stand-ins of the relay tests (PlainRequestCodec, StubControl, RoutedHarness) can name a limit, share it and prefill elsewhere. Conclusion: what servers name reaches the decisions of all nodes; they don't use it yet.

--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -29,6 +29,7 @@
 import org.teaseltrestle.node.port.ServiceClient;
 import org.teaseltrestle.node.relay.AdmissionDuty;
 import org.teaseltrestle.node.relay.DemandMeter;
+import org.teaseltrestle.node.relay.RelayInstances;
 import org.teaseltrestle.node.relay.RelayService;
 import org.teaseltrestle.node.relay.RelaySettings;
 import org.teaseltrestle.node.replica.ControlPlane;
@@ -165,7 +166,13 @@
       MonotonicClock clock,
       WallClock wallClock,
       MetricRegistry metrics) {
-    return new AdmissionDuty(demandMeter, control, clock, wallClock, metrics);
+    return new AdmissionDuty(
+        demandMeter,
+        control,
+        new RelayInstances(settings.instance(), instance -> true),
+        clock,
+        wallClock,
+        metrics);
   }
 
   @Provides
--- a/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/RequestCodec.java
@@ -45,4 +45,7 @@
 
   /** Returns the load that a response reports, or null if it reports none. */
   @Nullable ReportedLoad load(Function<String, @Nullable String> header);
+
+  /** Returns what the header fields of a response say of its server's limit on requests. */
+  StatedLimit limit(List<HeaderField> response);
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AdmissionDuty.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +23,7 @@
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.AttemptOutcome;
+import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.FailureKind;
 import org.teaseltrestle.wire.SuspectPromptPart;
 
@@ -49,6 +51,10 @@
   private final MonotonicClock clock;
   private final RelayCounters counters;
   private final PromptPartReporter promptParts;
+  private final RelayInstances relays;
+  private final ServerLimitWatch limitWatch;
+  private final SharedServerLimits sharedLimits;
+  private final ServerLimitReporter limitReporter;
   private final DutyThread<AdmissionEvent> thread;
   private final Map<RequestId, RequestMailbox> mailboxes = new ConcurrentHashMap<>();
   private volatile boolean endingRequests;
@@ -60,10 +66,15 @@
   public AdmissionDuty(
       AdmissionDecisions decisions,
       ControlGateway control,
+      RelayInstances relays,
       MonotonicClock clock,
       WallClock wallClock,
       MetricRegistry metrics) {
     this.promptParts = new PromptPartReporter(control, wallClock, metrics);
+    this.relays = relays;
+    this.limitWatch = new ServerLimitWatch(clock, metrics, this::submit);
+    this.sharedLimits = new SharedServerLimits(wallClock, metrics);
+    this.limitReporter = new ServerLimitReporter(control, wallClock, metrics, this::wake);
     this.decisions = decisions;
     this.control = control;
     this.clock = clock;
@@ -103,6 +114,11 @@
     thread.close();
   }
 
+  /** Returns what evaluates the limits that responses of backend servers name. */
+  ServerLimitWatch limitWatch() {
+    return limitWatch;
+  }
+
   void register(RequestMailbox mailbox) {
     mailboxes.put(mailbox.request(), mailbox);
     if (endingRequests) {
@@ -136,8 +152,28 @@
   private void handle(AdmissionEvent event) {
     applyLists();
     applySuspectParts();
+    applyServerLimits();
     decide(event);
+    if (event instanceof AdmissionEvent.ServerLimitNamed named) {
+      limitWatch.handled(named);
+    } else if (event instanceof AdmissionEvent.FleetChanged fleet) {
+      limitWatch.retain(fleet.servers().stream().map(BackendServer::id).toList());
+    }
     promptParts.flush(clock.nowNanos());
+    limitReporter.flush(clock.nowNanos());
+  }
+
+  private boolean submit(AdmissionEvent.ServerLimitNamed named) {
+    boolean isSubmitted = offerBlocking(named);
+    if (!isSubmitted) {
+      LOG.error(RelayEvent.ADMISSION_EVENT_LOST, null, "server", named.server());
+    }
+    return isSubmitted;
+  }
+
+  /** Sends the next report without waiting for the next event. */
+  private void wake() {
+    var unused = thread.offer(new AdmissionEvent.Tick());
   }
 
   /**
@@ -173,6 +209,19 @@
     decide(new AdmissionEvent.SuspectPartsChanged(lossesByPart));
   }
 
+  /**
+   * Applies a change of the limits and of the instances that share them before the next decision.
+   */
+  private void applyServerLimits() {
+    ControlView view = control.view();
+    relays.change(view).ifPresent(this::decide);
+    Optional<AdmissionEvent.ServerLimitsShared> changed = sharedLimits.change(view);
+    if (changed.isPresent()) {
+      limitWatch.setShared(changed.get().limits().keySet());
+      decide(changed.get());
+    }
+  }
+
   /** Returns the parts with the most losses, which are the first to be quarantined. */
   private static String largestLosses(Collection<SuspectPromptPart> suspects) {
     return suspects.stream()
@@ -233,6 +282,8 @@
       promptParts.add(report);
     } else if (action instanceof AdmissionAction.ReportAnsweredParts report) {
       promptParts.add(report);
+    } else if (action instanceof AdmissionAction.ReportServerLimit report) {
+      limitReporter.add(report);
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.EventLog;
@@ -31,28 +30,16 @@
   /** Maximum number of servers, and of answered parts, that wait to be reported. */
   private static final int MAXIMUM_PENDING = 256;
 
-  /** Time until a failed command is sent again; an overloaded leader fails it at once. */
-  private static final long RESEND_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  private final ControlGateway control;
   private final WallClock wallClock;
+  private final CommandSender sender;
   private final Counter losses;
   private final Counter answers;
   private final Map<String, Set<Long>> lost = new LinkedHashMap<>();
   private final Set<Long> answered = new LinkedHashSet<>();
-  private @Nullable Command unconfirmed;
-  private long resendAtNanos;
-  private volatile Progress progress = Progress.IDLE;
-
-  private enum Progress {
-    IDLE,
-    RUNNING,
-    FAILED
-  }
 
   PromptPartReporter(ControlGateway control, WallClock wallClock, MetricRegistry metrics) {
-    this.control = control;
     this.wallClock = wallClock;
+    this.sender = new CommandSender(control, RelayEvent.PROMPT_PARTS_NOT_REPORTED, () -> {});
     this.losses = metrics.counter("prompt_parts.lost");
     this.answers = metrics.counter("prompt_parts.answered");
   }
@@ -80,27 +67,7 @@
 
   /** Sends what has been added, unless an earlier command is still running. */
   void flush(long nowNanos) {
-    Progress current = progress;
-    if (current == Progress.RUNNING
-        || (current == Progress.FAILED && nowNanos - resendAtNanos < 0)) {
-      return;
-    }
-    Command command = current == Progress.FAILED ? unconfirmed : nextCommand();
-    if (command == null) {
-      return;
-    }
-    unconfirmed = command;
-    resendAtNanos = nowNanos + RESEND_NANOS;
-    progress = Progress.RUNNING;
-    control
-        .propose(command)
-        .whenComplete(
-            (answer, failure) -> {
-              progress = failure == null ? Progress.IDLE : Progress.FAILED;
-              if (failure != null) {
-                LOG.warn(RelayEvent.PROMPT_PARTS_NOT_REPORTED, "reason", failure);
-              }
-            });
+    sender.flush(nowNanos, this::nextCommand);
   }
 
   private @Nullable Command nextCommand() {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -33,7 +33,15 @@
   FAILURE_AFTER_RESPONSE(5026, "failure after the end of a response; the caller has its answer"),
   RESPONSE_ABORTED(5027, "started response was aborted; the caller sees that it is incomplete"),
   RESPONSE_OF_OTHER_REQUEST(
-      5028, "backend server responded to another request; the attempt may have run");
+      5028, "backend server responded to another request; the attempt may have run"),
+  SERVER_LIMIT_NAMED(5029, "backend server named a limit on its requests from all instances"),
+  SERVER_LIMIT_CHANGED(5030, "backend server named another limit than before"),
+  SERVER_LIMIT_ENDED(5031, "backend server names no limit any more"),
+  SERVER_LIMIT_REPORTED(5032, "limit of a backend server is passed on to the other instances"),
+  SERVER_LIMIT_NOT_REPORTED(5033, "report of a limit failed; it is sent again"),
+  SERVER_LIMIT_DROPPED(5034, "limit was not passed on, too many are waiting"),
+  SHARED_LIMIT_APPLIED(5035, "limit that an instance passed on applies to a backend server"),
+  SHARED_LIMIT_ENDED(5036, "limit that an instance passed on has ended");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
@@ -12,6 +12,7 @@
 import org.teaseltrestle.node.port.AttemptOptions;
 import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.ResponseIdentity;
+import org.teaseltrestle.node.port.ResponseVerdict;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.AdmissionAction;
@@ -89,7 +90,7 @@
     FailureKind failure = null;
     try (AttemptDeadlines.Deadline deadline = deadlines.schedule(prefillHandle, deadlineNanos);
         ServiceResponse prefillResponse = call()) {
-      cacheHandle = readCacheHandle(prefillResponse);
+      cacheHandle = readCacheHandle(prefillResponse, startNanos);
     } catch (AttemptFailure e) {
       failure = e.kind();
       ResponseVerdicts.reportForeignResponse(context, id, prefillEngine.id(), e);
@@ -153,7 +154,7 @@
                 prefillHandle));
   }
 
-  private String readCacheHandle(ServiceResponse prefillResponse) {
+  private String readCacheHandle(ServiceResponse prefillResponse, long sentAtNanos) {
     ResponseIdentity identity =
         ResponseVerdicts.identify(
             dependencies, request.incoming().callerRequestId(), prefillResponse);
@@ -161,11 +162,17 @@
     load =
         ResponseVerdicts.reportServer(
             context, dependencies, prefillEngine, prefillResponse.status(), header);
+    // The codec classifies responses to whole requests; a prefill's bears no proof of its content.
+    ResponseVerdict verdict =
+        prefillResponse.status() == OK
+            ? ResponseVerdict.VALID_RESPONSE
+            : dependencies
+                .codec()
+                .classifyResponse(prefillResponse.status(), identity, prefillEngine.id(), header);
+    ResponseVerdicts.reportLimit(
+        context, dependencies, id, prefillEngine, prefillResponse, verdict, sentAtNanos);
+    ResponseVerdicts.check(verdict);
     if (prefillResponse.status() != OK) {
-      ResponseVerdicts.check(
-          dependencies
-              .codec()
-              .classifyResponse(prefillResponse.status(), identity, prefillEngine.id(), header));
       throw new AttemptFailure(
           FailureKind.SERVER_ERROR,
           "prefill engine responded with status " + prefillResponse.status(),
--- a/node/src/main/java/org/teaseltrestle/node/relay/ResponseVerdicts.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ResponseVerdicts.java
@@ -124,6 +124,30 @@
     return load;
   }
 
+  /**
+   * Evaluates the limit on requests that a server names in a response, unless the response isn't of
+   * that server.
+   *
+   * @param sentAtNanos monotonic time at which the request was sent
+   */
+  static void reportLimit(
+      RelayContext context,
+      RoutedRelayDependencies dependencies,
+      RequestId request,
+      BackendServer server,
+      ServiceResponse response,
+      ResponseVerdict verdict,
+      long sentAtNanos) {
+    if (verdict != ResponseVerdict.MISMATCHED_RESPONSE
+        && verdict != ResponseVerdict.NOT_RUN_MISDIRECTED) {
+      context
+          .admission()
+          .limitWatch()
+          .evaluate(
+              request, server.id(), dependencies.codec().limit(response.headers()), sentAtNanos);
+    }
+  }
+
   private static void pause(RelayContext context, BackendServer server, String retryAfter) {
     Optional<Duration> delay = RetryAfterField.parse(retryAfter, context.wallClock().nowMillis());
     LOG.info(
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -16,6 +16,7 @@
 import org.teaseltrestle.node.port.ReportedLoad;
 import org.teaseltrestle.node.port.RequestUsage;
 import org.teaseltrestle.node.port.ResponseIdentity;
+import org.teaseltrestle.node.port.ResponseVerdict;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.ServiceResponse;
 import org.teaseltrestle.policy.AdmissionAction;
@@ -237,10 +238,13 @@
             load,
             "millis",
             (context.clock().nowNanos() - startNanos) / NANOS_PER_MILLISECOND);
-        ResponseVerdicts.check(
+        ResponseVerdict verdict =
             dependencies
                 .codec()
-                .classifyResponse(backendResponse.status(), identity, server.id(), header));
+                .classifyResponse(backendResponse.status(), identity, server.id(), header);
+        ResponseVerdicts.reportLimit(
+            context, dependencies, id, server, backendResponse, verdict, startNanos);
+        ResponseVerdicts.check(verdict);
         if (response.isStarted()) {
           StreamContinuation.check(backendResponse, response.contentType());
         }
--- a/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.relay;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -14,6 +15,7 @@
 import org.teaseltrestle.node.port.RequestCodec;
 import org.teaseltrestle.node.port.ResponseIdentity;
 import org.teaseltrestle.node.port.ResponseVerdict;
+import org.teaseltrestle.node.port.StatedLimit;
 
 /** Codec with few fields and plain names. */
 final class PlainRequestCodec implements RequestCodec {
@@ -72,7 +74,8 @@
 
   @Override
   public @Nullable String kvCacheHandle(byte[] response) {
-    return null;
+    String handle = new String(response, StandardCharsets.UTF_8);
+    return handle.startsWith("handle-") ? handle : null;
   }
 
   @Override
@@ -89,4 +92,16 @@
   public @Nullable ReportedLoad load(Function<String, @Nullable String> header) {
     return null;
   }
+
+  @Override
+  public StatedLimit limit(List<HeaderField> response) {
+    for (HeaderField field : response) {
+      if (field.name().equalsIgnoreCase("Limit")) {
+        return field.value().isEmpty()
+            ? new StatedLimit.Unusable()
+            : StatedLimit.Limit.of(Double.parseDouble(field.value()));
+      }
+    }
+    return new StatedLimit.None();
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RelayHarness.java
@@ -100,6 +100,7 @@
               return core.handle(event, nowNanos);
             },
             control,
+            new RelayInstances(new InstanceId("entry-1"), registered -> true),
             MonotonicClock.SYSTEM,
             control.reportTimes,
             metrics);
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -12,7 +12,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.kernel.MonotonicClock;
@@ -35,6 +37,7 @@
 import org.teaseltrestle.node.port.RoutedClient;
 import org.teaseltrestle.node.port.ServerDirectory;
 import org.teaseltrestle.node.serving.ServingConfigurationView;
+import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionCore;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
@@ -49,6 +52,8 @@
   private final AdmissionCore core;
   private final AdmissionDuty admission;
   private final RelayService relay;
+  final BlockingQueue<AdmissionEvent.ServerLimitNamed> namedLimits = new LinkedBlockingQueue<>();
+  private volatile @Nullable BackendServerId prefillEngine;
   private volatile CallerLimits limits = CallerLimits.DEFAULT;
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -104,7 +109,12 @@
     core = new AdmissionCore(policy);
     admission =
         new AdmissionDuty(
-            core::handle, control, MonotonicClock.SYSTEM, control.reportTimes, metrics);
+            this::decide,
+            control,
+            new RelayInstances(new InstanceId("entry-1"), registered -> true),
+            MonotonicClock.SYSTEM,
+            control.reportTimes,
+            metrics);
     admission.start();
     admission.offer(new AdmissionEvent.FleetChanged(servers));
     control.document = ByteString.copyFromUtf8("any");
@@ -128,6 +138,29 @@
     relay.start();
   }
 
+  /** Prefills the prompts of all further attempts at another server than the one that runs them. */
+  void prefillAt(BackendServerId server) {
+    prefillEngine = server;
+  }
+
+  private List<AdmissionAction> decide(AdmissionEvent event, long nowNanos) {
+    if (event instanceof AdmissionEvent.ServerLimitNamed named) {
+      namedLimits.add(named);
+    }
+    BackendServerId prefill = prefillEngine;
+    List<AdmissionAction> actions = core.handle(event, nowNanos);
+    return prefill == null
+        ? actions
+        : actions.stream().map(action -> withPrefill(action, prefill)).toList();
+  }
+
+  private static AdmissionAction withPrefill(AdmissionAction action, BackendServerId prefill) {
+    return action instanceof AdmissionAction.Dispatch dispatch
+        ? new AdmissionAction.Dispatch(
+            dispatch.request(), dispatch.attempt(), dispatch.server(), dispatch.priority(), prefill)
+        : action;
+  }
+
   /** Publishes a configuration with other limits on requests. */
   void publishLimits(CallerLimits changed) {
     limits = changed;
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -40,6 +40,7 @@
 import org.teaseltrestle.wire.KeyRecord;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
+import org.teaseltrestle.wire.ServerLimit;
 import org.teaseltrestle.wire.SuspectPromptPart;
 
 /** In-memory control state with one account, service and key, and two models. */
@@ -64,6 +65,8 @@
   private final AtomicLong reportedAtMillis = new AtomicLong();
   private volatile long index = 1;
   private volatile Collection<SuspectPromptPart> suspects = List.of();
+  private volatile Collection<ServerLimit> limits = List.of();
+  volatile Collection<InstanceRecord> instances = List.of();
 
   /** Wall clock on which each report is made at a moment of its own. */
   final WallClock reportTimes = () -> reportedAtMillis.addAndGet(1_000);
@@ -73,6 +76,11 @@
     index++;
   }
 
+  @Override
+  public Collection<ServerLimit> serverLimits() {
+    return limits;
+  }
+
   @Override
   public Collection<SuspectPromptPart> suspectPromptParts() {
     return suspects;
@@ -108,6 +116,9 @@
     if (command.hasReportPromptParts()) {
       state.apply(++index, command);
       suspects = state.view().suspectPromptParts();
+    } else if (command.hasReportServerLimit()) {
+      answer = state.apply(++index, command).toBuilder();
+      limits = state.view().serverLimits();
     } else if (command.hasClaimIdempotency()) {
       IdempotencyRecord requestedClaim = command.getClaimIdempotency().getClaim();
       IdempotencyRecord existing =
@@ -205,7 +216,7 @@
 
   @Override
   public Collection<InstanceRecord> instances() {
-    return List.of();
+    return instances;
   }
 
   @Override
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.RefusalCode;
@@ -50,6 +51,15 @@
   /** Reports suspected prompt parts of a request that was answered. */
   record ReportAnsweredParts(List<Long> parts) implements AdmissionAction {}
 
+  /**
+   * Passes on to the other nodes that a server names a limit, or (empty) names none any more.
+   *
+   * @param replacedVersion version of the shared limit that this replaces, 0 if there was none
+   */
+  record ReportServerLimit(
+      BackendServerId server, OptionalDouble requestsPerSecond, long replacedVersion)
+      implements AdmissionAction {}
+
   /** Counts a retry in the metrics, by the failure that caused it. */
   record CountRetry(FailureKind reason) implements AdmissionAction {}
 }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
@@ -94,6 +95,24 @@
    */
   record SuspectPartsChanged(Map<Long, Integer> lossesByPart) implements AdmissionEvent {}
 
+  /**
+   * A response of a backend server named the requests a second that it takes from all nodes, or
+   * none.
+   *
+   * @param requestsPerSecond empty if the response names no limit
+   * @param sentAtNanos monotonic time at which the request was sent
+   */
+  record ServerLimitNamed(
+      BackendServerId server, OptionalDouble requestsPerSecond, long sentAtNanos)
+      implements AdmissionEvent {}
+
+  /** The limits that nodes have passed on changed; carries all of them. */
+  record ServerLimitsShared(Map<BackendServerId, SharedServerLimit> limits)
+      implements AdmissionEvent {}
+
+  /** The nodes that relay requests changed; carries all of them. */
+  record RelaysChanged(List<String> relays, String self) implements AdmissionEvent {}
+
   /** Time has passed; lets the core refuse expired requests and dispatch waiting ones. */
   record Tick() implements AdmissionEvent {}
 }
--- /dev/null
+++ b/policy/src/main/java/org/teaseltrestle/policy/SharedServerLimit.java
@@ -0,0 +1,9 @@
+package org.teaseltrestle.policy;
+
+/**
+ * A limit that a node passed on.
+ *
+ * @param requestsPerSecond requests a second that the server takes from all nodes together
+ * @param version index in the replicated log
+ */
+public record SharedServerLimit(double requestsPerSecond, long version) {}
