Keep the requests of all nodes within the limits that servers name (policy)

What callers and operators saw: a backend server that names in its answers how many requests a second it takes from all nodes got far more (a replica that names 2 a second: 45 in some 4 s, 17 allowed; three entry nodes, stand-ins).

Cause: nothing in the code knows such a limit; each node chooses servers by load alone.

Change: ServerLimits holds the belief about each listed server (value, shared version, time learned and confirmed), LimitShare paces this node's requests to it (K = min(N, floor(2 L) + 3) holders of L / K by rendezvous, probes in slots at the others), and Unservable finds requests without room in time; pauses and limits share its shape, so refuseUnservable moves there. Each dispatch and each remote prefill takes a permission, and a server without one is no candidate.

No check changed.

--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -50,6 +50,7 @@
   private final DeadlineCheck deadlines;
   private final CostModel costs;
   private final RemotePrefillSelector remotePrefills;
+  private final Unservable unservable;
   private final PromptQuarantine quarantine = new PromptQuarantine();
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
   private long nextSequence;
@@ -62,6 +63,7 @@
     this.waiting =
         new WaitingRequests(
             configuration.queueing() == Queueing.FAIR ? FairQueue::new : FirstComeQueue::new);
+    this.unservable = new Unservable(fleet, waiting);
     this.costs = new CostModel(configuration);
     this.remotePrefills = new RemotePrefillSelector(configuration, fleet, costs, retryBudget);
     this.candidateFinder = new CandidateFinder(configuration, fleet);
@@ -106,14 +108,14 @@
     } else if (event instanceof AdmissionEvent.CacheChanged changed) {
       fleet.prefixes().apply(changed);
     } else if (event instanceof AdmissionEvent.FleetChanged changed) {
-      fleet.replace(changed.servers());
+      fleet.replace(changed.servers(), nowNanos);
     } else if (event instanceof AdmissionEvent.ServerLeaving leaving) {
       fleet.markLeaving(leaving.server(), nowNanos);
     } else if (event instanceof AdmissionEvent.LeavingAnnounced announced) {
       fleet.announceLeaving(announced.server());
     } else if (event instanceof AdmissionEvent.ServerPaused paused) {
       fleet.pause(paused.server(), paused.untilNanos());
-      refuseUnservable(nowNanos, actions);
+      refuseUnservable(unservable.waitingWhilePaused(nowNanos), actions);
     } else if (event instanceof AdmissionEvent.ListsChanged changed) {
       replaceLimits(changed.limits(), nowNanos, actions);
     } else if (event instanceof AdmissionEvent.SharesGranted granted) {
@@ -124,7 +126,17 @@
     } else if (event instanceof AdmissionEvent.SuspectPartsChanged changed) {
       quarantine.replace(changed.lossesByPart(), nowNanos, actions);
       refuseQuarantined(nowNanos, actions);
+    } else if (event instanceof AdmissionEvent.ServerLimitNamed named) {
+      if (!fleet.limits().applyNamed(named, nowNanos)) {
+        return;
+      }
+    } else if (event instanceof AdmissionEvent.ServerLimitsShared shared) {
+      fleet.limits().applyShared(shared, nowNanos);
+    } else if (event instanceof AdmissionEvent.RelaysChanged changed) {
+      fleet.limits().applyRelays(changed, nowNanos);
     }
+    fleet.limits().report(nowNanos, actions);
+    refuseUnservable(unservable.waitingWhileLimited(nowNanos), actions);
     refuseExpired(nowNanos, actions);
     for (QueueKey key : waiting.nonEmptyKeys()) {
       dispatchWaiting(key, nowNanos, actions);
@@ -165,10 +177,9 @@
       return new AccountLimiter.Denial(
           RefusalCode.PROMPT_QUARANTINED, quarantine.retryAfter(request.work, nowNanos));
     }
-    if (!fleet.canServe(request, nowNanos)) {
-      return new AccountLimiter.Denial(
-          RefusalCode.NO_BACKEND_SERVER,
-          fleet.shortestPause(request, nowNanos).orElse(RETRY_AFTER));
+    Duration retryAfter = unservable.retryAfter(request, nowNanos);
+    if (retryAfter != null) {
+      return new AccountLimiter.Denial(RefusalCode.NO_BACKEND_SERVER, retryAfter);
     }
     if (!candidateFinder.hasLargeEnoughServer(request)) {
       return new AccountLimiter.Denial(RefusalCode.PROMPT_TOO_LONG, null);
@@ -245,15 +256,23 @@
     // A partly delivered response waits even if no server remains: one may return before the
     // deadline.
     boolean serverAvailable = action == RetryAction.RESUME || fleet.canServe(request, nowNanos);
-    if (quarantine.forbidsRetry(request.work) || !serverAvailable || !mayRetry(request, action)) {
+    long deadline = nowNanos + configuration.maximumQueueNanos();
+    Duration limited =
+        action == RetryAction.RESUME ? null : unservable.whileLimited(request, deadline, nowNanos);
+    if (quarantine.forbidsRetry(request.work)
+        || !serverAvailable
+        || limited != null
+        || !mayRetry(request, action)) {
+      RefusalCode reason = limited == null ? code : RefusalCode.NO_BACKEND_SERVER;
+      Duration retryAfter = request.mayHaveRun() ? null : limited;
       end(request);
-      actions.add(refusal(request.id(), request.verifiedCode(code), null));
+      actions.add(refusal(request.id(), request.verifiedCode(reason), retryAfter));
       return;
     }
     actions.add(new AdmissionAction.CountRetry(failure));
     request.triedServers.add(server.server.id());
     request.phase = Phase.RETRY_WAITING;
-    request.queueDeadlineNanos = nowNanos + configuration.maximumQueueNanos();
+    request.queueDeadlineNanos = deadline;
     waiting.add(request);
   }
 
@@ -345,18 +364,13 @@
     }
   }
 
-  /** Refuses requests that waited for servers which now pause, instead of holding them. */
-  private void refuseUnservable(long nowNanos, List<AdmissionAction> actions) {
-    for (RequestState request : waiting.all()) {
-      boolean holdsResponse = request.outputTokens > 0;
-      if (!holdsResponse && !fleet.canServe(request, nowNanos)) {
-        refuseWaiting(
-            request,
-            request.verifiedCode(RefusalCode.NO_BACKEND_SERVER),
-            fleet.shortestPause(request, nowNanos).orElse(RETRY_AFTER),
-            actions);
-      }
-    }
+  /** Refuses requests that no server can take in time, instead of holding them. */
+  private void refuseUnservable(
+      Map<RequestState, Duration> retryAfter, List<AdmissionAction> actions) {
+    retryAfter.forEach(
+        (request, after) ->
+            refuseWaiting(
+                request, request.verifiedCode(RefusalCode.NO_BACKEND_SERVER), after, actions));
   }
 
   private void refuseExpired(long nowNanos, List<AdmissionAction> actions) {
@@ -438,6 +452,7 @@
     request.prefillAheadTokens = server.load.queuedPromptTokens();
     request.reservedBlocks = choice.blocks();
     server.load.attemptDispatched(request);
+    server.limitShare.sent(nowNanos);
     candidateFinder.prefixAffinity().recordPlacement(request, server, nowNanos);
     request.remotePrefillTokens = 0;
     if (remotePrefill != null) {
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -110,7 +110,11 @@
   record ServerLimitsShared(Map<BackendServerId, SharedServerLimit> limits)
       implements AdmissionEvent {}
 
-  /** The nodes that relay requests changed; carries all of them. */
+  /**
+   * The nodes that relay requests changed; carries all of them.
+   *
+   * @param self this node
+   */
   record RelaysChanged(List<String> relays, String self) implements AdmissionEvent {}
 
   /** Time has passed; lets the core refuse expired requests and dispatch waiting ones. */
--- a/policy/src/main/java/org/teaseltrestle/policy/CandidateFinder.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CandidateFinder.java
@@ -70,6 +70,7 @@
   private boolean hasCapacity(ServerState server, long nowNanos) {
     ServerLoad load = server.load;
     if (nowNanos < server.busyUntilNanos
+        || !server.limitShare.hasRoom(nowNanos)
         || load.ownRunning() >= configuration.maximumRunningPerServer()) {
       return false;
     }
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -46,6 +46,7 @@
   private final Map<BackendServerId, Long> pausedUntil = new HashMap<>();
 
   private final PrefixIndex prefixes = new PrefixIndex();
+  private final ServerLimits limits = new ServerLimits();
 
   Fleet(PolicyConfiguration configuration) {
     this.configuration = configuration;
@@ -55,7 +56,7 @@
    * Applies the complete fleet list. Servers no longer listed are retained while attempts run
    * there.
    */
-  void replace(List<BackendServer> current) {
+  void replace(List<BackendServer> current, long nowNanos) {
     Set<BackendServerId> listed = new HashSet<>();
     for (BackendServer server : current) {
       listed.add(server.id());
@@ -73,6 +74,7 @@
     servers.values().forEach(this::applyAnnouncements);
     servers.values().removeIf(state -> !state.listed && state.load.ownRunning() == 0);
     prefixes.retain(listed);
+    limits.replaceServers(servers.values().stream().filter(s -> s.listed).toList(), nowNanos);
     serversByKey.clear();
   }
 
@@ -115,7 +117,8 @@
     return serving(request).stream()
         .filter(state -> state.acceptsWorkAfterPause(nowNanos) && state.allows(request))
         .filter(state -> state.pausedUntilNanos > nowNanos)
-        .map(state -> Duration.ofNanos(state.pausedUntilNanos - nowNanos))
+        .mapToLong(state -> state.limitShare.roomAtNanos(state.pausedUntilNanos))
+        .mapToObj(room -> Duration.ofNanos(room - nowNanos))
         .min(Duration::compareTo);
   }
 
@@ -148,6 +151,10 @@
     return prefixes;
   }
 
+  ServerLimits limits() {
+    return limits;
+  }
+
   /** Records the outcome of an attempt in the breaker; ejects a server that fails too often. */
   void recordOutcome(
       ServerState state, RequestState request, @Nullable FailureKind failure, long nowNanos) {
--- a/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RemotePrefillSelector.java
@@ -90,6 +90,7 @@
     request.prefillServer = remotePrefill.server();
     request.remotePrefillTokens = remotePrefill.prefillTokens();
     request.remotePrefillAheadTokens = remotePrefill.server().load.queuedPromptTokens();
+    remotePrefill.server().limitShare.sent(nowNanos);
     remotePrefill.server().load.remotePrefillStarted(remotePrefill.prefillTokens());
     prefixAffinity.recordPlacement(request, remotePrefill.server(), nowNanos);
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -13,6 +13,7 @@
   final EngineSpeed speed;
   final Contention contention;
   final RunningLimit runningLimit;
+  final LimitShare limitShare = new LimitShare();
   private final PolicyConfiguration.CheapWork cheapWork;
   BackendServer server;
 
@@ -67,6 +68,7 @@
         && server.role() == EngineRole.PREFILL_ONLY
         && nowNanos >= pausedUntilNanos
         && nowNanos >= busyUntilNanos
+        && limitShare.hasRoom(nowNanos)
         && health.state(nowNanos) == ServerHealth.State.CLOSED;
   }
 
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -30,14 +30,14 @@
   private static final int SHARED_TOKENS = 13_300;
   private static final int OWN_TOKENS = 3_700;
 
-  private static PolicyConfiguration.Builder configuration() {
+  static PolicyConfiguration.Builder configuration() {
     return PolicyConfiguration.builder()
         .replicaChoice(PolicyConfiguration.ReplicaChoice.AFFINITY)
         .accountsWithoutPlan(PolicyConfiguration.AccountsWithoutPlan.UNLIMITED)
         .initialPrefillTokensPerSecond(64_000);
   }
 
-  private static BackendServer engine(String id, EngineRole role) {
+  static BackendServer engine(String id, EngineRole role) {
     BackendServer plain = Samples.engine(id, "a");
     return new BackendServer(
         plain.id(),
@@ -50,7 +50,7 @@
         role);
   }
 
-  private static WorkRequest prompt(
+  static WorkRequest prompt(
       Harness harness, int number, long affinity, Repeatability repeatability) {
     return prompt(harness, number, affinity, repeatability, 2);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/ServedItemsTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/ServedItemsTest.java
@@ -75,7 +75,7 @@
   @Test
   public void unknownModelsAreNotRetained() {
     Fleet fleet = new Fleet(PolicyConfiguration.builder().build());
-    fleet.replace(List.of(Samples.engine("e1", "a")));
+    fleet.replace(List.of(Samples.engine("e1", "a")), 0);
     Harness harness = harness(List.of());
     for (int i = 0; i < 1_000; i++) {
       ItemName unknown = new ItemName("unknown-" + i);
