Refuse for good by committed state only while it is known to be recent

Change: - ControlGateway.knownAsOfNanos: time as of which all committed entries are known; the duty threads publish it after the view. - RefusalCode.basis: what decides a refusal. CallerRouter replaces a refusal that the committed state decides with the new configuration_outdated (503, not run, Retry-After 0.050, on the native interface 1) if the knowledge was older than RelaySettings.maximumKnowledgeAge when the request arrived, or unknown. Nodes set it to the root timeout of their tree, the limit of E3018. A withdrawn key, the form of a request, and the native interface's own paths and size limits stay final. - E5015 is written in CallerRouter for both interfaces, names the replaced code, the version and the age of the knowledge, and is called "request was refused". Counter: refusal.configuration_outdated.

Why it works: the time is read when the request arrives and before any view, so a final refusal is decided by all that was committed up to the limit before the arrival: 1.5 s on the platform, where a change must be in force after 2 s.

--- a/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.control;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.wire.Command;
@@ -33,6 +34,12 @@
   /** Returns whether this instance has confirmed the committed state since its start. */
   boolean isReady();
 
+  /**
+   * Returns the monotonic time in nanoseconds as of which all committed entries are known here,
+   * empty if no news of a leader has been received. A view that is read after this call shows them.
+   */
+  OptionalLong knownAsOfNanos();
+
   /** Returns the monotonic time in nanoseconds at which this instance's key lease ends. */
   long keyLeaseEndsAtNanos();
 }
--- a/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.integration.operators;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ConfirmationTracker;
@@ -56,6 +57,11 @@
     return ready;
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    return OptionalLong.of(System.nanoTime());
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     return Long.MAX_VALUE;
--- a/model/src/main/java/org/teaseltrestle/model/RefusalCode.java
+++ b/model/src/main/java/org/teaseltrestle/model/RefusalCode.java
@@ -5,21 +5,22 @@
 /** Reason why a caller's request was refused or ended with an error. */
 public enum RefusalCode {
   MALFORMED_REQUEST(400, NotRun.CERTAIN),
-  BODY_TOO_LARGE(413, NotRun.CERTAIN),
-  HEADERS_TOO_LARGE(431, NotRun.CERTAIN),
+  BODY_TOO_LARGE(413, NotRun.CERTAIN, Basis.CALLER_INTERFACE),
+  HEADERS_TOO_LARGE(431, NotRun.CERTAIN, Basis.CALLER_INTERFACE),
   BODY_TIMEOUT(408, NotRun.CERTAIN),
-  KEY_MISSING(401, NotRun.CERTAIN),
+  KEY_MISSING(401, NotRun.CERTAIN, Basis.COMMITTED_STATE),
   KEY_MALFORMED(401, NotRun.CERTAIN),
-  KEY_UNKNOWN(401, NotRun.CERTAIN),
+  KEY_UNKNOWN(401, NotRun.CERTAIN, Basis.COMMITTED_STATE),
   KEY_WITHDRAWN(401, NotRun.CERTAIN),
   KEY_LEASE_EXPIRED(503, NotRun.CERTAIN),
-  ACCOUNT_WITHOUT_PLAN(403, NotRun.CERTAIN),
-  UNKNOWN_MODEL(404, NotRun.CERTAIN),
-  UNKNOWN_SERVICE(404, NotRun.CERTAIN),
-  UNKNOWN_ROUTE(404, NotRun.CERTAIN),
+  ACCOUNT_WITHOUT_PLAN(403, NotRun.CERTAIN, Basis.COMMITTED_STATE),
+  UNKNOWN_MODEL(404, NotRun.CERTAIN, Basis.COMMITTED_STATE),
+  UNKNOWN_SERVICE(404, NotRun.CERTAIN, Basis.COMMITTED_STATE),
+  UNKNOWN_ROUTE(404, NotRun.CERTAIN, Basis.CALLER_INTERFACE),
   METHOD_NOT_ALLOWED(405, NotRun.CERTAIN),
-  NOT_IN_PLAN(403, NotRun.CERTAIN),
+  NOT_IN_PLAN(403, NotRun.CERTAIN, Basis.COMMITTED_STATE),
   NOT_READY(503, NotRun.CERTAIN),
+  CONFIGURATION_OUTDATED(503, NotRun.CERTAIN),
   SHUTTING_DOWN(503, NotRun.CERTAIN),
   RATE_LIMITED(429, NotRun.CERTAIN),
   CONCURRENCY_LIMITED(429, NotRun.CERTAIN),
@@ -47,10 +48,26 @@
 
   private final int httpStatus;
   private final NotRun notRun;
+  private final Basis basis;
+
+  /** What decides whether a request is refused with a code. */
+  public enum Basis {
+    /** Committed lists, keys or the serving configuration, which may have changed elsewhere. */
+    COMMITTED_STATE,
+    /** The serving configuration if it defines the caller interface, otherwise this instance. */
+    CALLER_INTERFACE,
+    /** The request itself, this instance or a backend server. */
+    REQUEST_OR_INSTANCE
+  }
 
   RefusalCode(int httpStatus, NotRun notRun) {
+    this(httpStatus, notRun, Basis.REQUEST_OR_INSTANCE);
+  }
+
+  RefusalCode(int httpStatus, NotRun notRun, Basis basis) {
     this.httpStatus = httpStatus;
     this.notRun = notRun;
+    this.basis = basis;
   }
 
   /** Returns the HTTP status of the error response. */
@@ -63,6 +80,11 @@
     return notRun;
   }
 
+  /** Returns what decides whether a request is refused with this code. */
+  public Basis basis() {
+    return basis;
+  }
+
   /** Returns the code as used in error bodies and counter names. */
   public String wireName() {
     return name().toLowerCase(Locale.ROOT);
--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -246,6 +246,7 @@
   @Provides
   @Singleton
   RelayService relay(
+      ControlPlaneSettings controlSettings,
       ControlPlane control,
       AdmissionDuty admission,
       FleetDuty fleet,
@@ -262,6 +263,7 @@
             .port(address.getPort())
             .relayThreads(settings.relayThreads())
             .shutdownDelay(Duration.ofMillis(settings.shutdownDelayMilliseconds()))
+            .maximumKnowledgeAge(Duration.ofNanos(controlSettings.tree().rootTimeoutNanos()))
             .build();
     return RelayService.builder()
         .settings(relaySettings)
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerInterface.java
@@ -2,6 +2,8 @@
 
 import io.undertow.server.HttpServerExchange;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
 
 /** Protocol for callers: which paths are served, and how refusals are represented. */
@@ -21,6 +23,12 @@
    */
   void serve(HttpServerExchange http, RequestId request, String path, CallerResponse response);
 
+  /** Returns whether the committed state decides that requests are refused with a code. */
+  boolean isDecidedByCommittedState(RefusalCode code);
+
+  /** Returns the version of what decides requests in a view of the committed state. */
+  long version(ControlView view);
+
   /** Returns the HTTP status of a refusal. */
   int status(RefusalException refusal);
 
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -5,6 +5,7 @@
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.kernel.EventLog;
@@ -14,13 +15,15 @@
 
 /**
  * HTTP handler of all caller requests: serves the pages about the instance on the I/O thread,
- * dispatches other requests to relay threads, and turns refusals and errors into responses.
+ * dispatches other requests to relay threads, and turns refusals and errors into responses. A
+ * refusal that the committed state decides is final only while the knowledge of that state is
+ * recent.
  */
 final class CallerRouter implements HttpHandler {
 
   private static final EventLog LOG = EventLog.of(CallerRouter.class);
 
-  /** Retry delay during a shutdown; another instance can take the request at once. */
+  /** Retry delay of refusals that another instance need not repeat; it can be asked at once. */
   private static final Duration RETRY_ELSEWHERE_DELAY = Duration.ofMillis(50);
 
   private final RelayContext context;
@@ -51,12 +54,14 @@
   }
 
   private void dispatch(HttpServerExchange exchange, String path) {
+    RequestKnowledge knowledge = RequestKnowledge.read(context, callerInterface);
     RequestId request = callerInterface.identify(exchange);
     context.counters().requestReceived();
     if (!drain.tryStart()) {
       refuseOnIoThread(
           exchange,
           request,
+          knowledge,
           new RefusalException(
               RefusalCode.SHUTTING_DOWN,
               NotRun.CERTAIN,
@@ -64,11 +69,12 @@
               RETRY_ELSEWHERE_DELAY));
       return;
     }
-    if (!threads.execute(exchange, () -> relayTracked(exchange, request, path))) {
+    if (!threads.execute(exchange, () -> relayTracked(exchange, request, path, knowledge))) {
       drain.requestEnded();
       refuseOnIoThread(
           exchange,
           request,
+          knowledge,
           new RefusalException(
               RefusalCode.QUEUE_FULL, "this instance has too many requests in flight"));
     }
@@ -76,10 +82,12 @@
 
   /** Refuses on the I/O thread. */
   private void refuseOnIoThread(
-      HttpServerExchange exchange, RequestId request, RefusalException refusal) {
+      HttpServerExchange exchange,
+      RequestId request,
+      RequestKnowledge knowledge,
+      RefusalException refusal) {
     context.counters().requestRefused(refusal.refusalCode());
-    LOG.info(
-        RelayEvent.ROUTED_REFUSED, "request", request, "code", refusal.refusalCode().wireName());
+    logRefusal(request, knowledge, refusal, null);
     drain.refusalStarted();
     exchange.addExchangeCompleteListener(
         (ended, next) -> {
@@ -97,31 +105,45 @@
    * Runs on a relay thread. The request counts as running until its response has been sent; a
    * caller that never sends the rest of a refused body does not delay a shutdown.
    */
-  private void relayTracked(HttpServerExchange exchange, RequestId request, String path) {
+  private void relayTracked(
+      HttpServerExchange exchange, RequestId request, String path, RequestKnowledge knowledge) {
     try {
-      relay(exchange, request, path);
+      relay(exchange, request, path, knowledge);
     } finally {
       drain.requestEnded();
     }
   }
 
-  private void relay(HttpServerExchange exchange, RequestId request, String path) {
+  private void relay(
+      HttpServerExchange exchange, RequestId request, String path, RequestKnowledge knowledge) {
     try (ByteBudget.Reservation memory = context.memory().open()) {
       relay(
           exchange,
           request,
           path,
+          knowledge,
           new CallerResponse(
               exchange, request, context.settings().callerWriteTimeout(), context.clock(), memory));
     }
   }
 
   private void relay(
-      HttpServerExchange exchange, RequestId request, String path, CallerResponse response) {
+      HttpServerExchange exchange,
+      RequestId request,
+      String path,
+      RequestKnowledge knowledge,
+      CallerResponse response) {
     try {
       callerInterface.serve(exchange, request, path, response);
     } catch (RefusalException refusal) {
-      refuse(exchange, request, response, refusal);
+      if (isOutdated(refusal, knowledge)) {
+        RefusalException replacement = outdated(refusal);
+        logRefusal(request, knowledge, replacement, refusal.refusalCode());
+        refuse(exchange, request, response, replacement);
+      } else {
+        logRefusal(request, knowledge, refusal, null);
+        refuse(exchange, request, response, refusal);
+      }
     } catch (CallerDisconnectedException e) {
       context.counters().requestRefused(RefusalCode.CALLER_LEFT);
       LOG.info(RelayEvent.CALLER_LEFT, "request", request);
@@ -140,6 +162,49 @@
     }
   }
 
+  /** Returns whether another instance, with more recent knowledge, may serve a refused request. */
+  private boolean isOutdated(RefusalException refusal, RequestKnowledge knowledge) {
+    return refusal.notRun() == NotRun.CERTAIN
+        && callerInterface.isDecidedByCommittedState(refusal.refusalCode())
+        && knowledge.isOlderThan(context.settings().maximumKnowledgeAge());
+  }
+
+  private static RefusalException outdated(RefusalException refusal) {
+    return new RefusalException(
+        RefusalCode.CONFIGURATION_OUTDATED,
+        NotRun.CERTAIN,
+        "this instance has no recent news of the configuration: " + refusal.getMessage(),
+        RETRY_ELSEWHERE_DELAY);
+  }
+
+  private void logRefusal(
+      RequestId request,
+      RequestKnowledge knowledge,
+      RefusalException refusal,
+      @Nullable RefusalCode replaced) {
+    long nanos = context.clock().nowNanos() - knowledge.arrivedAtNanos();
+    LOG.info(
+        RelayEvent.REQUEST_REFUSED,
+        "request",
+        request,
+        "code",
+        refusal.refusalCode().wireName(),
+        "replaces",
+        replaced == null ? "none" : replaced.wireName(),
+        "notRun",
+        refusal.notRun(),
+        "status",
+        callerInterface.status(refusal),
+        "afterMillis",
+        TimeUnit.NANOSECONDS.toMillis(nanos),
+        "version",
+        knowledge.version(),
+        "knowledgeAgeMillis",
+        knowledge.ageMillis(),
+        "reason",
+        String.valueOf(refusal.getMessage()));
+  }
+
   private void refuse(
       HttpServerExchange exchange,
       RequestId request,
--- a/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/NativeCallerInterface.java
@@ -6,6 +6,7 @@
 import java.nio.ByteBuffer;
 import java.util.UUID;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.model.RefusalCode;
 import org.teaseltrestle.model.RequestId;
@@ -72,6 +73,16 @@
     }
   }
 
+  @Override
+  public boolean isDecidedByCommittedState(RefusalCode code) {
+    return code.basis() == RefusalCode.Basis.COMMITTED_STATE;
+  }
+
+  @Override
+  public long version(ControlView view) {
+    return view.listsRevision();
+  }
+
   @Override
   public int status(RefusalException refusal) {
     return refusal.refusalCode().httpStatus();
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -19,7 +19,7 @@
   ADMISSION_EVENT_LOST(
       5013, "admission ring stayed full; end of a request or attempt was not reported"),
   ROUTED_ENDED(5014, "routed request ended"),
-  ROUTED_REFUSED(5015, "routed request was refused"),
+  REQUEST_REFUSED(5015, "request was refused"),
   ATTEMPT_SENT(5016, "attempt was sent to a backend server"),
   PROMPT_READ(5017, "remote prefill ended"),
   MEMORY_RELEASED(5018, "release of unfetched KV cache requested"),
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelaySettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelaySettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.node.replica.DisseminationTreeSettings;
 
 /** Settings of the relay; created by {@link #builder()}. */
 public final class RelaySettings {
@@ -80,6 +81,14 @@
     return values.claimTimeout;
   }
 
+  /**
+   * Returns the largest age of the known committed state by which a request may be refused for
+   * good.
+   */
+  public Duration maximumKnowledgeAge() {
+    return values.maximumKnowledgeAge;
+  }
+
   /** Returns how long new connections are accepted after a shutdown was requested. */
   public Duration shutdownDelay() {
     return values.shutdownDelay;
@@ -105,6 +114,8 @@
     private Duration serviceTimeout = Duration.ofSeconds(30);
     private Duration decisionTimeout = Duration.ofSeconds(60);
     private Duration claimTimeout = Duration.ofSeconds(3);
+    private Duration maximumKnowledgeAge =
+        Duration.ofNanos(DisseminationTreeSettings.DEEP.rootTimeoutNanos());
     private Duration shutdownDelay = Duration.ofSeconds(5);
     private @Nullable Duration drainTimeout;
 
@@ -182,6 +193,14 @@
       return this;
     }
 
+    /**
+     * Sets the largest age of the known committed state by which a request may be refused for good.
+     */
+    public Builder maximumKnowledgeAge(Duration value) {
+      maximumKnowledgeAge = value;
+      return this;
+    }
+
     /** Sets how long new connections are accepted after a shutdown was requested. */
     public Builder shutdownDelay(Duration value) {
       shutdownDelay = value;
@@ -209,6 +228,7 @@
       copy.serviceTimeout = serviceTimeout;
       copy.decisionTimeout = decisionTimeout;
       copy.claimTimeout = claimTimeout;
+      copy.maximumKnowledgeAge = maximumKnowledgeAge;
       copy.shutdownDelay = shutdownDelay;
       copy.drainTimeout = drainTimeout;
       return new RelaySettings(copy);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.model.Identifiers;
 import org.teaseltrestle.model.ItemName;
@@ -74,26 +75,18 @@
 
   @Override
   public void serve(HttpServerExchange http, RequestId id, String path, CallerResponse response) {
-    long arrivedAtNanos = context.clock().nowNanos();
-    try {
-      admit(http, id, path, response, arrivedAtNanos);
-    } catch (RefusalException e) {
-      LOG.info(
-          RelayEvent.ROUTED_REFUSED,
-          "request",
-          id,
-          "code",
-          e.refusalCode().wireName(),
-          "notRun",
-          e.notRun(),
-          "status",
-          status(e),
-          "afterMillis",
-          millisSince(arrivedAtNanos),
-          "reason",
-          String.valueOf(e.getMessage()));
-      throw e;
-    }
+    admit(http, id, path, response, context.clock().nowNanos());
+  }
+
+  @Override
+  public boolean isDecidedByCommittedState(RefusalCode code) {
+    return code.basis() == RefusalCode.Basis.COMMITTED_STATE
+        || code.basis() == RefusalCode.Basis.CALLER_INTERFACE;
+  }
+
+  @Override
+  public long version(ControlView view) {
+    return view.servingDocument().version();
   }
 
   @Override
--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
@@ -43,11 +44,13 @@
   /**
    * State of this instance when its delegate was replaced.
    *
+   * @param knownAsOfNanos monotonic time as of which the view shows all committed entries
    * @param view newest view
    * @param ready whether the view had reached a confirmed index
    * @param keyLeaseEndsAtNanos monotonic end of the key lease
    */
-  private record Retained(ControlView view, boolean ready, long keyLeaseEndsAtNanos) {}
+  private record Retained(
+      OptionalLong knownAsOfNanos, ControlView view, boolean ready, long keyLeaseEndsAtNanos) {}
 
   /**
    * Replaces the delegate, which the caller closes, and then starts the new one. Returns false, and
@@ -61,7 +64,9 @@
     }
     start.run();
     Retained retained =
-        current.get() == null ? null : new Retained(view(), isReady(), keyLeaseEndsAtNanos());
+        current.get() == null
+            ? null
+            : new Retained(knownAsOfNanos(), view(), isReady(), keyLeaseEndsAtNanos());
     current.set(new Current(newDelegate, retained));
     return true;
   }
@@ -88,6 +93,16 @@
     return now.delegate().isReady() || (earlier != null && earlier.ready());
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    Current now = current();
+    OptionalLong known = now.delegate().knownAsOfNanos();
+    Retained earlier = now.retained();
+    return earlier == null || isAsRecent(known, earlier.knownAsOfNanos())
+        ? known
+        : earlier.knownAsOfNanos();
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     Current now = current();
@@ -160,6 +175,11 @@
   private static boolean knowsAsMuch(ControlPlane plane, Retained earlier) {
     return plane.view().appliedIndex() >= earlier.view().appliedIndex()
         && (plane.isReady() || !earlier.ready())
+        && isAsRecent(plane.knownAsOfNanos(), earlier.knownAsOfNanos())
         && plane.keyLeaseEndsAtNanos() - earlier.keyLeaseEndsAtNanos() >= 0;
   }
+
+  private static boolean isAsRecent(OptionalLong known, OptionalLong earlier) {
+    return earlier.isEmpty() || (known.isPresent() && known.getAsLong() - earlier.getAsLong() >= 0);
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -114,6 +115,11 @@
     return readiness.isReady();
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    return knowledge.known().asOfNanos();
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     return lease.endsAtNanos();
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowerKnowledge.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowerKnowledge.java
@@ -2,11 +2,12 @@
 
 /**
  * What a follower knows of the committed log: what its parents told it, once the entries that they
- * told about are applied.
+ * told about are applied. Any thread may read what is known.
  */
 final class FollowerKnowledge {
 
-  private KnownState known = KnownState.UNKNOWN;
+  /** Written by one duty thread, after the entries have become visible in the view. */
+  private volatile KnownState known = KnownState.UNKNOWN;
 
   /** Earliest news whose entries are not applied yet, if any. */
   private KnownState announced = KnownState.UNKNOWN;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -61,7 +61,7 @@
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private long publishedIndex;
-  private KnownState known = KnownState.UNKNOWN;
+  private volatile KnownState known = KnownState.UNKNOWN;
   private final KnowledgeWatch knowledgeWatch;
   private volatile boolean stopped;
   private volatile ControlStatus status = new ControlStatus("follower", 0, "", List.of(), 0, 0);
@@ -160,6 +160,11 @@
     return readiness.isReady();
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    return known.asOfNanos();
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     return lease.endsAtNanos();
--- a/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -111,6 +112,11 @@
     return true;
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    return OptionalLong.of(System.nanoTime());
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     return Long.MAX_VALUE;
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -1,5 +1,7 @@
 package org.teaseltrestle.node.relay;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import java.io.ByteArrayInputStream;
@@ -15,10 +17,14 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.kernel.WallClock;
 import org.teaseltrestle.model.BackendServerId;
+import org.teaseltrestle.model.ClientAccount;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
 import org.teaseltrestle.model.ItemName;
@@ -36,6 +42,7 @@
 import org.teaseltrestle.node.backend.HttpServiceClient;
 import org.teaseltrestle.node.port.RoutedClient;
 import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.replica.DisseminationTreeSettings;
 import org.teaseltrestle.node.serving.ServingConfigurationView;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionCore;
@@ -46,11 +53,15 @@
 /** Relay with several routes in front of fake servers that are called round robin. */
 final class RoutedHarness implements AutoCloseable, ServerDirectory {
 
-  private final StubControl control;
+  static final Duration MAXIMUM_KNOWLEDGE_AGE =
+      Duration.ofNanos(DisseminationTreeSettings.FLAT.rootTimeoutNanos());
+
+  private final ControlGateway control;
   private final BackendHttp http = new BackendHttp(Duration.ofSeconds(1), Duration.ofSeconds(5));
   private final List<BackendServer> servers = new ArrayList<>();
   private final AdmissionCore core;
   private final AdmissionDuty admission;
+  private final MetricRegistry metrics = new MetricRegistry();
   private final RelayService relay;
   final BlockingQueue<AdmissionEvent.ServerLimitNamed> namedLimits = new LinkedBlockingQueue<>();
   private volatile @Nullable BackendServerId prefillEngine;
@@ -72,6 +83,14 @@
     this(control, accounts, ByteBudget.ofHeap(), null, fakes);
   }
 
+  /**
+   * Creates a relay on a control plane. A line {@code route PREFIX} of the published document adds
+   * a route, and {@code key KEY} an account, so that requests require a key.
+   */
+  RoutedHarness(ControlGateway control, FakeServer... fakes) {
+    this(control, WallClock.SYSTEM, List.of(), ByteBudget.ofHeap(), null, fakes);
+  }
+
   /** Creates a relay whose requests share a number of bytes. */
   RoutedHarness(ByteBudget memory, FakeServer... fakes) {
     this(new StubControl(), List.of(), memory, null, fakes);
@@ -88,6 +107,16 @@
       ByteBudget memory,
       @Nullable RoutedClient routedClient,
       FakeServer... fakes) {
+    this(withDocument(control), control.reportTimes, accounts, memory, routedClient, fakes);
+  }
+
+  private RoutedHarness(
+      ControlGateway control,
+      WallClock reportTimes,
+      List<ServedAccount> accounts,
+      ByteBudget memory,
+      @Nullable RoutedClient routedClient,
+      FakeServer... fakes) {
     this.control = control;
     for (FakeServer fake : fakes) {
       servers.add(
@@ -105,7 +134,6 @@
             .replicaChoice(PolicyConfiguration.ReplicaChoice.ROUND_ROBIN)
             .accountsWithoutPlan(PolicyConfiguration.AccountsWithoutPlan.UNLIMITED)
             .build();
-    MetricRegistry metrics = new MetricRegistry();
     core = new AdmissionCore(policy);
     admission =
         new AdmissionDuty(
@@ -113,14 +141,13 @@
             control,
             new RelayInstances(new InstanceId("entry-1"), registered -> true),
             MonotonicClock.SYSTEM,
-            control.reportTimes,
+            reportTimes,
             metrics);
     admission.start();
     admission.offer(new AdmissionEvent.FleetChanged(servers));
-    control.document = ByteString.copyFromUtf8("any");
     relay =
         RelayService.builder()
-            .settings(RelaySettings.builder().build())
+            .settings(RelaySettings.builder().maximumKnowledgeAge(MAXIMUM_KNOWLEDGE_AGE).build())
             .metrics(metrics)
             .memory(memory)
             .control(control)
@@ -133,7 +160,8 @@
                 new RoutedRelayDependencies(
                     new PlainRequestCodec(),
                     routedClient == null ? new HttpRoutedClient(http) : routedClient,
-                    new ServingConfigurationView(control, any -> configuration(accounts))))
+                    new ServingConfigurationView(
+                        control, document -> configuration(accounts, new String(document, UTF_8)))))
             .build();
     relay.start();
   }
@@ -164,39 +192,64 @@
   /** Publishes a configuration with other limits on requests. */
   void publishLimits(CallerLimits changed) {
     limits = changed;
-    control.documentVersion++;
+    ((StubControl) control).documentVersion++;
   }
 
-  private ServingConfiguration configuration(List<ServedAccount> accounts) {
+  private static StubControl withDocument(StubControl control) {
+    control.document = ByteString.copyFromUtf8("any");
+    return control;
+  }
+
+  private static Stream<String> values(String document, String name) {
+    String start = name + " ";
+    return document
+        .lines()
+        .filter(line -> line.startsWith(start))
+        .map(line -> line.substring(start.length()));
+  }
+
+  private ServingConfiguration configuration(List<ServedAccount> accounts, String document) {
+    List<ServedAccount> allAccounts = new ArrayList<>(accounts);
+    values(document, "key")
+        .map(key -> new ServedAccount(new ClientAccount("holder-" + key), Set.of(key), 0))
+        .forEach(allAccounts::add);
+    List<ServingRoute> routes = new ArrayList<>(routes());
+    values(document, "route")
+        .map(prefix -> route(prefix, ServingRoute.Kind.IDEMPOTENT, Set.of()))
+        .forEach(routes::add);
     return new ServingConfiguration(
-        control.documentVersion,
-        List.of(
-            route(
-                "/stream/",
-                ServingRoute.Kind.STREAM,
-                Set.of(ServingRoute.Feature.RESUMABLE, ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
-            route(
-                "/single/",
-                ServingRoute.Kind.STREAM,
-                Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
-            route("/plain/", ServingRoute.Kind.STREAM, Set.of(ServingRoute.Feature.RESUMABLE)),
-            route("/safe/", ServingRoute.Kind.IDEMPOTENT, Set.of()),
-            route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of()),
-            route(
-                "/without-engine/",
-                ServingRoute.Kind.STREAM,
-                Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES),
-                "plain")),
-        List.of(
-            new ServedPool(
-                new PoolId("pool"),
-                "/health",
-                10,
-                new EngineProfile(8, 4_096, List.of(new ItemName("model"))),
-                null),
-            new ServedPool(new PoolId("plain"), "/health", 10, null, null)),
-        accounts,
-        limits);
+        control.view().servingDocument().version(), routes, pools(), allAccounts, limits);
+  }
+
+  private static List<ServingRoute> routes() {
+    return List.of(
+        route(
+            "/stream/",
+            ServingRoute.Kind.STREAM,
+            Set.of(ServingRoute.Feature.RESUMABLE, ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
+        route(
+            "/single/",
+            ServingRoute.Kind.STREAM,
+            Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES)),
+        route("/plain/", ServingRoute.Kind.STREAM, Set.of(ServingRoute.Feature.RESUMABLE)),
+        route("/safe/", ServingRoute.Kind.IDEMPOTENT, Set.of()),
+        route("/call/", ServingRoute.Kind.AT_MOST_ONCE, Set.of()),
+        route(
+            "/without-engine/",
+            ServingRoute.Kind.STREAM,
+            Set.of(ServingRoute.Feature.CARRIES_PREFIX_HASHES),
+            "plain"));
+  }
+
+  private static List<ServedPool> pools() {
+    return List.of(
+        new ServedPool(
+            new PoolId("pool"),
+            "/health",
+            10,
+            new EngineProfile(8, 4_096, List.of(new ItemName("model"))),
+            null),
+        new ServedPool(new PoolId("plain"), "/health", 10, null, null));
   }
 
   private static ServingRoute route(
@@ -243,6 +296,10 @@
     return relay.port();
   }
 
+  long counter(String name) {
+    return metrics.counter(name).getCount();
+  }
+
   HttpResponse<String> post(String path) {
     return post(path, "id-1", "none");
   }
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -8,12 +8,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.control.ControlState;
 import org.teaseltrestle.control.ControlView;
@@ -58,6 +60,11 @@
   volatile boolean reachable = true;
   volatile boolean withdrawn;
   volatile long listsRevision = 1;
+
+  /** Time as of which all committed entries are known, null while that is now. */
+  volatile @Nullable OptionalLong knownAsOfNanos;
+
+  volatile boolean hasPlan = true;
   volatile long leaseEndsAtNanos = System.nanoTime() + 3_600_000_000_000L;
   volatile ByteString document = ByteString.EMPTY;
   volatile long documentVersion = 1;
@@ -142,6 +149,12 @@
     return ready;
   }
 
+  @Override
+  public OptionalLong knownAsOfNanos() {
+    OptionalLong set = knownAsOfNanos;
+    return set == null ? OptionalLong.of(System.nanoTime()) : set;
+  }
+
   @Override
   public long keyLeaseEndsAtNanos() {
     return leaseEndsAtNanos;
@@ -176,7 +189,7 @@
             Set.of(new ItemName("iard")),
             Plan.CheapCapacity.NEVER));
     return new ServingLists(
-        Map.of(new ClientAccount("yard"), new PlanName("large")),
+        hasPlan ? Map.of(new ClientAccount("yard"), new PlanName("large")) : Map.of(),
         plans,
         Map.of(
             new ItemName("pren-7b"),
--- a/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
@@ -5,6 +5,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 import org.teaseltrestle.control.ControlView;
@@ -61,8 +62,38 @@
     assertEquals(plane.view().appliedIndex(), 4);
   }
 
-  /** Control plane of which only the view matters. */
-  private record StubControlPlane(Supplier<ControlView> views) implements ControlPlane {
+  /** Guards against a node that knows less, or nothing, after its replica stopped. */
+  @Test
+  public void knowledgeDoesNotGoBackWhileTheNewDelegateCatchesUp() {
+    FallbackControlPlane plane = new FallbackControlPlane(() -> {});
+    plane.replace(known(OptionalLong.of(100)), () -> {});
+    OptionalLong[] known = {OptionalLong.empty()};
+    plane.replace(new StubControlPlane(() -> viewAt(3), () -> known[0]), () -> {});
+    assertEquals(plane.knownAsOfNanos(), OptionalLong.of(100));
+    known[0] = OptionalLong.of(99);
+    assertEquals(plane.knownAsOfNanos(), OptionalLong.of(100));
+    plane.replace(known(OptionalLong.empty()), () -> {});
+    assertEquals(plane.knownAsOfNanos(), OptionalLong.of(100));
+    plane.replace(known(OptionalLong.of(101)), () -> {});
+    assertEquals(plane.knownAsOfNanos(), OptionalLong.of(101));
+  }
+
+  private static ControlPlane known(OptionalLong asOfNanos) {
+    return new StubControlPlane(() -> viewAt(3), () -> asOfNanos);
+  }
+
+  /** Control plane of which only the view and what is known matter. */
+  private record StubControlPlane(Supplier<ControlView> views, Supplier<OptionalLong> known)
+      implements ControlPlane {
+
+    StubControlPlane(Supplier<ControlView> views) {
+      this(views, OptionalLong::empty);
+    }
+
+    @Override
+    public OptionalLong knownAsOfNanos() {
+      return known.get();
+    }
 
     @Override
     public ControlView view() {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -49,7 +49,7 @@
 import org.teaseltrestle.wire.RenewalBundle;
 
 /** Control planes of several nodes in one process, connected through the loopback interface. */
-final class LoopbackCluster implements AutoCloseable {
+public final class LoopbackCluster implements AutoCloseable {
 
   static final FailureDomain DOMAIN = new FailureDomain("domain-a");
   static final long KEY_LEASE_MILLISECONDS = 2_000;
@@ -74,7 +74,8 @@
       new ConcurrentHashMap<>();
 
   /** One node's control plane with its transport. */
-  record Node(NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
+  public record Node(
+      NettyPeerTransport transport, ControlPlane plane, Map<ClientAccount, Double> shares)
       implements AutoCloseable {
 
     @Override
@@ -88,7 +89,8 @@
     this(voterCount, DisseminationTreeSettings.DEEP);
   }
 
-  LoopbackCluster(int voterCount, DisseminationTreeSettings tree) {
+  /** Creates a cluster whose voters are not started yet. */
+  public LoopbackCluster(int voterCount, DisseminationTreeSettings tree) {
     this.tree = tree;
     try {
       folder = Files.createTempDirectory("control-plane");
@@ -101,7 +103,8 @@
     }
   }
 
-  void startVoters() {
+  /** Starts all voters. */
+  public void startVoters() {
     voters.forEach(voter -> startVoter(voter.instance().value(), Long.MAX_VALUE));
   }
 
@@ -115,7 +118,7 @@
   }
 
   /** Starts a non-voter in the failure domain of a voter, which is then its preferred parent. */
-  Node startNonVoterBelow(String voter, String instance) {
+  public Node startNonVoterBelow(String voter, String instance) {
     return start(instance, voter(voter).failureDomain(), freeAddress(), -1);
   }
 
@@ -183,11 +186,12 @@
   }
 
   /** Loses all messages between a running node and all others until {@link #heal}. */
-  void isolate(String instance) {
+  public void isolate(String instance) {
     isolated.add(node(instance).transport().localAddress());
   }
 
-  void heal(String instance) {
+  /** Ends what {@link #isolate} began. */
+  public void heal(String instance) {
     isolated.remove(node(instance).transport().localAddress());
   }
 
@@ -335,7 +339,7 @@
   }
 
   /** Waits for a leader that is ready and returns its name. */
-  String awaitLeader() {
+  public String awaitLeader() {
     String[] found = new String[1];
     await(
         "leader",
@@ -383,13 +387,16 @@
 
   /** Commits a serving configuration of a given size and returns its index. */
   long publish(String through, long version, int bytes) {
+    return publish(through, version, ByteString.copyFrom(new byte[bytes]));
+  }
+
+  /** Commits a serving configuration and returns its index. */
+  public long publish(String through, long version, ByteString document) {
     Command command =
         Command.newBuilder()
             .setRequestId("test-" + NEXT_REQUEST.incrementAndGet())
             .setPublishConfiguration(
-                PublishConfiguration.newBuilder()
-                    .setVersion(version)
-                    .setDocument(ByteString.copyFrom(new byte[bytes])))
+                PublishConfiguration.newBuilder().setVersion(version).setDocument(document))
             .build();
     return node(through).plane().propose(command).join().getAppliedIndex();
   }
@@ -414,7 +421,8 @@
         .anyMatch(each -> each.getInstance().equals(subject));
   }
 
-  void awaitApplied(String instance, long index) {
+  /** Waits until a node has applied an index. */
+  public void awaitApplied(String instance, long index) {
     await(
         instance + " applies " + index,
         () -> node(instance).plane().view().appliedIndex() >= index);
@@ -424,7 +432,8 @@
     return requireNonNull(nodes.get(instance));
   }
 
-  static void await(String description, BooleanSupplier condition) {
+  /** Waits for a condition, at most 30 s. */
+  public static void await(String description, BooleanSupplier condition) {
     long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
     while (!condition.getAsBoolean()) {
       assertTrue(System.nanoTime() - deadline < 0, "no " + description + " within 30 s");
@@ -433,7 +442,7 @@
   }
 
   /** Waits until a time of {@link System#nanoTime}. */
-  static void awaitNanos(long nanos) {
+  public static void awaitNanos(long nanos) {
     while (System.nanoTime() - nanos < 0) {
       LockSupport.parkNanos(nanos - System.nanoTime());
     }
--- a/node/src/test/java/org/teaseltrestle/node/serving/ServingConfigurationViewTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/serving/ServingConfigurationViewTest.java
@@ -6,6 +6,7 @@
 import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
@@ -125,6 +126,11 @@
       return true;
     }
 
+    @Override
+    public OptionalLong knownAsOfNanos() {
+      return OptionalLong.of(System.nanoTime());
+    }
+
     @Override
     public long keyLeaseEndsAtNanos() {
       return Long.MAX_VALUE;
