--- a/node/src/test/java/org/teaseltrestle/node/replica/ChainSchedule.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChainSchedule.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -12,6 +15,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.locks.LockSupport;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.model.ReplicaId;
 import org.teaseltrestle.wire.CommandAnswer;
 
 /**
@@ -51,6 +56,9 @@
   private final TreeMap<Long, Runnable> recoveries = new TreeMap<>();
   private long lastVoterChangeNanos;
 
+  /** Voter that lost its disk and is not replaced in the group yet, with its lost identity. */
+  private @Nullable ReplicaId wiped;
+
   private static final class Disturbance {
     int running;
     long changedAtNanos;
@@ -83,6 +91,7 @@
         nextFault = now + millis(100, 5_000);
       }
       recover(now);
+      endWipeOnceRepaired();
       check(now, operator);
       LockSupport.parkNanos(SAMPLE_NANOS);
     }
@@ -115,11 +124,13 @@
     String target = targets.get(random.nextInt(targets.size()));
     Disturbance disturbance = disturbances.computeIfAbsent(target, name -> new Disturbance());
     long untilNanos = now + millis(50, 6_000);
-    int kind = random.nextInt(3);
+    int kind = random.nextInt(atVoter ? 4 : 3);
     if (disturbance.running > 0 || (atVoter && disturbedVoters() > 0 && random.nextInt(3) > 0)) {
       return;
     }
-    if (atVoter && kind == 0) {
+    if (atVoter && kind == 3) {
+      wipe(target, now, untilNanos);
+    } else if (atVoter && kind == 0) {
       begin(target, "stopped", now, untilNanos, () -> cluster.stop(target));
       onRecovery(target, untilNanos, () -> cluster.startVoter(target, DATA_BYTES));
     } else if (atVoter && kind == 1) {
@@ -137,6 +148,48 @@
     }
   }
 
+  /** Loses a disk unless another voter is disturbed, or an earlier loss is not repaired. */
+  private void wipe(String target, long now, long untilNanos) {
+    Optional<ReplicaId> identity =
+        leaderVoters().stream().filter(id -> id.instance().value().equals(target)).findFirst();
+    if (wiped != null || disturbedVoters() > 0 || identity.isEmpty()) {
+      return;
+    }
+    wiped = identity.get();
+    begin(
+        target,
+        "wiped",
+        now,
+        untilNanos,
+        () -> {
+          cluster.stop(target);
+          cluster.loseDisk(target);
+        });
+    // The fault ends once the group has replaced the lost identity.
+    putRecovery(untilNanos, () -> cluster.startVoter(target, DATA_BYTES));
+  }
+
+  private void endWipeOnceRepaired() {
+    ReplicaId lost = wiped;
+    List<ReplicaId> voters = leaderVoters();
+    if (lost != null && voters.size() == VOTERS.size() && !voters.contains(lost)) {
+      wiped = null;
+      changed(lost.instance().value(), -1);
+    }
+  }
+
+  /** Returns the voters of the latest leader that runs, empty if there is none. */
+  private List<ReplicaId> leaderVoters() {
+    return VOTERS.stream()
+        .map(cluster.nodes::get)
+        .filter(Objects::nonNull)
+        .map(node -> node.plane().status())
+        .filter(status -> status.role().equals("leader"))
+        .max(Comparator.comparingLong(ControlStatus::term))
+        .map(ControlStatus::voters)
+        .orElse(List.of());
+  }
+
   private void startEntry(String entry) {
     highestIndex.remove(entry);
     cluster.startNonVoterBelow(VOTERS.get(ENTRIES.indexOf(entry)), entry);
@@ -149,18 +202,22 @@
   }
 
   private void onRecovery(String target, long atNanos, Runnable action) {
-    long free = atNanos;
-    while (recoveries.containsKey(free)) {
-      free++;
-    }
-    recoveries.put(
-        free,
+    putRecovery(
+        atNanos,
         () -> {
           action.run();
           changed(target, -1);
         });
   }
 
+  private void putRecovery(long atNanos, Runnable action) {
+    long free = atNanos;
+    while (recoveries.containsKey(free)) {
+      free++;
+    }
+    recoveries.put(free, action);
+  }
+
   private void recover(long now) {
     while (!recoveries.isEmpty() && now - recoveries.firstKey() >= 0) {
       recoveries.pollFirstEntry().getValue().run();
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -61,6 +61,7 @@
   private final List<VoterSettings> voters = new ArrayList<>();
   private final SplittableRandom random = new SplittableRandom();
   private final DisseminationTreeSettings tree;
+  private final Timing timing;
   private final Set<InetSocketAddress> cutOff = ConcurrentHashMap.newKeySet();
   private final Set<InetSocketAddress> isolated = ConcurrentHashMap.newKeySet();
   private final List<VoterSettings> goneVoters = new ArrayList<>();
@@ -85,13 +86,31 @@
     }
   }
 
+  /** Times of the replicas, and which may join. */
+  record Timing(
+      long heartbeatMilliseconds,
+      long electionTimeoutMilliseconds,
+      RaftSettings.Membership membership) {
+
+    /** Shorter than those of the platform, so that a test needs less time. */
+    static final Timing SHORT = new Timing(40, 400, RaftSettings.Membership.INITIAL_VOTERS);
+
+    /** As on the platform. */
+    static final Timing PLATFORM = new Timing(100, 800, RaftSettings.Membership.OPEN);
+  }
+
   LoopbackCluster(int voterCount) {
     this(voterCount, DisseminationTreeSettings.DEEP);
   }
 
-  /** Creates a cluster whose voters are not started yet. */
+  /** Creates a cluster with short times whose voters are not started yet. */
   public LoopbackCluster(int voterCount, DisseminationTreeSettings tree) {
+    this(voterCount, tree, Timing.SHORT);
+  }
+
+  LoopbackCluster(int voterCount, DisseminationTreeSettings tree, Timing timing) {
     this.tree = tree;
+    this.timing = timing;
     try {
       folder = Files.createTempDirectory("control-plane");
     } catch (IOException e) {
@@ -480,10 +499,10 @@
             maximumDataBytes,
             knownVoters,
             Map.of(),
-            40,
-            400,
+            timing.heartbeatMilliseconds(),
+            timing.electionTimeoutMilliseconds(),
             KEY_LEASE_MILLISECONDS,
-            RaftSettings.Membership.INITIAL_VOTERS,
+            timing.membership(),
             tree);
     Map<ClientAccount, Double> shares = new ConcurrentHashMap<>();
     ControlPlaneContext context =
