Let later news of the leader count more than the word of a voter

Cause: a voter that does not lead names the leader that it knows, without a date. News of the leader of the same term, heard later, did not replace that name, so that calls went to an instance that is gone. Evidence: LeaderCallScheduleTest$Outcomes#laterNewsCountsMoreThanNameByOutdatedVoter: expected voter-2 but found gone. Change: news that is later than the latest failure or redirection sets the leader whatever it is.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
@@ -91,7 +91,8 @@
     }
     heard = news;
     if (earlier != null && news.term() == earlier.term()) {
-      if (leader == null && news.asOfNanos() - leaderFailedAtNanos > 0) {
+      // Also if a voter has named another one, whose word has no date.
+      if (news.asOfNanos() - leaderFailedAtNanos > 0) {
         leader = news.instance();
       }
       return List.of();
--- a/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallScheduleTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallScheduleTest.java
@@ -105,6 +105,20 @@
   /** Tests of outcomes of attempts. */
   public static final class Outcomes {
 
+    /** Guards against an outdated voter whose word counts more than later news of the leader. */
+    @Test
+    public void laterNewsCountsMoreThanNameByOutdatedVoter() {
+      LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
+      schedule.heard(leader("voter-2", 3, 0));
+      LeaderCallSchedule.Attempt first = schedule.open(1);
+      schedule.failed(first, 10 * MILLISECOND);
+      LeaderCallSchedule.Attempt second = schedule.retry(first).get();
+      assertEquals(second.target(), "voter-1");
+      schedule.redirected(second, "gone", 70 * MILLISECOND);
+      schedule.heard(leader("voter-2", 3, 90 * MILLISECOND));
+      assertEquals(schedule.retry(second).get().target(), "voter-2");
+    }
+
     /** Guards against a late failure that disturbs the attempt at the leader. */
     @Test
     public void lateFailureIsIgnored() {
