Ask for a confirmation again that the queue of the duty did not take

A node would answer 503 until its next restart. Cause: the answer to the request for a confirmed index goes through the queue of the duty thread. If that is full the answer is lost, and the request counts as sent for good. Change: Readiness learns whether the task was taken and asks again if not.

--- a/node/src/main/java/org/teaseltrestle/node/replica/Readiness.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/Readiness.java
@@ -1,6 +1,6 @@
 package org.teaseltrestle.node.replica;
 
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.teaseltrestle.kernel.EventLog;
 
 /**
@@ -10,16 +10,16 @@
 final class Readiness {
 
   private final LeaderClient leader;
-  private final Consumer<Runnable> dutyExecutor;
-  private boolean confirmationRequested;
+  private final Predicate<Runnable> dutyExecutor;
+  private volatile boolean confirmationRequested;
   private long requiredIndex = Long.MAX_VALUE;
   private volatile boolean ready;
 
   /**
    * Creates the state; {@code dutyExecutor} runs a task on the duty thread that calls {@link
-   * #tick}.
+   * #tick}, or returns false if it cannot.
    */
-  Readiness(LeaderClient leader, Consumer<Runnable> dutyExecutor) {
+  Readiness(LeaderClient leader, Predicate<Runnable> dutyExecutor) {
     this.leader = leader;
     this.dutyExecutor = dutyExecutor;
   }
@@ -41,7 +41,11 @@
       leader
           .confirmedIndex()
           .whenComplete(
-              (index, failure) -> dutyExecutor.accept(() -> onConfirmation(index, failure)));
+              (index, failure) -> {
+                if (!dutyExecutor.test(() -> onConfirmation(index, failure))) {
+                  confirmationRequested = false;
+                }
+              });
     }
   }
 
