End the calls of a voter to itself when its replica stops

What waits for such a call, as a reporter of limits or of prompt parts does, waits for good. Cause: a call to the instance itself goes through the queue of the replica and had no timeout; a replica that stops does not run what is in its queue. Calls to others have one. Change: an attempt at this instance fails after the same time as one at another. A failure while the retry already waits changes nothing.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
@@ -115,11 +115,11 @@
   /**
    * Records that an attempt got no answer, or a refusal that names no leader.
    *
-   * @return time of the retry, empty if a later attempt has superseded this one
+   * @return time of the retry, empty if a later attempt has superseded this one or its retry waits
    */
   OptionalLong failed(Attempt attempt, long nowNanos) {
     OpenCall call = find(attempt).orElse(null);
-    if (call == null) {
+    if (call == null || call.waiting) {
       return OptionalLong.empty();
     }
     if (attempt.target().equals(leader)) {
@@ -137,7 +137,7 @@
    */
   OptionalLong redirected(Attempt attempt, String namedLeader, long nowNanos) {
     OpenCall call = find(attempt).orElse(null);
-    if (call == null || namedLeader.equals(attempt.target())) {
+    if (call == null || call.waiting || namedLeader.equals(attempt.target())) {
       return failed(attempt, nowNanos);
     }
     if (leader == null || leader.equals(attempt.target())) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -121,9 +121,13 @@
       return;
     }
     String target = attempt.target();
+    long deadline = now + Math.min(ATTEMPT_TIMEOUT_NANOS, call.deadlineNanos() - now);
     LeaderRequestHandler handler = localHandler;
     if (handler != null && target.equals(self.value())) {
       handler.handle(call.request(), call.body(), answer -> onAnswer(call, attempt, answer));
+      // A replica that stops does not take what is in its queue.
+      CompletableFuture.delayedExecutor(deadline - now, TimeUnit.NANOSECONDS)
+          .execute(() -> onFailure(attempt));
       return;
     }
     InetSocketAddress address = addresses.find(target).orElse(null);
@@ -131,7 +135,6 @@
       onFailure(attempt);
       return;
     }
-    long deadline = now + Math.min(ATTEMPT_TIMEOUT_NANOS, call.deadlineNanos() - now);
     transport
         .call(address, LeaderRequest.SERVICE, call.request().kind(), call.body(), deadline)
         .whenComplete((body, failure) -> onResponse(call, attempt, body));
