Date news by the bundle that the parent had, for refusals that are final

Cause: a node dates news by its arrival. Below a link with a long queue, or on a machine that is slow, news of seconds ago counts as recent. Evidence: IsolatedRefusalTest#routeAddedElsewhereIsNotRefusedForGoodByLateNews, messages 3 s late, 2 s after the acknowledgement: expected 503 but found 404. Change: a bundle bears the time at which its node sent it, and a parent returns that time with its news. The time from which a node may refuse for good (knownAsOfNanos) counts from there, less the parent's age; a bundle of an earlier process proves nothing, and news of a parent of an earlier version counts from its arrival as before. Between voters, and for the children of a child, news is still dated by its arrival.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -60,6 +60,10 @@
     long sentIndex;
     long reportedIndex = -1;
     long lastMessageNanos;
+
+    /** Time on the child's clock at which it sent its latest bundle. */
+    long bundleSentAtNanos;
+
     Map<String, Double> demand = Map.of();
     List<PoolDemand> pools = List.of();
 
@@ -102,6 +106,7 @@
     Child child = children.computeIfAbsent(bundle.getInstance(), id -> new Child(address));
     child.address = address;
     child.lastMessageNanos = clock.nowNanos();
+    child.bundleSentAtNanos = bundle.getSentAtNanos();
     child.demand = AccountShares.toMap(bundle.getDemandList());
     child.pools = bundle.getPoolDemandList();
     lists = state.view().lists();
@@ -217,7 +222,10 @@
 
   private boolean sendCommands(Child child, List<LoggedCommand> commands, long appliedIndex) {
     CommittedCommands.Builder message =
-        CommittedCommands.newBuilder().addAllCommands(commands).setAppliedIndex(appliedIndex);
+        CommittedCommands.newBuilder()
+            .addAllCommands(commands)
+            .setAppliedIndex(appliedIndex)
+            .setBundleSentAtNanos(child.bundleSentAtNanos);
     long now = clock.nowNanos();
     known.get().writeTo(message, now);
     leader.get().ifPresent(each -> message.setLeader(each.toNews(now)));
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -51,6 +51,11 @@
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private final FollowerKnowledge knowledge = new FollowerKnowledge();
+
+  /** What this node knows whatever time messages take; it decides what is refused for good. */
+  private final FollowerKnowledge provenKnowledge = new FollowerKnowledge();
+
+  private final long startNanos;
   private final KnowledgeWatch knowledgeWatch;
   private @Nullable KnownLeader heardLeader;
   private long publishedIndex;
@@ -67,6 +72,7 @@
     this.leader = new LeaderClient(leaderCalls, context.clock());
     this.lease = new KeyLease(settings, context.clock());
     long now = context.clock().nowNanos();
+    this.startNanos = now;
     this.nextCandidatesNanos = now;
     this.parentSelector = new ParentSelector(settings.tree(), now);
     this.gapDetector = new GapDetector(now);
@@ -117,7 +123,7 @@
 
   @Override
   public OptionalLong knownAsOfNanos() {
-    return knowledge.known().asOfNanos();
+    return provenKnowledge.known().asOfNanos();
   }
 
   @Override
@@ -198,7 +204,7 @@
     if (decision.parentChanged()) {
       leaseRenewer.makeDueNow(nowNanos);
     }
-    decision.asked().forEach(each -> send(each, leaseRenewer.subscription(state)));
+    decision.asked().forEach(each -> send(each, leaseRenewer.subscription(state, nowNanos)));
   }
 
   private void send(String instance, RenewalBundle bundle) {
@@ -253,6 +259,7 @@
         .ifPresent(each -> leaderHeard(each, sender));
     apply(message.getCommandsList());
     knowledge.received(news, state.appliedIndex());
+    provenKnowledge.received(KnownState.proven(message, startNanos, now), state.appliedIndex());
     watchKnowledge(now);
     if (gapDetector.requestsMissing(message, state.appliedIndex(), now)) {
       LOG.warn(
@@ -325,6 +332,7 @@
       leaseRenewer.makeDueNow(now);
     }
     knowledge.applied(state.appliedIndex());
+    provenKnowledge.applied(state.appliedIndex());
     publishApplied();
     updateParent(now);
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/KnownState.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/KnownState.java
@@ -31,6 +31,23 @@
     return asOf(message.getAppliedIndex(), nowNanos - TimeUnit.MILLISECONDS.toNanos(ageMillis));
   }
 
+  /**
+   * Returns what a parent proves to have known: its own knowledge, counted from the send of the
+   * bundle that it had received by then, however long its message was on the way. Unknown if that
+   * bundle is of an earlier process. Earlier versions name no bundle; their news counts from its
+   * arrival.
+   *
+   * @param startNanos monotonic time at which this process started
+   */
+  static KnownState proven(CommittedCommands message, long startNanos, long nowNanos) {
+    long sentAtNanos = message.getBundleSentAtNanos();
+    if (sentAtNanos == 0) {
+      return received(message, nowNanos);
+    }
+    boolean isOfThisProcess = sentAtNanos - startNanos >= 0 && sentAtNanos - nowNanos <= 0;
+    return isOfThisProcess ? received(message, sentAtNanos) : UNKNOWN;
+  }
+
   /** Writes the age of this knowledge into a message for a child. */
   void writeTo(CommittedCommands.Builder message, long nowNanos) {
     message.setRootAgeUnknown(!isKnown()).setRootAgeMillis(ageMillis(nowNanos));
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -76,12 +76,13 @@
   }
 
   /** Returns a bundle that only subscribes: leases and demand go to one parent. */
-  RenewalBundle subscription(AppliedState state) {
-    return withoutRenewals(state).build();
+  RenewalBundle subscription(AppliedState state, long nowNanos) {
+    return withoutRenewals(state, nowNanos).build();
   }
 
-  private RenewalBundle.Builder withoutRenewals(AppliedState state) {
+  private RenewalBundle.Builder withoutRenewals(AppliedState state, long nowNanos) {
     return RenewalBundle.newBuilder()
+        .setSentAtNanos(nowNanos)
         .setInstance(settings.instance().value())
         .setBoot(settings.boot())
         .setAppliedIndex(state.appliedIndex())
@@ -92,7 +93,7 @@
   /** Returns the next bundle and schedules the one after it. */
   RenewalBundle bundle(AppliedState state, long nowNanos) {
     RenewalBundle.Builder bundle =
-        withoutRenewals(state)
+        withoutRenewals(state, nowNanos)
             .setEntriesMissing(entriesMissing)
             .addAllRenewals(children.drainRenewals());
     entriesMissing = false;
--- a/node/src/test/java/org/teaseltrestle/node/relay/IsolatedRefusalTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/IsolatedRefusalTest.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.ByteString;
 import java.net.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.node.replica.ControlPlane;
 import org.teaseltrestle.node.replica.DisseminationTreeSettings;
 import org.teaseltrestle.node.replica.LoopbackCluster;
@@ -16,6 +17,7 @@
   private static final DisseminationTreeSettings TREE = DisseminationTreeSettings.FLAT;
   private static final String VOTER = "voter-0";
   private static final String ENTRY = "entry-1";
+  private static final long LATE_MILLISECONDS = 3_000;
 
   private static final FakeServer.Behaviour ANSWER =
       (request, output) -> {
@@ -92,4 +94,21 @@
       assertEquals(relay.post("/safe/x", "id-1", "held").statusCode(), 200);
     }
   }
+
+  /** Guards against a final refusal (404) by news that was sent long ago and has just arrived. */
+  @Test
+  public void routeAddedElsewhereIsNotRefusedForGoodByLateNews() {
+    try (LoopbackCluster cluster = new LoopbackCluster(3, TREE);
+        FakeServer server = new FakeServer(ANSWER);
+        RoutedHarness relay = new RoutedHarness(startEntry(cluster), server)) {
+      cluster.delayMessagesTo(ENTRY, LATE_MILLISECONDS);
+      // Long enough for the first late news.
+      LoopbackCluster.awaitNanos(
+          System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LATE_MILLISECONDS + 1_500));
+      publish(cluster, 2, "key held\nkey added\nroute /added/");
+      long acknowledgedAtNanos = System.nanoTime();
+      LoopbackCluster.awaitNanos(acknowledgedAtNanos + TimeUnit.SECONDS.toNanos(2));
+      assertOutdated(relay.post("/added/x", "id-1", "held"));
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/KnownStateTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/KnownStateTest.java
@@ -71,4 +71,26 @@
     CommittedCommands message = CommittedCommands.newBuilder().setRootAgeMillis(-1).build();
     assertEquals(KnownState.received(message, 0), KnownState.UNKNOWN);
   }
+
+  /** Guards against news that counts as recent although it was long on its way. */
+  @Test
+  public void provenAgeCountsFromTheBundleThatTheParentHad() {
+    CommittedCommands message =
+        CommittedCommands.newBuilder()
+            .setAppliedIndex(9)
+            .setRootAgeMillis(40)
+            .setBundleSentAtNanos(1_000 * MILLISECOND)
+            .build();
+    long now = 4_000 * MILLISECOND;
+    assertEquals(KnownState.proven(message, 0, now).ageMillis(now), 3_040);
+    assertEquals(KnownState.proven(message, 1_001 * MILLISECOND, now), KnownState.UNKNOWN);
+    assertEquals(KnownState.proven(message, 0, 999 * MILLISECOND), KnownState.UNKNOWN);
+  }
+
+  /** Guards against nodes that refuse nothing for good below a parent of an earlier version. */
+  @Test
+  public void newsOfEarlierVersionCountsFromItsArrival() {
+    CommittedCommands message = CommittedCommands.newBuilder().setRootAgeMillis(40).build();
+    assertEquals(KnownState.proven(message, 0, 50 * MILLISECOND).ageMillis(50 * MILLISECOND), 40);
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -24,6 +24,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.consensus.FileReplicaStorage;
@@ -64,6 +65,10 @@
   private final Timing timing;
   private final Set<InetSocketAddress> cutOff = ConcurrentHashMap.newKeySet();
   private final Set<InetSocketAddress> isolated = ConcurrentHashMap.newKeySet();
+
+  /** Milliseconds by which messages to nodes are late, by the address of the node. */
+  private final Map<InetSocketAddress, Long> lateness = new ConcurrentHashMap<>();
+
   private final List<VoterSettings> goneVoters = new ArrayList<>();
   private final List<ServerSocket> silentSockets = new ArrayList<>();
 
@@ -214,6 +219,11 @@
     isolated.remove(node(instance).transport().localAddress());
   }
 
+  /** Delivers all messages to a running node late from now on, as a link with a long queue does. */
+  public void delayMessagesTo(String instance, long milliseconds) {
+    lateness.put(node(instance).transport().localAddress(), milliseconds);
+  }
+
   /** Loses all messages between a voter and the other voters from now on. */
   void cutVoterOff(String instance) {
     cutOff.add(voter(instance).peerAddress());
@@ -281,13 +291,15 @@
   }
 
   /**
-   * Transport that records calls and messages, and loses the messages to nodes that are cut off.
+   * Transport that records calls and messages, loses the messages to nodes that are cut off, and
+   * delivers messages late.
    */
   private record LossyTransport(
       NettyPeerTransport delegate,
       Consumer<InetSocketAddress> called,
       Consumer<InetSocketAddress> contacted,
-      Predicate<InetSocketAddress> losesMessagesTo)
+      Predicate<InetSocketAddress> losesMessagesTo,
+      ToLongFunction<InetSocketAddress> lateMilliseconds)
       implements PeerTransport {
 
     @Override
@@ -298,7 +310,16 @@
     @Override
     public boolean send(InetSocketAddress peer, String service, int kind, byte[] body) {
       contacted.accept(peer);
-      return losesMessagesTo.test(peer) || delegate.send(peer, service, kind, body);
+      long late = lateMilliseconds.applyAsLong(peer);
+      if (losesMessagesTo.test(peer)) {
+        return true;
+      }
+      if (late > 0) {
+        CompletableFuture.delayedExecutor(late, TimeUnit.MILLISECONDS)
+            .execute(() -> delegate.send(peer, service, kind, body));
+        return true;
+      }
+      return delegate.send(peer, service, kind, body);
     }
 
     @Override
@@ -511,7 +532,8 @@
                 transport,
                 peer -> latestCalls.put(address, peer),
                 peer -> recordContact(address, peer),
-                peer -> isCut(address, peer)),
+                peer -> isCut(address, peer),
+                peer -> lateness.getOrDefault(peer, 0L)),
             new MessageHandlerRegistry(transport),
             MonotonicClock.SYSTEM,
             WallClock.SYSTEM,
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -169,6 +169,21 @@
     return leader_ == null ? org.teaseltrestle.wire.LeaderNews.getDefaultInstance() : leader_;
   }
 
+  public static final int BUNDLE_SENT_AT_NANOS_FIELD_NUMBER = 6;
+  private long bundleSentAtNanos_ = 0L;
+  /**
+   * <pre>
+   * Time at which the receiver sent the latest bundle that had arrived here; 0 if it gave none.
+   * </pre>
+   *
+   * <code>sfixed64 bundle_sent_at_nanos = 6;</code>
+   * @return The bundleSentAtNanos.
+   */
+  @java.lang.Override
+  public long getBundleSentAtNanos() {
+    return bundleSentAtNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -198,6 +213,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(5, getLeader());
     }
+    if (bundleSentAtNanos_ != 0L) {
+      output.writeSFixed64(6, bundleSentAtNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -227,6 +245,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, getLeader());
     }
+    if (bundleSentAtNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(6, bundleSentAtNanos_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -255,6 +277,8 @@
       if (!getLeader()
           .equals(other.getLeader())) return false;
     }
+    if (getBundleSentAtNanos()
+        != other.getBundleSentAtNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -283,6 +307,9 @@
       hash = (37 * hash) + LEADER_FIELD_NUMBER;
       hash = (53 * hash) + getLeader().hashCode();
     }
+    hash = (37 * hash) + BUNDLE_SENT_AT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBundleSentAtNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -440,6 +467,7 @@
         leaderBuilder_.dispose();
         leaderBuilder_ = null;
       }
+      bundleSentAtNanos_ = 0L;
       return this;
     }
 
@@ -502,6 +530,9 @@
             : leaderBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.bundleSentAtNanos_ = bundleSentAtNanos_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -555,6 +586,9 @@
       if (other.hasLeader()) {
         mergeLeader(other.getLeader());
       }
+      if (other.getBundleSentAtNanos() != 0L) {
+        setBundleSentAtNanos(other.getBundleSentAtNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -616,6 +650,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 49: {
+              bundleSentAtNanos_ = input.readSFixed64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 49
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1150,6 +1189,50 @@
       return leaderBuilder_;
     }
 
+    private long bundleSentAtNanos_ ;
+    /**
+     * <pre>
+     * Time at which the receiver sent the latest bundle that had arrived here; 0 if it gave none.
+     * </pre>
+     *
+     * <code>sfixed64 bundle_sent_at_nanos = 6;</code>
+     * @return The bundleSentAtNanos.
+     */
+    @java.lang.Override
+    public long getBundleSentAtNanos() {
+      return bundleSentAtNanos_;
+    }
+    /**
+     * <pre>
+     * Time at which the receiver sent the latest bundle that had arrived here; 0 if it gave none.
+     * </pre>
+     *
+     * <code>sfixed64 bundle_sent_at_nanos = 6;</code>
+     * @param value The bundleSentAtNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBundleSentAtNanos(long value) {
+
+      bundleSentAtNanos_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time at which the receiver sent the latest bundle that had arrived here; 0 if it gave none.
+     * </pre>
+     *
+     * <code>sfixed64 bundle_sent_at_nanos = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBundleSentAtNanos() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      bundleSentAtNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommittedCommands)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -86,4 +86,14 @@
    * <code>.trestle.LeaderNews leader = 5;</code>
    */
   org.teaseltrestle.wire.LeaderNewsOrBuilder getLeaderOrBuilder();
+
+  /**
+   * <pre>
+   * Time at which the receiver sent the latest bundle that had arrived here; 0 if it gave none.
+   * </pre>
+   *
+   * <code>sfixed64 bundle_sent_at_nanos = 6;</code>
+   * @return The bundleSentAtNanos.
+   */
+  long getBundleSentAtNanos();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -119,28 +119,29 @@
       "oolDemand\022\014\n\004pool\030\001 \001(\t\022!\n\031prefill_token" +
       "s_per_second\030\002 \001(\001\022 \n\030decode_tokens_per_" +
       "second\030\003 \001(\001\022\037\n\027cheap_tokens_per_second\030" +
-      "\004 \001(\001\"\202\002\n\rRenewalBundle\022\020\n\010instance\030\001 \001(" +
+      "\004 \001(\001\"\231\002\n\rRenewalBundle\022\020\n\010instance\030\001 \001(" +
       "\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025" +
       "\n\rreply_address\030\004 \001(\t\022\'\n\010renewals\030\005 \003(\0132" +
       "\025.trestle.LeaseRenewal\022&\n\006demand\030\006 \003(\0132\026" +
       ".trestle.AccountDemand\022\017\n\007follows\030\007 \001(\010\022" +
       "(\n\013pool_demand\030\010 \003(\0132\023.trestle.PoolDeman" +
-      "d\022\027\n\017entries_missing\030\t \001(\010\"C\n\nLeaseGrant" +
-      "\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent" +
-      "_at_nanos\030\003 \001(\020\"~\n\013GrantBundle\022#\n\006grants" +
-      "\030\001 \003(\0132\023.trestle.LeaseGrant\022,\n\014total_dem" +
-      "and\030\002 \003(\0132\026.trestle.AccountDemand\022\034\n\024reg" +
-      "istered_instances\030\003 \001(\r\"/\n\rLoggedCommand" +
-      "\022\r\n\005index\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\"@\n\nLead" +
-      "erNews\022\020\n\010instance\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022" +
-      "\n\nage_millis\030\003 \001(\004\"\254\001\n\021CommittedCommands" +
-      "\022(\n\010commands\030\001 \003(\0132\026.trestle.LoggedComma" +
-      "nd\022\025\n\rapplied_index\030\002 \001(\004\022\027\n\017root_age_mi" +
-      "llis\030\003 \001(\004\022\030\n\020root_age_unknown\030\004 \001(\010\022#\n\006" +
-      "leader\030\005 \001(\0132\023.trestle.LeaderNews\"9\n\016Com" +
-      "mittedState\022\025\n\rapplied_index\030\001 \001(\004\022\020\n\010sn" +
-      "apshot\030\002 \001(\014B\032\n\026org.teaseltrestle.wireP\001" +
-      "b\006proto3"
+      "d\022\027\n\017entries_missing\030\t \001(\010\022\025\n\rsent_at_na" +
+      "nos\030\n \001(\020\"C\n\nLeaseGrant\022\020\n\010instance\030\001 \001(" +
+      "\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nanos\030\003 \001(\020\"~" +
+      "\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132\023.trestle." +
+      "LeaseGrant\022,\n\014total_demand\030\002 \003(\0132\026.trest" +
+      "le.AccountDemand\022\034\n\024registered_instances" +
+      "\030\003 \001(\r\"/\n\rLoggedCommand\022\r\n\005index\030\001 \001(\004\022\017" +
+      "\n\007command\030\002 \001(\014\"@\n\nLeaderNews\022\020\n\010instanc" +
+      "e\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(" +
+      "\004\"\312\001\n\021CommittedCommands\022(\n\010commands\030\001 \003(" +
+      "\0132\026.trestle.LoggedCommand\022\025\n\rapplied_ind" +
+      "ex\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\022\030\n\020roo" +
+      "t_age_unknown\030\004 \001(\010\022#\n\006leader\030\005 \001(\0132\023.tr" +
+      "estle.LeaderNews\022\034\n\024bundle_sent_at_nanos" +
+      "\030\006 \001(\020\"9\n\016CommittedState\022\025\n\rapplied_inde" +
+      "x\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014B\032\n\026org.teaselt" +
+      "restle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -188,7 +189,7 @@
     internal_static_trestle_RenewalBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RenewalBundle_descriptor,
-        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", "EntriesMissing", });
+        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", "EntriesMissing", "SentAtNanos", });
     internal_static_trestle_LeaseGrant_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_trestle_LeaseGrant_fieldAccessorTable = new
@@ -218,7 +219,7 @@
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
-        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", });
+        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", "BundleSentAtNanos", });
     internal_static_trestle_CommittedState_descriptor =
       getDescriptor().getMessageTypes().get(12);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
@@ -346,6 +346,21 @@
     return entriesMissing_;
   }
 
+  public static final int SENT_AT_NANOS_FIELD_NUMBER = 10;
+  private long sentAtNanos_ = 0L;
+  /**
+   * <pre>
+   * Monotonic time of the sender; the receiver returns it with what it sends from then on.
+   * </pre>
+   *
+   * <code>sfixed64 sent_at_nanos = 10;</code>
+   * @return The sentAtNanos.
+   */
+  @java.lang.Override
+  public long getSentAtNanos() {
+    return sentAtNanos_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -387,6 +402,9 @@
     if (entriesMissing_ != false) {
       output.writeBool(9, entriesMissing_);
     }
+    if (sentAtNanos_ != 0L) {
+      output.writeSFixed64(10, sentAtNanos_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -430,6 +448,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(9, entriesMissing_);
     }
+    if (sentAtNanos_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeSFixed64Size(10, sentAtNanos_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -463,6 +485,8 @@
         .equals(other.getPoolDemandList())) return false;
     if (getEntriesMissing()
         != other.getEntriesMissing()) return false;
+    if (getSentAtNanos()
+        != other.getSentAtNanos()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -502,6 +526,9 @@
     hash = (37 * hash) + ENTRIES_MISSING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getEntriesMissing());
+    hash = (37 * hash) + SENT_AT_NANOS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAtNanos());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -665,6 +692,7 @@
       }
       bitField0_ = (bitField0_ & ~0x00000080);
       entriesMissing_ = false;
+      sentAtNanos_ = 0L;
       return this;
     }
 
@@ -747,6 +775,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.entriesMissing_ = entriesMissing_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.sentAtNanos_ = sentAtNanos_;
+      }
     }
 
     @java.lang.Override
@@ -861,6 +892,9 @@
       if (other.getEntriesMissing() != false) {
         setEntriesMissing(other.getEntriesMissing());
       }
+      if (other.getSentAtNanos() != 0L) {
+        setSentAtNanos(other.getSentAtNanos());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -956,6 +990,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 81: {
+              sentAtNanos_ = input.readSFixed64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 81
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2133,6 +2172,50 @@
       return this;
     }
 
+    private long sentAtNanos_ ;
+    /**
+     * <pre>
+     * Monotonic time of the sender; the receiver returns it with what it sends from then on.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at_nanos = 10;</code>
+     * @return The sentAtNanos.
+     */
+    @java.lang.Override
+    public long getSentAtNanos() {
+      return sentAtNanos_;
+    }
+    /**
+     * <pre>
+     * Monotonic time of the sender; the receiver returns it with what it sends from then on.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at_nanos = 10;</code>
+     * @param value The sentAtNanos to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtNanos(long value) {
+
+      sentAtNanos_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Monotonic time of the sender; the receiver returns it with what it sends from then on.
+     * </pre>
+     *
+     * <code>sfixed64 sent_at_nanos = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtNanos() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      sentAtNanos_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RenewalBundle)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
@@ -177,4 +177,14 @@
    * @return The entriesMissing.
    */
   boolean getEntriesMissing();
+
+  /**
+   * <pre>
+   * Monotonic time of the sender; the receiver returns it with what it sends from then on.
+   * </pre>
+   *
+   * <code>sfixed64 sent_at_nanos = 10;</code>
+   * @return The sentAtNanos.
+   */
+  long getSentAtNanos();
 }
