Date news when it arrives, not when the duty thread takes it

Cause: news is dated by the duty thread, after its time in the queue, so that a busy node counts it as younger than it is. Change: the time is taken on the network thread and goes with the message. Voters date messages of their leader when they process them, as before.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -236,7 +236,9 @@
       case COMMANDS -> {
         CommittedCommands commands =
             MessageHandlerRegistry.parse(message, CommittedCommands.parser());
-        inbox.offer(bytes, () -> onCommands(sender, commands));
+        // News does not become younger while it waits for the duty thread.
+        long arrivedAtNanos = context.clock().nowNanos();
+        inbox.offer(bytes, () -> onCommands(sender, commands, arrivedAtNanos));
       }
       case STATE -> {
         CommittedState fullState = MessageHandlerRegistry.parse(message, CommittedState.parser());
@@ -250,16 +252,17 @@
     }
   }
 
-  private void onCommands(String sender, CommittedCommands message) {
+  private void onCommands(String sender, CommittedCommands message, long arrivedAtNanos) {
     long now = context.clock().nowNanos();
-    KnownState news = KnownState.received(message, now);
+    KnownState news = KnownState.received(message, arrivedAtNanos);
     parentSelector.newsReceived(sender, news, now);
-    KnownLeader.received(message, now)
+    KnownLeader.received(message, arrivedAtNanos)
         .filter(each -> !each.isOlderThan(settings.tree().rootTimeoutNanos(), now))
         .ifPresent(each -> leaderHeard(each, sender));
     apply(message.getCommandsList());
     knowledge.received(news, state.appliedIndex());
-    provenKnowledge.received(KnownState.proven(message, startNanos, now), state.appliedIndex());
+    provenKnowledge.received(
+        KnownState.proven(message, startNanos, arrivedAtNanos), state.appliedIndex());
     watchKnowledge(now);
     if (gapDetector.requestsMissing(message, state.appliedIndex(), now)) {
       LOG.warn(
--- a/node/src/test/java/org/teaseltrestle/node/replica/StoppedVoterTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/StoppedVoterTest.java
@@ -3,10 +3,10 @@
 import static org.testng.Assert.assertEquals;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.LeaderAnswer;
 import org.testng.annotations.Test;
@@ -15,7 +15,7 @@
 public final class StoppedVoterTest {
 
   private static final int DATA_BYTES = 1_000_000;
-  private static final int CALLS = 3_000;
+  private static final int CALLS = 20_000;
 
   /** Longer than the deadline of a proposal. */
   private static final long CALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(13);
@@ -65,10 +65,12 @@
       cluster.startVoter("voter-2", DATA_BYTES);
       String leader = cluster.awaitLeader();
       cluster.fillDisk(leader, DATA_BYTES);
-      List<CompletableFuture<CommandAnswer>> answers = new ArrayList<>();
-      for (int i = 0; i < CALLS; i++) {
-        answers.add(cluster.propose(leader, "call-" + i));
-      }
+      // By several threads, so that calls wait in the queue when the replica stops.
+      List<CompletableFuture<CommandAnswer>> answers =
+          IntStream.range(0, CALLS)
+              .parallel()
+              .mapToObj(i -> cluster.propose(leader, "call-" + i))
+              .toList();
       LoopbackCluster.await(
           "stop of " + leader,
           () -> cluster.node(leader).plane().status().role().equals("following"));
