Acknowledge a configuration once all nodes that the leader hears of obey it

Cause: a change was acknowledged when it was committed, which only the leader knows at that moment. If the leader is lost then, each node that runs on obeys the version before until the control nodes have started, elected and told it; nothing bounds that. The control node asks the leader until nobody is waited for. Nodes that apply a configuration renew at once. Why it works: an instance that goes on running has the version in memory before anyone is told that it is in force.

--- a/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlGateway.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.control;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.teaseltrestle.model.ErrorCode;
@@ -31,6 +32,13 @@
    */
   CompletableFuture<Long> confirmedIndex();
 
+  /**
+   * Asks the leader which instances must apply the change at a log index before it may be
+   * acknowledged; none once all instances that the leader hears of obey it. The future fails with a
+   * {@code TrestleException} of {@link ErrorCode#UNREACHABLE} if no leader responds in time.
+   */
+  CompletableFuture<List<String>> awaitedInstances(long index);
+
   /** Returns whether this instance has confirmed the committed state since its start. */
   boolean isReady();
 
--- a/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
+++ b/integration/src/test/java/org/teaseltrestle/integration/operators/MemoryControl.java
@@ -30,6 +30,11 @@
   }
 
   /** Confirms the index of the last command; a frozen view catches up. */
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long atIndex) {
+    return CompletableFuture.completedFuture(List.of());
+  }
+
   @Override
   public synchronized CompletableFuture<Long> confirmedIndex() {
     frozenView = null;
--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -123,6 +123,11 @@
     return current().delegate().confirmedIndex();
   }
 
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long index) {
+    return current().delegate().awaitedInstances(index);
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return current().delegate().withdrawalReport(index);
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -59,6 +59,7 @@
   private final KnowledgeWatch knowledgeWatch;
   private @Nullable KnownLeader heardLeader;
   private long publishedIndex;
+  private long reportedConfigurationIndex;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
 
@@ -141,6 +142,11 @@
     return leader.confirmedIndex();
   }
 
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long index) {
+    return leader.awaitedInstances(index);
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return leader.withdrawalReport(index);
@@ -345,6 +351,10 @@
       publishedIndex = state.appliedIndex();
       addresses.update(state.view());
     }
+    if (state.lastConfigurationIndex() > reportedConfigurationIndex) {
+      reportedConfigurationIndex = state.lastConfigurationIndex();
+      leaseRenewer.reportPromptly(context.clock().nowNanos());
+    }
     children.feed(state);
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderAnswers.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderAnswers.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.consensus.RaftAction.Refusal;
 import org.teaseltrestle.model.ReplicaId;
@@ -25,6 +26,13 @@
         .build();
   }
 
+  static LeaderAnswer awaited(List<String> instances) {
+    return LeaderAnswer.newBuilder()
+        .setStatus(LeaderAnswer.Status.ANSWERED)
+        .addAllAwaited(instances)
+        .build();
+  }
+
   static LeaderAnswer refused(Refusal refusal, @Nullable ReplicaId leader) {
     LeaderAnswer.Status status =
         switch (refusal) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderClient.java
@@ -1,9 +1,11 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.wire.ChangeQuery;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.LeaderAnswer;
@@ -46,6 +48,15 @@
         .thenApply(answer -> toReport(index, answer));
   }
 
+  /** Returns the instances that must apply a change before it may be acknowledged. */
+  CompletableFuture<List<String>> awaitedInstances(long index) {
+    long deadline = clock.nowNanos() + CONFIRMATION_TIMEOUT_NANOS;
+    byte[] query = ChangeQuery.newBuilder().setIndex(index).build().toByteArray();
+    return calls
+        .call(LeaderRequest.AWAITED, query, deadline)
+        .thenApply(answer -> List.copyOf(answer.getAwaitedList()));
+  }
+
   private WithdrawalReport toReport(long index, LeaderAnswer answer) {
     long now = clock.nowNanos();
     return new WithdrawalReport(
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -9,12 +9,17 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.consensus.Configuration;
 import org.teaseltrestle.consensus.RaftAction.Refusal;
+import org.teaseltrestle.control.leader.AcknowledgementBarrier;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.kernel.WallClock;
+import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.ReplicaId;
+import org.teaseltrestle.wire.ChangeQuery;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.InstanceRecord;
@@ -48,6 +53,7 @@
   private volatile List<PoolDemand> poolDemand = List.of();
   private final Set<String> retiring = new HashSet<>();
   private @Nullable KeyLeaseRegistry keyLeases;
+  private @Nullable AcknowledgementBarrier barrier;
   private long nextRequest;
   private long votersRecordNotBeforeNanos;
 
@@ -78,6 +84,9 @@
   /** Starts a new leadership with empty leases and demand. */
   void onElected() {
     keyLeases = new KeyLeaseRegistry(clock.nowNanos(), settings.keyLeaseNanos(), this::register);
+    barrier =
+        new AcknowledgementBarrier(
+            clock.nowNanos(), LeaseRenewer.longestSilenceNanos(settings.tree()));
     demandBySender.clear();
     retiring.clear();
   }
@@ -107,6 +116,7 @@
 
   void onLeadershipLost() {
     keyLeases = null;
+    barrier = null;
   }
 
   /** Returns the grants for a bundle; no grants unless this replica holds the leader lease. */
@@ -117,6 +127,7 @@
     if (activeLeases == null || !authority.hasLeaderLease(now)) {
       return grants.build();
     }
+    recordProgress(bundle, now);
     demandBySender.put(
         bundle.getInstance(),
         new Demand(AccountShares.toMap(bundle.getDemandList()), bundle.getPoolDemandList(), now));
@@ -141,6 +152,7 @@
       case PROPOSE -> driver.propose(body, reply);
       case CONFIRM -> driver.confirm(reply);
       case WITHDRAWAL -> replyUnconfirmed(body, reply);
+      case AWAITED -> replyAwaited(body, reply);
       default -> throw new IllegalArgumentException(request.name());
     }
   }
@@ -184,6 +196,55 @@
     reply.accept(answer.build());
   }
 
+  private void recordProgress(RenewalBundle bundle, long nowNanos) {
+    AcknowledgementBarrier active = barrier;
+    if (active != null) {
+      bundle
+          .getRenewalsList()
+          .forEach(
+              each ->
+                  active.heard(
+                      each.getInstance(), each.getBoot(), each.getAppliedIndex(), nowNanos));
+    }
+  }
+
+  private void replyAwaited(byte[] body, Consumer<LeaderAnswer> reply) {
+    long now = clock.nowNanos();
+    AcknowledgementBarrier active = barrier;
+    if (active == null || !authority.hasLeaderLease(now)) {
+      reply.accept(LeaderAnswers.refused(Refusal.NOT_LEADER, driver.core().leader()));
+      return;
+    }
+    long index = parseChangeIndex(body);
+    Set<String> voters =
+        driver.core().configuration().voters().stream()
+            .map(ReplicaId::instance)
+            .map(InstanceId::value)
+            .collect(Collectors.toSet());
+    active.heard(settings.instance().value(), settings.boot(), state.appliedIndex(), now);
+    AcknowledgementBarrier.Status status =
+        active.status(index, state.view().instances(), voters, now);
+    if (status.newlyPassed()) {
+      LOG.info(
+          ReplicaEvent.CHANGE_IN_FORCE,
+          "index",
+          index,
+          "applied",
+          state.appliedIndex(),
+          "passedOver",
+          status.passedOver());
+    }
+    reply.accept(LeaderAnswers.awaited(status.awaited()));
+  }
+
+  private static long parseChangeIndex(byte[] body) {
+    try {
+      return ChangeQuery.parseFrom(body).getIndex();
+    } catch (InvalidProtocolBufferException e) {
+      return Long.MAX_VALUE;
+    }
+  }
+
   private static long parseIndex(byte[] body) {
     try {
       return WithdrawalQuery.parseFrom(body).getIndex();
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderRequest.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderRequest.java
@@ -10,7 +10,9 @@
   /** Empty body; the response has an index that a quorum has confirmed as committed. */
   CONFIRM(2),
   /** Body: WithdrawalQuery. */
-  WITHDRAWAL(3);
+  WITHDRAWAL(3),
+  /** Body: ChangeQuery. */
+  AWAITED(4);
 
   static final String SERVICE = "control";
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -19,6 +19,12 @@
   private static final long OWN_RENEWAL_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
   private static final long CHILD_RENEWALS_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
+  /** Time after a change in which the renewals of children are passed on at once. */
+  private static final long PROMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Time in which a node that has lost its parent finds another one. */
+  private static final long PARENT_SEARCH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   /** What this node subscribes to with its bundles. */
   enum Subscription {
     /** The receiver sends the committed log. */
@@ -37,6 +43,7 @@
   private boolean entriesMissing;
   private long nextOwnRenewalNanos;
   private long nextChildRenewalsNanos;
+  private long promptUntilNanos;
 
   LeaseRenewer(
       ControlPlaneSettings settings,
@@ -52,6 +59,12 @@
     this.children = children;
     this.nextOwnRenewalNanos = nowNanos;
     this.nextChildRenewalsNanos = nowNanos;
+    this.promptUntilNanos = nowNanos;
+  }
+
+  /** Returns the longest time between two renewals of a node that changes its parent once. */
+  static long longestSilenceNanos(DisseminationTreeSettings tree) {
+    return OWN_RENEWAL_INTERVAL_NANOS + tree.parentTimeoutNanos() + PARENT_SEARCH_NANOS;
   }
 
   boolean isDue(long nowNanos) {
@@ -69,6 +82,13 @@
     nextOwnRenewalNanos = nowNanos;
   }
 
+  /** Makes the leader learn soon which instances have applied a change. */
+  void reportPromptly(long nowNanos) {
+    makeDueNow(nowNanos);
+    nextChildRenewalsNanos = nowNanos;
+    promptUntilNanos = nowNanos + PROMPT_NANOS;
+  }
+
   /** Asks the parent, with the next bundle, for the entries after the applied index. */
   void requestMissingEntries(long nowNanos) {
     entriesMissing = true;
@@ -97,7 +117,8 @@
             .setEntriesMissing(entriesMissing)
             .addAllRenewals(children.drainRenewals());
     entriesMissing = false;
-    nextChildRenewalsNanos = nowNanos + CHILD_RENEWALS_INTERVAL_NANOS;
+    boolean prompt = nowNanos - promptUntilNanos < 0;
+    nextChildRenewalsNanos = prompt ? nowNanos : nowNanos + CHILD_RENEWALS_INTERVAL_NANOS;
     if (nowNanos - nextOwnRenewalNanos >= 0) {
       nextOwnRenewalNanos = nowNanos + OWN_RENEWAL_INTERVAL_NANOS;
       ownDemand = shares.collectDemand();
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -25,7 +25,9 @@
       3018, "no recent news of the committed log; requests may be decided by an older version"),
   KNOWLEDGE_RECENT(3019, "news of the committed log is recent again"),
   LEADER_HEARD(3020, "this instance has heard of another leader; waiting calls are sent to it"),
-  VOTERS_RECORDED(3021, "voters of the group changed and are being recorded for all nodes");
+  VOTERS_RECORDED(3021, "voters of the group changed and are being recorded for all nodes"),
+  CHANGE_IN_FORCE(
+      3022, "change may be acknowledged: all instances but those that are passed over obey it");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -61,6 +61,7 @@
   private final DutyThread<Runnable> duty;
   private final DutyInbox inbox;
   private long publishedIndex;
+  private long reportedConfigurationIndex;
   private volatile KnownState known = KnownState.UNKNOWN;
   private final KnowledgeWatch knowledgeWatch;
   private volatile boolean stopped;
@@ -180,6 +181,11 @@
     return leader.confirmedIndex();
   }
 
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long index) {
+    return leader.awaitedInstances(index);
+  }
+
   @Override
   public CompletableFuture<WithdrawalReport> withdrawalReport(long index) {
     return leader.withdrawalReport(index);
@@ -247,6 +253,10 @@
       publishedIndex = state.appliedIndex();
       addresses.update(state.view());
     }
+    if (state.lastConfigurationIndex() > reportedConfigurationIndex) {
+      reportedConfigurationIndex = state.lastConfigurationIndex();
+      leaseRenewer.reportPromptly(context.clock().nowNanos());
+    }
     updateKnown();
     children.feed(state);
     publishStatus();
--- a/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationService.java
+++ b/node/src/main/java/org/teaseltrestle/node/serving/ServingConfigurationService.java
@@ -28,6 +28,9 @@
   private static final EventLog LOG = EventLog.of(ServingConfigurationService.class);
   private static final long POLL_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
+  /** Time between two questions to the leader whether a change is in force. */
+  private static final long QUESTION_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
   private final ControlGateway control;
   private final Function<byte[], ServingConfiguration> parser;
   private final Function<ConfigurationProblem, String> describer;
@@ -37,11 +40,11 @@
 
   /** Outcome of publishing a configuration. */
   public enum Outcome {
-    /** The configuration, or one with the same or a higher version, is committed. */
+    /** The configuration, or one with the same or a higher version, is committed and in force. */
     ACCEPTED,
     /** The configuration is invalid and will never be in effect. */
     INVALID,
-    /** No response in time: the configuration may still be committed; it is safe to retry. */
+    /** Not known to be in force in time: it may be committed already; it is safe to retry. */
     UNKNOWN
   }
 
@@ -80,7 +83,11 @@
     this.responseTimeoutNanos = responseTimeoutNanos;
   }
 
-  /** Validates a configuration and commits it; a lower or equal version has no effect. */
+  /**
+   * Validates a configuration, commits it and waits until it is in force at all instances that the
+   * leader hears of; a lower or equal version has no effect. An instance that goes on running obeys
+   * an accepted configuration, whatever happens to the leader.
+   */
   public PublishResult publish(byte[] document) {
     ServingConfiguration parsed;
     try {
@@ -92,8 +99,23 @@
     if (!problems.isEmpty()) {
       return invalid(parsed.version(), problems);
     }
-    Outcome outcome = commit(parsed.version(), document);
-    LOG.info(ServingEvent.CONFIGURATION_ANSWERED, "version", parsed.version(), "outcome", outcome);
+    long receivedAtNanos = clock.nowNanos();
+    long deadlineNanos = receivedAtNanos + responseTimeoutNanos;
+    long index = commit(parsed.version(), document, deadlineNanos).orElse(0L);
+    List<String> awaited = index == 0 ? List.of() : awaitInForce(index, deadlineNanos);
+    Outcome outcome = index > 0 && awaited.isEmpty() ? Outcome.ACCEPTED : Outcome.UNKNOWN;
+    LOG.info(
+        ServingEvent.CONFIGURATION_ANSWERED,
+        "version",
+        parsed.version(),
+        "outcome",
+        outcome,
+        "index",
+        index,
+        "awaited",
+        awaited,
+        "afterMillis",
+        TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - receivedAtNanos));
     return new PublishResult(outcome, List.of());
   }
 
@@ -127,7 +149,8 @@
     return new PublishResult(Outcome.INVALID, problems);
   }
 
-  private Outcome commit(long version, byte[] document) {
+  /** Returns the log index of the committed change, empty if it is not known in time. */
+  private Optional<Long> commit(long version, byte[] document, long deadlineNanos) {
     CRC32C digest = new CRC32C();
     digest.update(document);
     Command command =
@@ -139,10 +162,22 @@
                     .setVersion(version)
                     .setDocument(ByteString.copyFrom(document)))
             .build();
-    return await(control.propose(command), clock.nowNanos() + responseTimeoutNanos)
+    return await(control.propose(command), deadlineNanos)
         .filter(answer -> answer.getStatus() == CommandAnswer.Status.ACCEPTED)
-        .map(answer -> Outcome.ACCEPTED)
-        .orElse(Outcome.UNKNOWN);
+        .map(CommandAnswer::getAppliedIndex);
+  }
+
+  /** Waits for a change and returns the instances that do not obey it by the deadline. */
+  private List<String> awaitInForce(long index, long deadlineNanos) {
+    List<String> awaited = List.of("leader");
+    while (clock.nowNanos() - deadlineNanos < 0) {
+      awaited = await(control.awaitedInstances(index), deadlineNanos).orElse(awaited);
+      if (awaited.isEmpty()) {
+        break;
+      }
+      LockSupport.parkNanos(QUESTION_INTERVAL_NANOS);
+    }
+    return awaited;
   }
 
   private <T> Optional<T> await(CompletableFuture<T> future, long deadlineNanos) {
--- a/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
+++ b/node/src/test/java/org/teaseltrestle/node/orders/FakeControlPlane.java
@@ -102,6 +102,11 @@
         : Optional.empty();
   }
 
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long atIndex) {
+    return CompletableFuture.completedFuture(List.of());
+  }
+
   @Override
   public CompletableFuture<Long> confirmedIndex() {
     return CompletableFuture.completedFuture(view.appliedIndex());
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -100,6 +100,11 @@
         : new ServingDocument(documentVersion, document);
   }
 
+  @Override
+  public CompletableFuture<List<String>> awaitedInstances(long atIndex) {
+    return CompletableFuture.completedFuture(List.of());
+  }
+
   @Override
   public CompletableFuture<Long> confirmedIndex() {
     return CompletableFuture.completedFuture(appliedIndex());
--- a/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/FallbackControlPlaneTest.java
@@ -120,6 +120,11 @@
       return Optional.empty();
     }
 
+    @Override
+    public CompletableFuture<List<String>> awaitedInstances(long atIndex) {
+      return CompletableFuture.completedFuture(List.of());
+    }
+
     @Override
     public CompletableFuture<Long> confirmedIndex() {
       throw new UnsupportedOperationException();
--- a/node/src/test/java/org/teaseltrestle/node/serving/ServingConfigurationViewTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/serving/ServingConfigurationViewTest.java
@@ -116,6 +116,11 @@
       throw new UnsupportedOperationException();
     }
 
+    @Override
+    public CompletableFuture<List<String>> awaitedInstances(long atIndex) {
+      return CompletableFuture.completedFuture(List.of());
+    }
+
     @Override
     public CompletableFuture<Long> confirmedIndex() {
       return CompletableFuture.completedFuture(index);
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -41,6 +41,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_WithdrawalQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_ChangeQuery_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_ChangeQuery_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_LeaseRenewal_descriptor;
   static final 
@@ -100,48 +105,49 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014follow.proto\022\007trestle\032\rcontrol.proto\"\236" +
+      "\n\014follow.proto\022\007trestle\032\rcontrol.proto\"\257" +
       "\002\n\014LeaderAnswer\022,\n\006status\030\001 \001(\0162\034.trestl" +
       "e.LeaderAnswer.Status\022\016\n\006leader\030\002 \001(\t\022&\n" +
       "\006answer\030\003 \001(\0132\026.trestle.CommandAnswer\022\027\n" +
       "\017confirmed_index\030\004 \001(\004\0221\n\013unconfirmed\030\005 " +
-      "\003(\0132\034.trestle.UnconfirmedInstance\"\\\n\006Sta" +
-      "tus\022\017\n\013UNSPECIFIED\020\000\022\014\n\010ANSWERED\020\001\022\016\n\nNO" +
-      "T_LEADER\020\002\022\016\n\nOVERLOADED\020\003\022\023\n\017OUTCOME_UN" +
-      "KNOWN\020\004\"D\n\023UnconfirmedInstance\022\020\n\010instan" +
-      "ce\030\001 \001(\t\022\033\n\023lease_ends_in_nanos\030\002 \001(\003\" \n" +
-      "\017WithdrawalQuery\022\r\n\005index\030\001 \001(\004\"\213\001\n\014Leas" +
-      "eRenewal\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006" +
-      "\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rsent_at_nanos" +
-      "\030\004 \001(\020\022-\n\014registration\030\005 \001(\0132\027.trestle.I" +
-      "nstanceRecord\";\n\rAccountDemand\022\017\n\007accoun" +
-      "t\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(\001\"\200\001\n\nP" +
-      "oolDemand\022\014\n\004pool\030\001 \001(\t\022!\n\031prefill_token" +
-      "s_per_second\030\002 \001(\001\022 \n\030decode_tokens_per_" +
-      "second\030\003 \001(\001\022\037\n\027cheap_tokens_per_second\030" +
-      "\004 \001(\001\"\231\002\n\rRenewalBundle\022\020\n\010instance\030\001 \001(" +
-      "\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025" +
-      "\n\rreply_address\030\004 \001(\t\022\'\n\010renewals\030\005 \003(\0132" +
-      "\025.trestle.LeaseRenewal\022&\n\006demand\030\006 \003(\0132\026" +
-      ".trestle.AccountDemand\022\017\n\007follows\030\007 \001(\010\022" +
-      "(\n\013pool_demand\030\010 \003(\0132\023.trestle.PoolDeman" +
-      "d\022\027\n\017entries_missing\030\t \001(\010\022\025\n\rsent_at_na" +
-      "nos\030\n \001(\020\"C\n\nLeaseGrant\022\020\n\010instance\030\001 \001(" +
-      "\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nanos\030\003 \001(\020\"~" +
-      "\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132\023.trestle." +
-      "LeaseGrant\022,\n\014total_demand\030\002 \003(\0132\026.trest" +
-      "le.AccountDemand\022\034\n\024registered_instances" +
-      "\030\003 \001(\r\"/\n\rLoggedCommand\022\r\n\005index\030\001 \001(\004\022\017" +
-      "\n\007command\030\002 \001(\014\"@\n\nLeaderNews\022\020\n\010instanc" +
-      "e\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022\n\nage_millis\030\003 \001(" +
-      "\004\"\312\001\n\021CommittedCommands\022(\n\010commands\030\001 \003(" +
-      "\0132\026.trestle.LoggedCommand\022\025\n\rapplied_ind" +
-      "ex\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\022\030\n\020roo" +
-      "t_age_unknown\030\004 \001(\010\022#\n\006leader\030\005 \001(\0132\023.tr" +
-      "estle.LeaderNews\022\034\n\024bundle_sent_at_nanos" +
-      "\030\006 \001(\020\"9\n\016CommittedState\022\025\n\rapplied_inde" +
-      "x\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014B\032\n\026org.teaselt" +
-      "restle.wireP\001b\006proto3"
+      "\003(\0132\034.trestle.UnconfirmedInstance\022\017\n\007awa" +
+      "ited\030\006 \003(\t\"\\\n\006Status\022\017\n\013UNSPECIFIED\020\000\022\014\n" +
+      "\010ANSWERED\020\001\022\016\n\nNOT_LEADER\020\002\022\016\n\nOVERLOADE" +
+      "D\020\003\022\023\n\017OUTCOME_UNKNOWN\020\004\"D\n\023UnconfirmedI" +
+      "nstance\022\020\n\010instance\030\001 \001(\t\022\033\n\023lease_ends_" +
+      "in_nanos\030\002 \001(\003\" \n\017WithdrawalQuery\022\r\n\005ind" +
+      "ex\030\001 \001(\004\"\034\n\013ChangeQuery\022\r\n\005index\030\001 \001(\004\"\213" +
+      "\001\n\014LeaseRenewal\022\020\n\010instance\030\001 \001(\t\022\014\n\004boo" +
+      "t\030\002 \001(\006\022\025\n\rapplied_index\030\003 \001(\004\022\025\n\rsent_a" +
+      "t_nanos\030\004 \001(\020\022-\n\014registration\030\005 \001(\0132\027.tr" +
+      "estle.InstanceRecord\";\n\rAccountDemand\022\017\n" +
+      "\007account\030\001 \001(\t\022\031\n\021tokens_per_second\030\002 \001(" +
+      "\001\"\200\001\n\nPoolDemand\022\014\n\004pool\030\001 \001(\t\022!\n\031prefil" +
+      "l_tokens_per_second\030\002 \001(\001\022 \n\030decode_toke" +
+      "ns_per_second\030\003 \001(\001\022\037\n\027cheap_tokens_per_" +
+      "second\030\004 \001(\001\"\231\002\n\rRenewalBundle\022\020\n\010instan" +
+      "ce\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rapplied_index\030" +
+      "\003 \001(\004\022\025\n\rreply_address\030\004 \001(\t\022\'\n\010renewals" +
+      "\030\005 \003(\0132\025.trestle.LeaseRenewal\022&\n\006demand\030" +
+      "\006 \003(\0132\026.trestle.AccountDemand\022\017\n\007follows" +
+      "\030\007 \001(\010\022(\n\013pool_demand\030\010 \003(\0132\023.trestle.Po" +
+      "olDemand\022\027\n\017entries_missing\030\t \001(\010\022\025\n\rsen" +
+      "t_at_nanos\030\n \001(\020\"C\n\nLeaseGrant\022\020\n\010instan" +
+      "ce\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nanos\030" +
+      "\003 \001(\020\"~\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132\023.t" +
+      "restle.LeaseGrant\022,\n\014total_demand\030\002 \003(\0132" +
+      "\026.trestle.AccountDemand\022\034\n\024registered_in" +
+      "stances\030\003 \001(\r\"/\n\rLoggedCommand\022\r\n\005index\030" +
+      "\001 \001(\004\022\017\n\007command\030\002 \001(\014\"@\n\nLeaderNews\022\020\n\010" +
+      "instance\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022\n\nage_mill" +
+      "is\030\003 \001(\004\"\312\001\n\021CommittedCommands\022(\n\010comman" +
+      "ds\030\001 \003(\0132\026.trestle.LoggedCommand\022\025\n\rappl" +
+      "ied_index\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004" +
+      "\022\030\n\020root_age_unknown\030\004 \001(\010\022#\n\006leader\030\005 \001" +
+      "(\0132\023.trestle.LeaderNews\022\034\n\024bundle_sent_a" +
+      "t_nanos\030\006 \001(\020\"9\n\016CommittedState\022\025\n\rappli" +
+      "ed_index\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014B\032\n\026org." +
+      "teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -153,7 +159,7 @@
     internal_static_trestle_LeaderAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaderAnswer_descriptor,
-        new java.lang.String[] { "Status", "Leader", "Answer", "ConfirmedIndex", "Unconfirmed", });
+        new java.lang.String[] { "Status", "Leader", "Answer", "ConfirmedIndex", "Unconfirmed", "Awaited", });
     internal_static_trestle_UnconfirmedInstance_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_trestle_UnconfirmedInstance_fieldAccessorTable = new
@@ -166,62 +172,68 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_WithdrawalQuery_descriptor,
         new java.lang.String[] { "Index", });
-    internal_static_trestle_LeaseRenewal_descriptor =
+    internal_static_trestle_ChangeQuery_descriptor =
       getDescriptor().getMessageTypes().get(3);
+    internal_static_trestle_ChangeQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_ChangeQuery_descriptor,
+        new java.lang.String[] { "Index", });
+    internal_static_trestle_LeaseRenewal_descriptor =
+      getDescriptor().getMessageTypes().get(4);
     internal_static_trestle_LeaseRenewal_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaseRenewal_descriptor,
         new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "SentAtNanos", "Registration", });
     internal_static_trestle_AccountDemand_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_trestle_AccountDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_AccountDemand_descriptor,
         new java.lang.String[] { "Account", "TokensPerSecond", });
     internal_static_trestle_PoolDemand_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_trestle_PoolDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PoolDemand_descriptor,
         new java.lang.String[] { "Pool", "PrefillTokensPerSecond", "DecodeTokensPerSecond", "CheapTokensPerSecond", });
     internal_static_trestle_RenewalBundle_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_trestle_RenewalBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RenewalBundle_descriptor,
         new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", "EntriesMissing", "SentAtNanos", });
     internal_static_trestle_LeaseGrant_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_trestle_LeaseGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaseGrant_descriptor,
         new java.lang.String[] { "Instance", "Boot", "SentAtNanos", });
     internal_static_trestle_GrantBundle_descriptor =
-      getDescriptor().getMessageTypes().get(8);
+      getDescriptor().getMessageTypes().get(9);
     internal_static_trestle_GrantBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_GrantBundle_descriptor,
         new java.lang.String[] { "Grants", "TotalDemand", "RegisteredInstances", });
     internal_static_trestle_LoggedCommand_descriptor =
-      getDescriptor().getMessageTypes().get(9);
+      getDescriptor().getMessageTypes().get(10);
     internal_static_trestle_LoggedCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LoggedCommand_descriptor,
         new java.lang.String[] { "Index", "Command", });
     internal_static_trestle_LeaderNews_descriptor =
-      getDescriptor().getMessageTypes().get(10);
+      getDescriptor().getMessageTypes().get(11);
     internal_static_trestle_LeaderNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaderNews_descriptor,
         new java.lang.String[] { "Instance", "Term", "AgeMillis", });
     internal_static_trestle_CommittedCommands_descriptor =
-      getDescriptor().getMessageTypes().get(11);
+      getDescriptor().getMessageTypes().get(12);
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
         new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", "BundleSentAtNanos", });
     internal_static_trestle_CommittedState_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedState_descriptor,
--- a/wire/src/main/java/org/teaseltrestle/wire/LeaderAnswer.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LeaderAnswer.java
@@ -35,6 +35,8 @@
     status_ = 0;
     leader_ = "";
     unconfirmed_ = java.util.Collections.emptyList();
+    awaited_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -398,6 +400,59 @@
     return unconfirmed_.get(index);
   }
 
+  public static final int AWAITED_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList awaited_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @return A list containing the awaited.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getAwaitedList() {
+    return awaited_;
+  }
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @return The count of awaited.
+   */
+  public int getAwaitedCount() {
+    return awaited_.size();
+  }
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @param index The index of the element to return.
+   * @return The awaited at the given index.
+   */
+  public java.lang.String getAwaited(int index) {
+    return awaited_.get(index);
+  }
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the awaited at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getAwaitedBytes(int index) {
+    return awaited_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -427,6 +482,9 @@
     for (int i = 0; i < unconfirmed_.size(); i++) {
       output.writeMessage(5, unconfirmed_.get(i));
     }
+    for (int i = 0; i < awaited_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, awaited_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -455,6 +513,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, unconfirmed_.get(i));
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < awaited_.size(); i++) {
+        dataSize += computeStringSizeNoTag(awaited_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getAwaitedList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -482,6 +548,8 @@
         != other.getConfirmedIndex()) return false;
     if (!getUnconfirmedList()
         .equals(other.getUnconfirmedList())) return false;
+    if (!getAwaitedList()
+        .equals(other.getAwaitedList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -508,6 +576,10 @@
       hash = (37 * hash) + UNCONFIRMED_FIELD_NUMBER;
       hash = (53 * hash) + getUnconfirmedList().hashCode();
     }
+    if (getAwaitedCount() > 0) {
+      hash = (37 * hash) + AWAITED_FIELD_NUMBER;
+      hash = (53 * hash) + getAwaitedList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -665,6 +737,8 @@
         unconfirmedBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      awaited_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -727,6 +801,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.confirmedIndex_ = confirmedIndex_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        awaited_.makeImmutable();
+        result.awaited_ = awaited_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -782,6 +860,16 @@
           }
         }
       }
+      if (!other.awaited_.isEmpty()) {
+        if (awaited_.isEmpty()) {
+          awaited_ = other.awaited_;
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureAwaitedIsMutable();
+          awaited_.addAll(other.awaited_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -843,6 +931,12 @@
               }
               break;
             } // case 42
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureAwaitedIsMutable();
+              awaited_.add(s);
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1516,6 +1610,153 @@
       return unconfirmedBuilder_;
     }
 
+    private com.google.protobuf.LazyStringArrayList awaited_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureAwaitedIsMutable() {
+      if (!awaited_.isModifiable()) {
+        awaited_ = new com.google.protobuf.LazyStringArrayList(awaited_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @return A list containing the awaited.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getAwaitedList() {
+      awaited_.makeImmutable();
+      return awaited_;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @return The count of awaited.
+     */
+    public int getAwaitedCount() {
+      return awaited_.size();
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param index The index of the element to return.
+     * @return The awaited at the given index.
+     */
+    public java.lang.String getAwaited(int index) {
+      return awaited_.get(index);
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the awaited at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getAwaitedBytes(int index) {
+      return awaited_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The awaited to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAwaited(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureAwaitedIsMutable();
+      awaited_.set(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param value The awaited to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAwaited(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureAwaitedIsMutable();
+      awaited_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param values The awaited to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllAwaited(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureAwaitedIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, awaited_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAwaited() {
+      awaited_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000020);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set for a query of a change: instances that must apply it before it may be acknowledged.
+     * </pre>
+     *
+     * <code>repeated string awaited = 6;</code>
+     * @param value The bytes of the awaited to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAwaitedBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureAwaitedIsMutable();
+      awaited_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.LeaderAnswer)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/LeaderAnswerOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LeaderAnswerOrBuilder.java
@@ -121,4 +121,45 @@
    */
   org.teaseltrestle.wire.UnconfirmedInstanceOrBuilder getUnconfirmedOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @return A list containing the awaited.
+   */
+  java.util.List<java.lang.String>
+      getAwaitedList();
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @return The count of awaited.
+   */
+  int getAwaitedCount();
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @param index The index of the element to return.
+   * @return The awaited at the given index.
+   */
+  java.lang.String getAwaited(int index);
+  /**
+   * <pre>
+   * Set for a query of a change: instances that must apply it before it may be acknowledged.
+   * </pre>
+   *
+   * <code>repeated string awaited = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the awaited at the given index.
+   */
+  com.google.protobuf.ByteString
+      getAwaitedBytes(int index);
 }
