Refuse a request under which three servers were lost, wherever it comes

Cause: the quarantine counted losses by the shared parts of a prompt. A call of a plain service has none, and the part that belongs to a request alone was left out, so that nothing tied the loss of a server to the request that comes again. Losses within 200 ms counted once, also if the second server was lost to a request that was sent after the first loss. Change: a fingerprint of method, host, target, client account and body is counted beside the parts. Losses are independent if the request was sent after the earlier one; reports carry both times. What a node has seen itself counts at once. Any complete response below 500 clears a fingerprint. Refusals have the code request_quarantined, are not run and have a Retry-After. PromptQuarantine is now CrashQuarantine. Why it works: the fingerprint is the same at each node, and a crashing request is never answered while what ran beside it is.

--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -297,6 +297,21 @@
         .build();
   }
 
+  /** Reports a request that was sent to a server and lost with it, by the reporter's clock. */
+  static Command lostRequest(long sentAtMillis, long lostAtMillis, String server, long suspect) {
+    return Command.newBuilder()
+        .setProposedAtMillis(lostAtMillis)
+        .setReportPromptParts(
+            ReportPromptParts.newBuilder()
+                .addLost(
+                    LostPromptParts.newBuilder()
+                        .setBackendServer(server)
+                        .setSentAtMillis(sentAtMillis)
+                        .setLostAtMillis(lostAtMillis)
+                        .addParts(suspect)))
+        .build();
+  }
+
   /** Reports the parts of answered prompts. */
   static Command answeredParts(long atMillis, Long... parts) {
     return Command.newBuilder()
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -268,6 +268,31 @@
       assertEquals(losses(7), 1);
     }
 
+    /** Guards against a request that crashes servers in such a row that it counts as one loss. */
+    @Test
+    public void lossOfRequestSentAfterEarlierOneCounts() {
+      expect(Status.ACCEPTED, Commands.lostRequest(1_000, 1_050, "s1", 7L));
+      expect(Status.ACCEPTED, Commands.lostRequest(1_050, 1_100, "s2", 7L));
+      expect(Status.ACCEPTED, Commands.lostRequest(1_090, 1_150, "s3", 7L));
+      assertEquals(losses(7), 2);
+    }
+
+    /** Guards against a suspect that is never forgotten although its request comes no more. */
+    @Test
+    public void oldSuspectsAreForgotten() {
+      expect(Status.ACCEPTED, Commands.lostParts(1_000, "s1", 7L));
+      for (int i = 0; i < 3; i++) {
+        expect(Status.ACCEPTED, Commands.lostParts(1_000 * i, "s" + i, 8L));
+      }
+      long later = 3_000 + SuspectPartsArea.RETENTION_MILLIS;
+      expect(Status.ACCEPTED, Commands.lostParts(later, "s1", 9L));
+      assertEquals(losses(7), 0);
+      assertEquals(losses(8), 3);
+      later += SuspectPartsArea.QUARANTINE_RETENTION_MILLIS;
+      expect(Status.ACCEPTED, Commands.lostParts(later, "s1", 9L));
+      assertEquals(losses(8), 0);
+    }
+
     /** Guards against losses that are not counted because one reporter's clock had jumped ahead. */
     @Test
     public void clockThatJumpsHidesNoLoss() {
--- a/node/src/main/java/org/teaseltrestle/node/relay/CompletionHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CompletionHandler.java
@@ -94,7 +94,17 @@
         completion.prompt().tokens(),
         completion.expectedOutputTokens(),
         completion.prompt().prefixHashes(context.directory().pieceTokens(model.pool())),
+        fingerprint(caller, completion),
         arrivedAtNanos + TimeUnit.MILLISECONDS.toNanos(plan.firstTokenMilliseconds()),
         ThreadLocalRandom.current().nextLong());
   }
+
+  private static long fingerprint(Caller caller, CompletionRequest completion) {
+    return RequestFingerprint.of(
+        "POST",
+        "",
+        completion.endpoint().name(),
+        caller.account(),
+        completion.bodyResumingAfter(0));
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/PromptPartReporter.java
@@ -3,12 +3,11 @@
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.MetricRegistry;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.EventLog;
@@ -19,22 +18,22 @@
 import org.teaseltrestle.wire.ReportPromptParts;
 
 /**
- * Commits what this instance sees of prompt parts that may crash servers, one command at a time;
- * what is added meanwhile goes out with the next one. A command that failed is sent again
- * unchanged. Confined to the admission thread, except for the answers to commands.
+ * Commits what this instance sees of requests and prompt parts that may crash servers, one command
+ * at a time; what is added meanwhile goes out with the next one. A command that failed is sent
+ * again unchanged. Confined to the admission thread, except for the answers to commands.
  */
 final class PromptPartReporter {
 
   private static final EventLog LOG = EventLog.of(PromptPartReporter.class);
 
-  /** Maximum number of servers, and of answered parts, that wait to be reported. */
+  /** Maximum number of lost requests, and of answered parts, that wait to be reported. */
   private static final int MAXIMUM_PENDING = 256;
 
   private final WallClock wallClock;
   private final CommandSender sender;
   private final Counter losses;
   private final Counter answers;
-  private final Map<String, Set<Long>> lost = new LinkedHashMap<>();
+  private final List<LostPromptParts> lost = new ArrayList<>();
   private final Set<Long> answered = new LinkedHashSet<>();
 
   PromptPartReporter(ControlGateway control, WallClock wallClock, MetricRegistry metrics) {
@@ -47,9 +46,15 @@
   /** Adds the parts of a request whose server was lost. */
   void add(AdmissionAction.ReportLostParts report) {
     losses.inc(report.parts().size());
-    if (lost.size() < MAXIMUM_PENDING || lost.containsKey(report.server().value())) {
-      lost.computeIfAbsent(report.server().value(), server -> new LinkedHashSet<>())
-          .addAll(report.parts());
+    if (lost.size() < MAXIMUM_PENDING) {
+      long lostAtMillis = wallClock.nowMillis();
+      lost.add(
+          LostPromptParts.newBuilder()
+              .setBackendServer(report.server().value())
+              .addAllParts(report.parts())
+              .setLostAtMillis(lostAtMillis)
+              .setSentAtMillis(lostAtMillis - TimeUnit.NANOSECONDS.toMillis(report.ranNanos()))
+              .build());
     } else {
       LOG.warn(RelayEvent.PROMPT_PARTS_DROPPED, "server", report.server());
     }
@@ -75,15 +80,12 @@
       return null;
     }
     ReportPromptParts.Builder report = ReportPromptParts.newBuilder();
-    lost.forEach(
-        (server, parts) ->
-            report.addLost(
-                LostPromptParts.newBuilder().setBackendServer(server).addAllParts(parts)));
+    report.addAllLost(lost);
     report.addAllAnsweredParts(answered);
     LOG.info(
         RelayEvent.PROMPT_PARTS_REPORTED,
         "servers",
-        List.copyOf(lost.keySet()),
+        lost.stream().map(LostPromptParts::getBackendServer).distinct().toList(),
         "answered",
         hexadecimal(answered));
     lost.clear();
--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestLifecycle.java
@@ -74,7 +74,11 @@
     if (action instanceof AdmissionAction.Refuse refuse) {
       settled = true;
       String parts =
-          refuse.code() == RefusalCode.PROMPT_QUARANTINED ? " " + hexadecimalParts() : "";
+          switch (refuse.code()) {
+            case PROMPT_QUARANTINED -> " " + hexadecimalParts();
+            case REQUEST_QUARANTINED -> " " + Long.toHexString(work.fingerprint());
+            default -> "";
+          };
       throw refusal(
           refuse.code(), "the request was refused: " + refuse.code().wireName() + parts, refuse);
     }
@@ -133,6 +137,8 @@
           kind,
           "parts",
           loggedParts(kind),
+          "fingerprint",
+          kind.isConnectionLost() ? Long.toHexString(work.fingerprint()) : "none",
           "reason",
           String.valueOf(failure.getMessage()));
       reportToDirectory(dispatch, kind);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -169,7 +169,14 @@
             body,
             arrivedAtNanos,
             deadline(route, incoming, arrivedAtNanos));
-    WorkRequest work = work(id, request, account, sample, runsModels(configuration, route, pool));
+    WorkRequest work =
+        work(
+            id,
+            request,
+            account,
+            fingerprint(request),
+            sample,
+            runsModels(configuration, route, pool));
     run(http, id, request, work, response);
   }
 
@@ -284,6 +291,7 @@
       RequestId id,
       RoutedRequest request,
       @Nullable ServedAccount account,
+      long fingerprint,
       long sample,
       boolean runsModels) {
     ServingRoute route = request.route();
@@ -304,11 +312,22 @@
         incoming.expectedOutputTokens(),
         runsModels ? sharedParts(incoming) : List.of(),
         List.of(),
+        fingerprint,
         request.deadlineNanos(),
         sample,
         terms(route, incoming, priority));
   }
 
+  /** The caller's host field may name the port of this instance, so the route's host counts. */
+  private static long fingerprint(RoutedRequest request) {
+    return RequestFingerprint.of(
+        request.method(),
+        request.route().host(),
+        request.target(),
+        request.account(),
+        request.body());
+  }
+
   /** Returns the hashes of all parts but the last, which belongs to the request or its session. */
   private static List<Long> sharedParts(IncomingRequest incoming) {
     List<PromptPart> parts = incoming.promptParts();
--- a/node/src/main/java/org/teaseltrestle/node/relay/ServiceHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ServiceHandler.java
@@ -196,6 +196,8 @@
         0,
         0,
         List.of(),
+        RequestFingerprint.of(
+            call.method(), call.service().value(), call.target(), caller.account(), call.body()),
         context.clock().nowNanos() + context.settings().serviceTimeout().toNanos(),
         ThreadLocalRandom.current().nextLong());
   }
--- a/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PromptQuarantineTest.java
@@ -58,7 +58,7 @@
       control.reachable = false;
       MetricRegistry metrics = new MetricRegistry();
       PromptPartReporter reporter = new PromptPartReporter(control, control.reportTimes, metrics);
-      reporter.add(new ReportLostParts(new BackendServerId("s1"), List.of(7L)));
+      reporter.add(new ReportLostParts(new BackendServerId("s1"), List.of(7L), 0));
       for (int millis = 0; millis < 400; millis++) {
         reporter.flush(TimeUnit.MILLISECONDS.toNanos(millis));
       }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionAction.java
@@ -45,10 +45,16 @@
   record CancelAttempt(RequestId request, int attempt, BackendServerId server)
       implements AdmissionAction {}
 
-  /** Reports the prompt parts of a request that ran at a backend server when that was lost. */
-  record ReportLostParts(BackendServerId server, List<Long> parts) implements AdmissionAction {}
+  /**
+   * Reports what may have caused the loss of a backend server: prompt parts of a request that ran
+   * there, and its fingerprint.
+   *
+   * @param ranNanos time from the dispatch of the request to the loss, in nanoseconds
+   */
+  record ReportLostParts(BackendServerId server, List<Long> parts, long ranNanos)
+      implements AdmissionAction {}
 
-  /** Reports suspected prompt parts of a request that was answered. */
+  /** Reports suspects, prompt parts or a fingerprint, of a request that was answered. */
   record ReportAnsweredParts(List<Long> parts) implements AdmissionAction {}
 
   /**
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -51,7 +51,7 @@
   private final CostModel costs;
   private final RemotePrefillSelector remotePrefills;
   private final Unservable unservable;
-  private final PromptQuarantine quarantine = new PromptQuarantine();
+  private final CrashQuarantine quarantine = new CrashQuarantine();
   private Map<ClientAccount, PlanLimits> limits = new HashMap<>();
   private long nextSequence;
 
@@ -175,7 +175,7 @@
   private AccountLimiter.@Nullable Denial denial(RequestState request, long nowNanos) {
     if (!quarantine.admit(request.work, nowNanos)) {
       return new AccountLimiter.Denial(
-          RefusalCode.PROMPT_QUARANTINED, quarantine.retryAfter(request.work, nowNanos));
+          quarantine.refusalCode(request.work), quarantine.retryAfter(request.work, nowNanos));
     }
     Duration retryAfter = unservable.retryAfter(request, nowNanos);
     if (retryAfter != null) {
@@ -228,7 +228,12 @@
     fleet.recordOutcome(server, request, failure, nowNanos);
     fleet.removeIfUnlisted(server);
     request.outputTokens += event.outcome().outputTokens();
-    quarantine.reportAttempt(request.work, server.server.id(), event.outcome(), nowNanos, actions);
+    long ranNanos = nowNanos - request.dispatchedAtNanos;
+    quarantine.reportAttempt(
+        request.work, server.server.id(), event.outcome(), ranNanos, nowNanos, actions);
+    if (failure != null && failure.isConnectionLost()) {
+      refuseQuarantined(nowNanos, actions);
+    }
     if (failure == null || request.phase == Phase.CANCELLING) {
       endAfterRun(request);
     } else {
@@ -309,7 +314,8 @@
     if (request != null && request.attempt == event.attempt()) {
       if (request.prefillServer != null) {
         BackendServerId engine = request.prefillServer.server.id();
-        quarantine.reportLoss(request.work, engine, event.failure(), nowNanos, actions);
+        long ranNanos = nowNanos - request.dispatchedAtNanos;
+        quarantine.reportLoss(request.work, engine, event.failure(), ranNanos, nowNanos, actions);
       }
       remotePrefills.finished(request, event.failure(), event.nanos(), nowNanos);
     }
@@ -357,7 +363,7 @@
       if (quarantine.holdsBack(request.work)) {
         refuseWaiting(
             request,
-            request.verifiedCode(RefusalCode.PROMPT_QUARANTINED),
+            request.verifiedCode(quarantine.refusalCode(request.work)),
             request.mayHaveRun() ? null : quarantine.retryAfter(request.work, nowNanos),
             actions);
       }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionEvent.java
@@ -88,10 +88,10 @@
   record RequestsRevoked(Set<RequestId> requests) implements AdmissionEvent {}
 
   /**
-   * The prompt parts that are suspected to crash backend servers changed.
+   * The prompt parts and requests that are suspected to crash backend servers changed.
    *
-   * @param lossesByPart for each part, how often servers that ran it were lost since its last
-   *     answer
+   * @param lossesByPart for each part or fingerprint, how often servers that ran it were lost since
+   *     its last answer
    */
   record SuspectPartsChanged(Map<Long, Integer> lossesByPart) implements AdmissionEvent {}
 
--- a/policy/src/main/java/org/teaseltrestle/policy/AttemptOutcome.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AttemptOutcome.java
@@ -18,7 +18,7 @@
     return failure == null && firstTokenNanos > 0;
   }
 
-  /** Returns whether the response was complete. */
+  /** Returns whether the response was complete, also if it rejects the request. */
   public boolean succeeded() {
     return failure == null;
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.policy;
 
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import org.teaseltrestle.model.ClientAccount;
@@ -21,6 +22,8 @@
  * @param sharedParts hashes of the prompt's parts that other requests may share, in order; empty
  *     for a service call
  * @param prefixHashes hash chain of the prompt's blocks, in hexadecimal; empty for a service call
+ * @param fingerprint hash of all that makes this request what it is, the same at every instance
+ *     that it comes at again; 0 if unknown
  * @param firstTokenDeadlineNanos monotonic time by which the first token, or the response of a
  *     service call, is due
  * @param sampleBits random bits that make entry instances with the same view choose different
@@ -38,6 +41,7 @@
     int expectedOutputTokens,
     List<Long> sharedParts,
     List<String> prefixHashes,
+    long fingerprint,
     long firstTokenDeadlineNanos,
     long sampleBits,
     RequestOptions options) {
@@ -51,7 +55,7 @@
     prefixHashes = List.copyOf(prefixHashes);
   }
 
-  /** Creates a request whose shared parts are the blocks of its hash chain. */
+  /** Creates a request without options whose shared parts are the blocks of its hash chain. */
   public WorkRequest(
       RequestId request,
       ClientAccount account,
@@ -62,6 +66,7 @@
       int promptTokens,
       int expectedOutputTokens,
       List<String> prefixHashes,
+      long fingerprint,
       long firstTokenDeadlineNanos,
       long sampleBits) {
     this(
@@ -75,6 +80,7 @@
         expectedOutputTokens,
         parsedHashes(prefixHashes),
         prefixHashes,
+        fingerprint,
         firstTokenDeadlineNanos,
         sampleBits,
         RequestOptions.NONE);
@@ -85,6 +91,19 @@
     return Math.max(1, promptTokens + expectedOutputTokens);
   }
 
+  /**
+   * Returns what may have caused the loss of a server that ran this request: the shared parts of
+   * its prompt, then the request itself.
+   */
+  List<Long> lossCandidates() {
+    if (fingerprint == 0) {
+      return sharedParts;
+    }
+    List<Long> candidates = new ArrayList<>(sharedParts);
+    candidates.add(fingerprint);
+    return candidates;
+  }
+
   private static List<Long> parsedHashes(List<String> prefixHashes) {
     return Arrays.stream(PrefixIndex.parseHashes(prefixHashes)).boxed().toList();
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/AdmissionMeasurement.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/AdmissionMeasurement.java
@@ -129,6 +129,7 @@
                 plain.promptTokens(),
                 plain.expectedOutputTokens(),
                 prefix,
+                0,
                 plain.firstTokenDeadlineNanos(),
                 plain.sampleBits())));
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/LimitSimulation.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/LimitSimulation.java
@@ -180,6 +180,7 @@
                 0,
                 0,
                 List.of(),
+                0,
                 now + FIRST_DEADLINE_NANOS,
                 random.nextLong())));
     return id;
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -77,6 +77,7 @@
         plain.expectedOutputTokens(),
         affinity == 0 ? List.of() : List.of(affinity),
         plain.prefixHashes(),
+        plain.fingerprint(),
         plain.firstTokenDeadlineNanos(),
         plain.sampleBits(),
         new RequestOptions(attempts, 2, affinity, SHARED_TOKENS));
@@ -294,7 +295,7 @@
           actions,
           List.of(
               new AdmissionAction.ReportLostParts(
-                  Objects.requireNonNull(dispatch.prefillEngine()), List.of(77L))));
+                  Objects.requireNonNull(dispatch.prefillEngine()), List.of(77L), 0)));
     }
 
     /**
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptQuarantineTest.java
@@ -53,6 +53,7 @@
         plain.expectedOutputTokens(),
         List.of(parts),
         List.of(),
+        0,
         plain.firstTokenDeadlineNanos(),
         sampleBits,
         RequestOptions.NONE);
@@ -74,7 +75,7 @@
     @Test
     public void areRefusedAtOnceAndSoundOnesAreSent() {
       Harness harness = harness();
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
       AdmissionAction.Refuse refusal =
           Harness.refusal(harness.arrive(prompt(harness, "r1", COMMON, CRASHING)));
       assertEquals(refusal.code(), RefusalCode.PROMPT_QUARANTINED);
@@ -87,7 +88,7 @@
     @Test
     public void areSentWhileTheyAreOnlySuspected() {
       Harness harness = harness();
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES - 1);
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES - 1);
       Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON, CRASHING)));
     }
 
@@ -96,7 +97,7 @@
     public void areNotRetried() {
       Harness harness = harness();
       Dispatch dispatch = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
       List<AdmissionAction> actions = harness.finish(dispatch, LOST);
       assertEquals(Harness.refusal(actions).code(), RefusalCode.OUTCOME_UNKNOWN);
     }
@@ -112,7 +113,7 @@
       Harness.dispatch(harness.arrive(prompt(harness, "r1", COMMON)));
       assertTrue(harness.arrive(prompt(harness, "r2", CRASHING)).isEmpty());
       AdmissionAction.Refuse refusal =
-          Harness.refusal(suspect(harness, PromptQuarantine.QUARANTINE_LOSSES));
+          Harness.refusal(suspect(harness, CrashQuarantine.QUARANTINE_LOSSES));
       assertEquals(refusal.code(), RefusalCode.PROMPT_QUARANTINED);
     }
   }
@@ -128,7 +129,7 @@
       List<ReportLostParts> reports =
           Harness.actionsOfType(ReportLostParts.class, harness.finish(dispatch, LOST));
       assertEquals(
-          reports, List.of(new ReportLostParts(dispatch.server(), List.of(COMMON, CRASHING))));
+          reports, List.of(new ReportLostParts(dispatch.server(), List.of(COMMON, CRASHING), 0)));
     }
 
     /** Guards against a sound part that stays suspected, and against reports of rejections. */
@@ -148,7 +149,7 @@
     public void answeredPartIsAdmittedBeforeOthersKnow() {
       Harness harness = harness();
       Dispatch running = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
       harness.finish(running, answer());
       Harness.dispatch(harness.arrive(prompt(harness, "r2", CRASHING)));
     }
@@ -206,7 +207,7 @@
       List<AdmissionAction> actions =
           harness.send(
               new AdmissionEvent.SuspectPartsChanged(
-                  Map.of(COMMON, PromptQuarantine.QUARANTINE_LOSSES)));
+                  Map.of(COMMON, CrashQuarantine.QUARANTINE_LOSSES)));
       assertEquals(actions, List.of(new ReportAnsweredParts(List.of(COMMON))));
       Harness.dispatch(harness.arrive(prompt(harness, "r2", COMMON, 4L)));
     }
@@ -217,7 +218,7 @@
       Harness harness = harness();
       answer(harness, "r1", CRASHING);
       harness.now += 3 * Samples.SECOND;
-      assertTrue(suspect(harness, PromptQuarantine.QUARANTINE_LOSSES).isEmpty());
+      assertTrue(suspect(harness, CrashQuarantine.QUARANTINE_LOSSES).isEmpty());
       Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
     }
 
@@ -241,8 +242,8 @@
     @Test
     public void singleRequestIsTriedAfterInterval() {
       Harness harness = harness();
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
-      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
+      harness.now += CrashQuarantine.FIRST_TRIAL_NANOS;
       Dispatch trial = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
       Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
       assertEquals(
@@ -254,8 +255,8 @@
     @Test
     public void requestsDrawTheTimeOfTheirTrial() {
       Harness harness = harness();
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
-      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS + Samples.SECOND;
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
+      harness.now += CrashQuarantine.FIRST_TRIAL_NANOS + Samples.SECOND;
       int admitted = 0;
       Random random = new Random(1);
       for (int i = 0; i < 1_000; i++) {
@@ -268,7 +269,7 @@
       }
       assertTrue(
           admitted > 0 && admitted < 40, "trials one second after the interval: " + admitted);
-      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      harness.now += CrashQuarantine.FIRST_TRIAL_NANOS;
       Harness.dispatch(harness.arrive(sampledPrompt(harness, "last", random.nextLong(), CRASHING)));
     }
 
@@ -276,14 +277,14 @@
     @Test
     public void lostTrialIsNotRetriedAndTheNextOneComesLater() {
       Harness harness = harness();
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES);
-      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES);
+      harness.now += CrashQuarantine.FIRST_TRIAL_NANOS;
       Dispatch trial = Harness.dispatch(harness.arrive(prompt(harness, "r1", CRASHING)));
       Harness.refusal(harness.finish(trial, LOST));
-      suspect(harness, PromptQuarantine.QUARANTINE_LOSSES + 1);
-      harness.now += PromptQuarantine.FIRST_TRIAL_NANOS;
+      suspect(harness, CrashQuarantine.QUARANTINE_LOSSES + 1);
+      harness.now += CrashQuarantine.FIRST_TRIAL_NANOS;
       Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
-      harness.now += 3 * PromptQuarantine.FIRST_TRIAL_NANOS;
+      harness.now += 3 * CrashQuarantine.FIRST_TRIAL_NANOS;
       Harness.dispatch(harness.arrive(prompt(harness, "r3", CRASHING)));
     }
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/ReplicaChoiceTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/ReplicaChoiceTest.java
@@ -123,6 +123,7 @@
         plain.promptTokens(),
         plain.expectedOutputTokens(),
         prefix,
+        0,
         plain.firstTokenDeadlineNanos(),
         0);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/Samples.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/Samples.java
@@ -77,6 +77,7 @@
         prompt,
         output,
         List.of(),
+        0,
         deadlineNanos,
         sampleBits);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/ServedItemsTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/ServedItemsTest.java
@@ -38,6 +38,7 @@
         10,
         10,
         List.of(),
+        0,
         harness.now + Samples.SECOND,
         7);
   }
--- a/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
+++ b/testkit/src/main/java/org/teaseltrestle/testkit/capacity/FleetSlopes.java
@@ -336,6 +336,7 @@
             100,
             200,
             List.of(),
+            0,
             Long.MAX_VALUE / 2,
             number * 0x9E3779B97F4A7C15L);
     List<AdmissionAction> actions = core.handle(new AdmissionEvent.RequestArrived(work), 10);
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -323,19 +323,20 @@
       "(\t\"9\n\024PublishConfiguration\022\017\n\007version\030\001 " +
       "\001(\004\022\020\n\010document\030\002 \001(\014\"S\n\021ReportPromptPar" +
       "ts\022&\n\004lost\030\001 \003(\0132\030.trestle.LostPromptPar" +
-      "ts\022\026\n\016answered_parts\030\002 \003(\006\"8\n\017LostPrompt" +
+      "ts\022\026\n\016answered_parts\030\002 \003(\006\"h\n\017LostPrompt" +
       "Parts\022\026\n\016backend_server\030\001 \001(\t\022\r\n\005parts\030\002" +
-      " \003(\006\"m\n\021SuspectPromptPart\022\014\n\004part\030\001 \001(\006\022" +
-      "\016\n\006losses\030\002 \001(\r\022#\n\006latest\030\003 \003(\0132\023.trestl" +
-      "e.ServerLoss\022\025\n\rchanged_index\030\004 \001(\004\"@\n\nS" +
-      "erverLoss\022\026\n\016backend_server\030\001 \001(\t\022\032\n\022rep" +
-      "orted_at_millis\030\002 \001(\003\"i\n\021ReportServerLim" +
-      "it\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_per_secon" +
-      "d\030\002 \001(\001\022\r\n\005ended\030\003 \001(\010\022\030\n\020replaced_versi" +
-      "on\030\004 \001(\004\"g\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022" +
-      "\033\n\023requests_per_second\030\002 \001(\001\022\017\n\007version\030" +
-      "\003 \001(\004\022\032\n\022reported_at_millis\030\004 \001(\003B\032\n\026org" +
-      ".teaseltrestle.wireP\001b\006proto3"
+      " \003(\006\022\026\n\016lost_at_millis\030\003 \001(\003\022\026\n\016sent_at_" +
+      "millis\030\004 \001(\003\"m\n\021SuspectPromptPart\022\014\n\004par" +
+      "t\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006latest\030\003 \003(\0132" +
+      "\023.trestle.ServerLoss\022\025\n\rchanged_index\030\004 " +
+      "\001(\004\"@\n\nServerLoss\022\026\n\016backend_server\030\001 \001(" +
+      "\t\022\032\n\022reported_at_millis\030\002 \001(\003\"i\n\021ReportS" +
+      "erverLimit\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_p" +
+      "er_second\030\002 \001(\001\022\r\n\005ended\030\003 \001(\010\022\030\n\020replac" +
+      "ed_version\030\004 \001(\004\"g\n\013ServerLimit\022\016\n\006serve" +
+      "r\030\001 \001(\t\022\033\n\023requests_per_second\030\002 \001(\001\022\017\n\007" +
+      "version\030\003 \001(\004\022\032\n\022reported_at_millis\030\004 \001(" +
+      "\003B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -526,7 +527,7 @@
     internal_static_trestle_LostPromptParts_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LostPromptParts_descriptor,
-        new java.lang.String[] { "BackendServer", "Parts", });
+        new java.lang.String[] { "BackendServer", "Parts", "LostAtMillis", "SentAtMillis", });
     internal_static_trestle_SuspectPromptPart_descriptor =
       getDescriptor().getMessageTypes().get(31);
     internal_static_trestle_SuspectPromptPart_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/LostPromptParts.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LostPromptParts.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * Parts of the prompts that ran at a backend server whose connections broke.
+ * Parts of the prompt of one request that ran at a backend server whose connections broke, and the
+ * fingerprint of the request.
  * </pre>
  *
  * Protobuf type {@code trestle.LostPromptParts}
@@ -118,6 +119,33 @@
   }
   private int partsMemoizedSerializedSize = -1;
 
+  public static final int LOST_AT_MILLIS_FIELD_NUMBER = 3;
+  private long lostAtMillis_ = 0L;
+  /**
+   * <pre>
+   * Wall clock of the instance at the loss and at the dispatch of the request, milliseconds since
+   * 1970-01-01T00:00:00Z; 0 in reports of earlier versions.
+   * </pre>
+   *
+   * <code>int64 lost_at_millis = 3;</code>
+   * @return The lostAtMillis.
+   */
+  @java.lang.Override
+  public long getLostAtMillis() {
+    return lostAtMillis_;
+  }
+
+  public static final int SENT_AT_MILLIS_FIELD_NUMBER = 4;
+  private long sentAtMillis_ = 0L;
+  /**
+   * <code>int64 sent_at_millis = 4;</code>
+   * @return The sentAtMillis.
+   */
+  @java.lang.Override
+  public long getSentAtMillis() {
+    return sentAtMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -143,6 +171,12 @@
     for (int i = 0; i < parts_.size(); i++) {
       output.writeFixed64NoTag(parts_.getLong(i));
     }
+    if (lostAtMillis_ != 0L) {
+      output.writeInt64(3, lostAtMillis_);
+    }
+    if (sentAtMillis_ != 0L) {
+      output.writeInt64(4, sentAtMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -166,6 +200,14 @@
       }
       partsMemoizedSerializedSize = dataSize;
     }
+    if (lostAtMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, lostAtMillis_);
+    }
+    if (sentAtMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, sentAtMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -185,6 +227,10 @@
         .equals(other.getBackendServer())) return false;
     if (!getPartsList()
         .equals(other.getPartsList())) return false;
+    if (getLostAtMillis()
+        != other.getLostAtMillis()) return false;
+    if (getSentAtMillis()
+        != other.getSentAtMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -202,6 +248,12 @@
       hash = (37 * hash) + PARTS_FIELD_NUMBER;
       hash = (53 * hash) + getPartsList().hashCode();
     }
+    hash = (37 * hash) + LOST_AT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLostAtMillis());
+    hash = (37 * hash) + SENT_AT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSentAtMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -301,7 +353,8 @@
   }
   /**
    * <pre>
-   * Parts of the prompts that ran at a backend server whose connections broke.
+   * Parts of the prompt of one request that ran at a backend server whose connections broke, and the
+   * fingerprint of the request.
    * </pre>
    *
    * Protobuf type {@code trestle.LostPromptParts}
@@ -339,6 +392,8 @@
       bitField0_ = 0;
       backendServer_ = "";
       parts_ = emptyLongList();
+      lostAtMillis_ = 0L;
+      sentAtMillis_ = 0L;
       return this;
     }
 
@@ -379,6 +434,12 @@
         parts_.makeImmutable();
         result.parts_ = parts_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.lostAtMillis_ = lostAtMillis_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.sentAtMillis_ = sentAtMillis_;
+      }
     }
 
     @java.lang.Override
@@ -409,6 +470,12 @@
         }
         onChanged();
       }
+      if (other.getLostAtMillis() != 0L) {
+        setLostAtMillis(other.getLostAtMillis());
+      }
+      if (other.getSentAtMillis() != 0L) {
+        setSentAtMillis(other.getSentAtMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -457,6 +524,16 @@
               input.popLimit(limit);
               break;
             } // case 18
+            case 24: {
+              lostAtMillis_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              sentAtMillis_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -636,6 +713,85 @@
       return this;
     }
 
+    private long lostAtMillis_ ;
+    /**
+     * <pre>
+     * Wall clock of the instance at the loss and at the dispatch of the request, milliseconds since
+     * 1970-01-01T00:00:00Z; 0 in reports of earlier versions.
+     * </pre>
+     *
+     * <code>int64 lost_at_millis = 3;</code>
+     * @return The lostAtMillis.
+     */
+    @java.lang.Override
+    public long getLostAtMillis() {
+      return lostAtMillis_;
+    }
+    /**
+     * <pre>
+     * Wall clock of the instance at the loss and at the dispatch of the request, milliseconds since
+     * 1970-01-01T00:00:00Z; 0 in reports of earlier versions.
+     * </pre>
+     *
+     * <code>int64 lost_at_millis = 3;</code>
+     * @param value The lostAtMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLostAtMillis(long value) {
+
+      lostAtMillis_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Wall clock of the instance at the loss and at the dispatch of the request, milliseconds since
+     * 1970-01-01T00:00:00Z; 0 in reports of earlier versions.
+     * </pre>
+     *
+     * <code>int64 lost_at_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLostAtMillis() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      lostAtMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long sentAtMillis_ ;
+    /**
+     * <code>int64 sent_at_millis = 4;</code>
+     * @return The sentAtMillis.
+     */
+    @java.lang.Override
+    public long getSentAtMillis() {
+      return sentAtMillis_;
+    }
+    /**
+     * <code>int64 sent_at_millis = 4;</code>
+     * @param value The sentAtMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentAtMillis(long value) {
+
+      sentAtMillis_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 sent_at_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentAtMillis() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      sentAtMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.LostPromptParts)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/LostPromptPartsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LostPromptPartsOrBuilder.java
@@ -38,4 +38,21 @@
    * @return The parts at the given index.
    */
   long getParts(int index);
+
+  /**
+   * <pre>
+   * Wall clock of the instance at the loss and at the dispatch of the request, milliseconds since
+   * 1970-01-01T00:00:00Z; 0 in reports of earlier versions.
+   * </pre>
+   *
+   * <code>int64 lost_at_millis = 3;</code>
+   * @return The lostAtMillis.
+   */
+  long getLostAtMillis();
+
+  /**
+   * <code>int64 sent_at_millis = 4;</code>
+   * @return The sentAtMillis.
+   */
+  long getSentAtMillis();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/ReportPromptParts.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ReportPromptParts.java
@@ -96,7 +96,7 @@
       emptyLongList();
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
@@ -109,7 +109,7 @@
   }
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
@@ -120,7 +120,7 @@
   }
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
@@ -791,7 +791,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -804,7 +804,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -815,7 +815,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -827,7 +827,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -846,7 +846,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -863,7 +863,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
@@ -881,7 +881,7 @@
     }
     /**
      * <pre>
-     * Parts of prompts that were answered.
+     * Parts of prompts, and fingerprints of requests, that were answered.
      * </pre>
      *
      * <code>repeated fixed64 answered_parts = 2;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/ReportPromptPartsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ReportPromptPartsOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
@@ -45,7 +45,7 @@
   java.util.List<java.lang.Long> getAnsweredPartsList();
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
@@ -54,7 +54,7 @@
   int getAnsweredPartsCount();
   /**
    * <pre>
-   * Parts of prompts that were answered.
+   * Parts of prompts, and fingerprints of requests, that were answered.
    * </pre>
    *
    * <code>repeated fixed64 answered_parts = 2;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/ServerLoss.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ServerLoss.java
@@ -87,7 +87,7 @@
   private long reportedAtMillis_ = 0L;
   /**
    * <pre>
-   * Wall clock of the instance that reported it, milliseconds since 1970-01-01T00:00:00Z.
+   * Wall clock of the instance that saw it, milliseconds since 1970-01-01T00:00:00Z.
    * </pre>
    *
    * <code>int64 reported_at_millis = 2;</code>
@@ -491,7 +491,7 @@
     private long reportedAtMillis_ ;
     /**
      * <pre>
-     * Wall clock of the instance that reported it, milliseconds since 1970-01-01T00:00:00Z.
+     * Wall clock of the instance that saw it, milliseconds since 1970-01-01T00:00:00Z.
      * </pre>
      *
      * <code>int64 reported_at_millis = 2;</code>
@@ -503,7 +503,7 @@
     }
     /**
      * <pre>
-     * Wall clock of the instance that reported it, milliseconds since 1970-01-01T00:00:00Z.
+     * Wall clock of the instance that saw it, milliseconds since 1970-01-01T00:00:00Z.
      * </pre>
      *
      * <code>int64 reported_at_millis = 2;</code>
@@ -519,7 +519,7 @@
     }
     /**
      * <pre>
-     * Wall clock of the instance that reported it, milliseconds since 1970-01-01T00:00:00Z.
+     * Wall clock of the instance that saw it, milliseconds since 1970-01-01T00:00:00Z.
      * </pre>
      *
      * <code>int64 reported_at_millis = 2;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/ServerLossOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ServerLossOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * Wall clock of the instance that reported it, milliseconds since 1970-01-01T00:00:00Z.
+   * Wall clock of the instance that saw it, milliseconds since 1970-01-01T00:00:00Z.
    * </pre>
    *
    * <code>int64 reported_at_millis = 2;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/SuspectPromptPart.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/SuspectPromptPart.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A prompt part that ran at lost backend servers and has not been answered since.
+ * A prompt part or request that ran at lost backend servers and has not been answered since.
  * </pre>
  *
  * Protobuf type {@code trestle.SuspectPromptPart}
@@ -63,7 +63,7 @@
   private int losses_ = 0;
   /**
    * <pre>
-   * Losses at different moments.
+   * Independent losses.
    * </pre>
    *
    * <code>uint32 losses = 2;</code>
@@ -346,7 +346,7 @@
   }
   /**
    * <pre>
-   * A prompt part that ran at lost backend servers and has not been answered since.
+   * A prompt part or request that ran at lost backend servers and has not been answered since.
    * </pre>
    *
    * Protobuf type {@code trestle.SuspectPromptPart}
@@ -602,7 +602,7 @@
     private int losses_ ;
     /**
      * <pre>
-     * Losses at different moments.
+     * Independent losses.
      * </pre>
      *
      * <code>uint32 losses = 2;</code>
@@ -614,7 +614,7 @@
     }
     /**
      * <pre>
-     * Losses at different moments.
+     * Independent losses.
      * </pre>
      *
      * <code>uint32 losses = 2;</code>
@@ -630,7 +630,7 @@
     }
     /**
      * <pre>
-     * Losses at different moments.
+     * Independent losses.
      * </pre>
      *
      * <code>uint32 losses = 2;</code>
--- a/wire/src/main/java/org/teaseltrestle/wire/SuspectPromptPartOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/SuspectPromptPartOrBuilder.java
@@ -18,7 +18,7 @@
 
   /**
    * <pre>
-   * Losses at different moments.
+   * Independent losses.
    * </pre>
    *
    * <code>uint32 losses = 2;</code>
