Wait once for a configuration that is sent again

Cause: each time that a change is sent it is a new log entry, and the wait for nodes that are heard of but do not apply it began anew with each. Such a node, which hears nothing, kept changes from being acknowledged for good. Change: the control state records at which index the configuration in force came into force (ServingDocument.changedIndex); the leader waits for that one. Nodes report at once when it changes, not when a change without effect is applied.

--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -189,7 +189,8 @@
       case CLAIM_IDEMPOTENCY ->
           claims.claim(command.getClaimIdempotency().getClaim(), instances, context);
       case RECORD_OUTCOME -> claims.record(command.getRecordOutcome(), context);
-      case PUBLISH_CONFIGURATION -> serving.publish(command.getPublishConfiguration());
+      case PUBLISH_CONFIGURATION ->
+          serving.publish(command.getPublishConfiguration(), context.index());
       case REPORT_PROMPT_PARTS -> suspectParts.report(command.getReportPromptParts(), context);
       case RECORD_VOTERS -> instances.recordVoters(command.getRecordVoters().getInstancesList());
       case REPORT_SERVER_LIMIT -> serverLimits.report(command.getReportServerLimit(), context);
--- a/control/src/main/java/org/teaseltrestle/control/ServingArea.java
+++ b/control/src/main/java/org/teaseltrestle/control/ServingArea.java
@@ -18,9 +18,9 @@
     return document;
   }
 
-  CommandAnswer.Builder publish(PublishConfiguration change) {
+  CommandAnswer.Builder publish(PublishConfiguration change, long index) {
     if (change.getVersion() > document.version()) {
-      document = new ServingDocument(change.getVersion(), change.getDocument());
+      document = new ServingDocument(change.getVersion(), change.getDocument(), index);
     }
     return CommandAnswers.accepted(SUBJECT);
   }
@@ -31,13 +31,16 @@
           PublishConfiguration.newBuilder()
               .setVersion(document.version())
               .setDocument(document.document()));
+      snapshot.setServingChangedIndex(document.changedIndex());
     }
   }
 
   void load(ControlSnapshot snapshot) {
     if (snapshot.hasServingConfiguration()) {
       PublishConfiguration saved = snapshot.getServingConfiguration();
-      document = new ServingDocument(saved.getVersion(), saved.getDocument());
+      document =
+          new ServingDocument(
+              saved.getVersion(), saved.getDocument(), snapshot.getServingChangedIndex());
     }
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
@@ -29,7 +29,6 @@
   private ControlState state = new ControlState();
   private long appliedIndex;
   private long lastPromptIndex;
-  private long lastConfigurationIndex;
   private long recentBytes;
   private byte @Nullable [] snapshot;
   private volatile ControlView view = state.view();
@@ -47,11 +46,6 @@
     return lastPromptIndex;
   }
 
-  /** Returns the index of the last entry that may have changed the serving configuration. */
-  long lastConfigurationIndex() {
-    return lastConfigurationIndex;
-  }
-
   /**
    * Applies the log entry after the last applied one.
    *
@@ -72,9 +66,6 @@
       Command decoded = decode(index, command);
       answer = state.apply(index, decoded);
       onlyUsage = concernsUsage(decoded);
-      if (decoded.hasPublishConfiguration()) {
-        lastConfigurationIndex = index;
-      }
     }
     appliedIndex = index;
     if (!onlyUsage) {
@@ -93,7 +84,6 @@
     state = ControlState.restore(encoded);
     appliedIndex = index;
     lastPromptIndex = index;
-    lastConfigurationIndex = index;
     snapshot = encoded;
     recentCommands.clear();
     recentBytes = 0;
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -351,8 +351,9 @@
       publishedIndex = state.appliedIndex();
       addresses.update(state.view());
     }
-    if (state.lastConfigurationIndex() > reportedConfigurationIndex) {
-      reportedConfigurationIndex = state.lastConfigurationIndex();
+    long configurationIndex = state.view().servingDocument().changedIndex();
+    if (configurationIndex > reportedConfigurationIndex) {
+      reportedConfigurationIndex = configurationIndex;
       leaseRenewer.reportPromptly(context.clock().nowNanos());
     }
     children.feed(state);
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -215,7 +215,7 @@
       reply.accept(LeaderAnswers.refused(Refusal.NOT_LEADER, driver.core().leader()));
       return;
     }
-    long index = parseChangeIndex(body);
+    long index = indexOfConfiguration(parseChangeIndex(body));
     Set<String> voters =
         driver.core().configuration().voters().stream()
             .map(ReplicaId::instance)
@@ -237,6 +237,15 @@
     reply.accept(LeaderAnswers.awaited(status.awaited()));
   }
 
+  /**
+   * Returns the index at which the configuration came into force that is in force at an index: a
+   * change that is sent again is a new entry, but waits for nothing new.
+   */
+  private long indexOfConfiguration(long index) {
+    long changedIndex = state.view().servingDocument().changedIndex();
+    return changedIndex > 0 ? Math.min(index, changedIndex) : index;
+  }
+
   private static long parseChangeIndex(byte[] body) {
     try {
       return ChangeQuery.parseFrom(body).getIndex();
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaService.java
@@ -253,8 +253,9 @@
       publishedIndex = state.appliedIndex();
       addresses.update(state.view());
     }
-    if (state.lastConfigurationIndex() > reportedConfigurationIndex) {
-      reportedConfigurationIndex = state.lastConfigurationIndex();
+    long configurationIndex = state.view().servingDocument().changedIndex();
+    if (configurationIndex > reportedConfigurationIndex) {
+      reportedConfigurationIndex = configurationIndex;
       leaseRenewer.reportPromptly(context.clock().nowNanos());
     }
     updateKnown();
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -97,7 +97,7 @@
   public ServingDocument servingDocument() {
     return document.isEmpty()
         ? ServingDocument.NONE
-        : new ServingDocument(documentVersion, document);
+        : new ServingDocument(documentVersion, document, documentVersion);
   }
 
   @Override
--- a/node/src/test/java/org/teaseltrestle/node/replica/AcknowledgedVersionTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/AcknowledgedVersionTest.java
@@ -105,4 +105,25 @@
       assertEquals(publish(cluster, "voter-0", 3), Outcome.ACCEPTED);
     }
   }
+
+  /**
+   * Guards against a change that is never acknowledged because each time that it is sent it waits
+   * anew for a node that is heard of and hears nothing.
+   */
+  @Test
+  public void nodeThatHearsNothingDelaysAcknowledgementForLimitedTime() {
+    try (LoopbackCluster cluster = cluster()) {
+      assertEquals(publish(cluster, "voter-0", 1), Outcome.ACCEPTED);
+      cluster.delayMessagesTo("entry-2", TimeUnit.MINUTES.toMillis(1));
+      long sentAtNanos = System.nanoTime();
+      Outcome outcome = Outcome.UNKNOWN;
+      while (outcome == Outcome.UNKNOWN
+          && System.nanoTime() - sentAtNanos < 2 * ACKNOWLEDGEMENT_NANOS) {
+        outcome = publish(cluster, "voter-0", 2);
+      }
+      long nanos = System.nanoTime() - sentAtNanos;
+      assertEquals(outcome, Outcome.ACCEPTED);
+      assertTrue(nanos < ACKNOWLEDGEMENT_NANOS, TimeUnit.NANOSECONDS.toMillis(nanos) + " ms");
+    }
+  }
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -1050,6 +1050,21 @@
     return serverLimits_.get(index);
   }
 
+  public static final int SERVING_CHANGED_INDEX_FIELD_NUMBER = 28;
+  private long servingChangedIndex_ = 0L;
+  /**
+   * <pre>
+   * Log index at which the serving configuration came into force; 0 if an earlier version saved it.
+   * </pre>
+   *
+   * <code>uint64 serving_changed_index = 28;</code>
+   * @return The servingChangedIndex.
+   */
+  @java.lang.Override
+  public long getServingChangedIndex() {
+    return servingChangedIndex_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1145,6 +1160,9 @@
     for (int i = 0; i < serverLimits_.size(); i++) {
       output.writeMessage(27, serverLimits_.get(i));
     }
+    if (servingChangedIndex_ != 0L) {
+      output.writeUInt64(28, servingChangedIndex_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1264,6 +1282,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(27, serverLimits_.get(i));
     }
+    if (servingChangedIndex_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(28, servingChangedIndex_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1339,6 +1361,8 @@
         .equals(other.getRecordedVotersList())) return false;
     if (!getServerLimitsList()
         .equals(other.getServerLimitsList())) return false;
+    if (getServingChangedIndex()
+        != other.getServingChangedIndex()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1448,6 +1472,9 @@
       hash = (37 * hash) + SERVER_LIMITS_FIELD_NUMBER;
       hash = (53 * hash) + getServerLimitsList().hashCode();
     }
+    hash = (37 * hash) + SERVING_CHANGED_INDEX_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getServingChangedIndex());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1739,6 +1766,7 @@
         serverLimitsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x04000000);
+      servingChangedIndex_ = 0L;
       return this;
     }
 
@@ -1961,6 +1989,9 @@
         recordedVoters_.makeImmutable();
         result.recordedVoters_ = recordedVoters_;
       }
+      if (((from_bitField0_ & 0x08000000) != 0)) {
+        result.servingChangedIndex_ = servingChangedIndex_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -2436,6 +2467,9 @@
           }
         }
       }
+      if (other.getServingChangedIndex() != 0L) {
+        setServingChangedIndex(other.getServingChangedIndex());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2730,6 +2764,11 @@
               }
               break;
             } // case 218
+            case 224: {
+              servingChangedIndex_ = input.readUInt64();
+              bitField0_ |= 0x08000000;
+              break;
+            } // case 224
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7576,6 +7615,50 @@
       return serverLimitsBuilder_;
     }
 
+    private long servingChangedIndex_ ;
+    /**
+     * <pre>
+     * Log index at which the serving configuration came into force; 0 if an earlier version saved it.
+     * </pre>
+     *
+     * <code>uint64 serving_changed_index = 28;</code>
+     * @return The servingChangedIndex.
+     */
+    @java.lang.Override
+    public long getServingChangedIndex() {
+      return servingChangedIndex_;
+    }
+    /**
+     * <pre>
+     * Log index at which the serving configuration came into force; 0 if an earlier version saved it.
+     * </pre>
+     *
+     * <code>uint64 serving_changed_index = 28;</code>
+     * @param value The servingChangedIndex to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServingChangedIndex(long value) {
+
+      servingChangedIndex_ = value;
+      bitField0_ |= 0x08000000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Log index at which the serving configuration came into force; 0 if an earlier version saved it.
+     * </pre>
+     *
+     * <code>uint64 serving_changed_index = 28;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServingChangedIndex() {
+      bitField0_ = (bitField0_ & ~0x08000000);
+      servingChangedIndex_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -600,4 +600,14 @@
    */
   org.teaseltrestle.wire.ServerLimitOrBuilder getServerLimitsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Log index at which the serving configuration came into force; 0 if an earlier version saved it.
+   * </pre>
+   *
+   * <code>uint64 serving_changed_index = 28;</code>
+   * @return The servingChangedIndex.
+   */
+  long getServingChangedIndex();
 }
