Hear of a node by the question with which it becomes ready

Cause: a node that had just been confirmed was not known to the leader until its first renewal, so that a change could be acknowledged in between without it. Lost with its parent, the leader, it would obey the version before. Change: the leader counts a process from its question for the committed index on, which comes before it is ready. Evidence: AcknowledgementBarrierTest#processThatAsksForConfirmationIsWaitedFor needs the new method and was not run before. Conclusion: each node that is ready was heard of by the leader that confirmed it.

--- a/control/src/main/java/org/teaseltrestle/control/leader/AcknowledgementBarrier.java
+++ b/control/src/main/java/org/teaseltrestle/control/leader/AcknowledgementBarrier.java
@@ -71,6 +71,17 @@
     progress.put(instance, new Progress(boot, index, nowNanos));
   }
 
+  /**
+   * Records that a process asks for the committed index, by which it becomes ready: changes that
+   * are committed later wait for it although it has not reported yet.
+   */
+  public void confirming(String instance, long boot, long nowNanos) {
+    Progress earlier = progress.get(instance);
+    if (earlier == null || earlier.boot() != boot) {
+      progress.put(instance, new Progress(boot, 0, nowNanos));
+    }
+  }
+
   /**
    * Returns which instances a change waits for.
    *
--- a/control/src/test/java/org/teaseltrestle/control/leader/AcknowledgementBarrierTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/leader/AcknowledgementBarrierTest.java
@@ -117,6 +117,17 @@
     assertEquals(status(START + 2).awaited(), List.of("entry-0"));
   }
 
+  /** Guards against a node that becomes ready by an older version just before a change. */
+  @Test
+  public void processThatAsksForConfirmationIsWaitedFor() {
+    heardFromAll(INDEX, START);
+    barrier.confirming("entry-new", 1, START + 1);
+    assertEquals(status(START + 2).awaited(), List.of("entry-new"));
+    barrier.heard("entry-new", 1, INDEX, START + 3);
+    barrier.confirming("entry-new", 1, START + 4);
+    assertEquals(status(START + 5).awaited(), List.of());
+  }
+
   /** Guards against an acknowledged change that is not acknowledged when it is sent again. */
   @Test
   public void passedChangeStaysPassed() {
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -147,6 +147,14 @@
         .build();
   }
 
+  /** Records that a process asks for a confirmation. */
+  void confirming(String instance, long boot) {
+    AcknowledgementBarrier active = barrier;
+    if (active != null) {
+      active.confirming(instance, boot, clock.nowNanos());
+    }
+  }
+
   void handle(LeaderRequest request, byte[] body, Consumer<LeaderAnswer> reply) {
     switch (request) {
       case PROPOSE -> driver.propose(body, reply);
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaMessageHandler.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaMessageHandler.java
@@ -68,9 +68,12 @@
     boolean accepted =
         inbox.offer(
             body.length,
-            () ->
-                leaderOperations.handle(
-                    request, body, answer -> reply.accept(answer.toByteArray())));
+            () -> {
+              if (request == LeaderRequest.CONFIRM) {
+                leaderOperations.confirming(message.getSenderInstance(), message.getSenderBoot());
+              }
+              leaderOperations.handle(request, body, answer -> reply.accept(answer.toByteArray()));
+            });
     if (!accepted) {
       // The replica may have stopped since; a caller does not retry a refusal for overload.
       RaftAction.Refusal refusal =
