Count a server that goes on serving once, whatever responses it breaks

Cause: one server that breaks each response of a request was counted with every one, and the request was refused after three. A server that crashed is away for seconds; one that breaks responses has not crashed. Change: losses that an instance sees itself count a server once within 2 s, as the shared ones do. Conclusion: a request is refused for servers that are gone, not for one that breaks its responses within moments.

--- a/policy/src/main/java/org/teaseltrestle/policy/CrashQuarantine.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CrashQuarantine.java
@@ -52,7 +52,7 @@
    */
   private static final long SAME_MOMENT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-  /** Time within which all connections to a lost server break. */
+  /** A server that crashed does not restart sooner; one that breaks responses has not crashed. */
   private static final long SAME_LOSS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   /** Time until an answered part that is still suspected is reported again. */
@@ -65,7 +65,7 @@
   private static final class Suspect {
     private int sharedLosses;
     private int ownLosses;
-    private @Nullable BackendServerId lastLostServer;
+    private final Map<BackendServerId, Long> lostAtNanos = new LinkedHashMap<>();
     private long lastLossNanos;
     private long sinceNanos;
     private @Nullable RequestId trial;
@@ -100,7 +100,8 @@
       }
       final int earlier = losses();
       ownLosses++;
-      lastLostServer = server;
+      lostAtNanos.values().removeIf(each -> nowNanos - each >= SAME_LOSS_NANOS);
+      lostAtNanos.put(server, nowNanos);
       lastLossNanos = nowNanos;
       restartIfChanged(earlier, nowNanos);
     }
@@ -108,13 +109,14 @@
     void setAnswered() {
       answered = true;
       ownLosses = 0;
+      lostAtNanos.clear();
     }
 
     private boolean isSameEvent(BackendServerId server, long sentAtNanos, long nowNanos) {
-      long sinceLoss = nowNanos - lastLossNanos;
+      Long lostAt = lostAtNanos.get(server);
       boolean sentBefore = sentAtNanos - lastLossNanos < 0;
-      long window = server.equals(lastLostServer) ? SAME_LOSS_NANOS : SAME_MOMENT_NANOS;
-      return sentBefore && sinceLoss < window;
+      return (lostAt != null && nowNanos - lostAt < SAME_LOSS_NANOS)
+          || (sentBefore && nowNanos - lastLossNanos < SAME_MOMENT_NANOS);
     }
 
     private void restartIfChanged(int earlierLosses, long nowNanos) {
