Keep the names of prompt parts apart from the fingerprints of requests

Cause: parts and fingerprints were counted in one table, and a caller names the parts of its prompt. With a part named like the fingerprint of another caller's request, which can be computed from the request, crashes of its own had that request refused. Change: fingerprints are negative, the hashes of parts lose their sign. Evidence: CrashQuarantineTest$NamedParts#partIsNotTakenForRequest, new; it was not run on the code before. Conclusion: no caller can have another caller's request refused by the name of a part.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RequestFingerprint.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RequestFingerprint.java
@@ -17,7 +17,7 @@
   private RequestFingerprint() {}
 
   /**
-   * Returns the fingerprint, which is never 0.
+   * Returns the fingerprint, which is negative, so that it is never 0 nor a part of a prompt.
    *
    * @param account client account that the request is charged to, null without one
    */
@@ -32,8 +32,7 @@
       digest.update(bytes);
     }
     digest.update(body);
-    long hash = ByteBuffer.wrap(digest.digest()).getLong();
-    return hash == 0 ? 1 : hash;
+    return ByteBuffer.wrap(digest.digest()).getLong() | Long.MIN_VALUE;
   }
 
   private static MessageDigest sha256() {
--- a/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/WorkRequest.java
@@ -19,11 +19,11 @@
  * @param repeatability whether the request may be run again after a failed attempt
  * @param promptTokens prompt length in tokens; 0 for a service call
  * @param expectedOutputTokens expected response length in tokens; 0 for a service call
- * @param sharedParts hashes of the prompt's parts that other requests may share, in order; empty
- *     for a service call
+ * @param sharedParts hashes of the prompt's parts that other requests may share, in order, without
+ *     their sign; empty for a service call
  * @param prefixHashes hash chain of the prompt's blocks, in hexadecimal; empty for a service call
  * @param fingerprint hash of all that makes this request what it is, the same at every instance
- *     that it comes at again; 0 if unknown
+ *     that it comes at again; negative, or 0 if unknown
  * @param firstTokenDeadlineNanos monotonic time by which the first token, or the response of a
  *     service call, is due
  * @param sampleBits random bits that make entry instances with the same view choose different
@@ -49,9 +49,12 @@
   /** Account of requests on routes without authentication, whose limits are a setting. */
   public static final ClientAccount OPEN_ROUTE_ACCOUNT = new ClientAccount("::open-routes");
 
-  /** Copies the hashes. */
+  /**
+   * Copies the hashes. Callers name the parts as they like, so their hashes are made positive: none
+   * may be taken for the fingerprint of another caller's request.
+   */
   public WorkRequest {
-    sharedParts = List.copyOf(sharedParts);
+    sharedParts = sharedParts.stream().map(part -> part & Long.MAX_VALUE).toList();
     prefixHashes = List.copyOf(prefixHashes);
   }
 
--- a/policy/src/test/java/org/teaseltrestle/policy/CrashQuarantineTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/CrashQuarantineTest.java
@@ -21,8 +21,8 @@
 /** Load pattern: one call of a plain service that comes again and again and crashes its servers. */
 public final class CrashQuarantineTest {
 
-  private static final long CRASHING = 666;
-  private static final long SOUND = 7;
+  private static final long CRASHING = -666;
+  private static final long SOUND = -7;
   private static final AttemptOutcome LOST =
       new AttemptOutcome(FailureKind.LOST_BEFORE_ANSWER, 0, 0);
   private static final AttemptOutcome CUT =
@@ -206,6 +206,44 @@
     }
   }
 
+  /** Callers who name the parts of their prompts as they like. */
+  public static final class NamedParts {
+
+    private static WorkRequest prompt(Harness harness, String id, long part) {
+      WorkRequest call = call(harness, id, SOUND);
+      return new WorkRequest(
+          call.request(),
+          call.account(),
+          call.item(),
+          call.pool(),
+          WorkKind.MODEL_COMPLETION,
+          Repeatability.IDEMPOTENT,
+          100,
+          10,
+          List.of(part),
+          List.of(),
+          0,
+          call.firstTokenDeadlineNanos(),
+          1,
+          RequestOptions.NONE);
+    }
+
+    /** Guards against a caller who has another caller's request refused by the name of a part. */
+    @Test
+    public void partIsNotTakenForRequest() {
+      Harness harness = harness();
+      List<AdmissionAction> actions = harness.arrive(prompt(harness, "r1", CRASHING));
+      while (!Harness.actionsOfType(Dispatch.class, actions).isEmpty()) {
+        harness.now += Samples.MILLISECOND;
+        actions = harness.finish(Harness.dispatch(actions), LOST);
+      }
+      AdmissionAction.Refuse refusal =
+          Harness.refusal(harness.arrive(prompt(harness, "r2", CRASHING)));
+      assertEquals(refusal.code(), RefusalCode.PROMPT_QUARANTINED);
+      assertSent(harness, "r3", CRASHING);
+    }
+  }
+
   /** What the instances tell one another. */
   public static final class SharedLosses {
 
