Say in E3022 why an instance is passed over

Change: passedOver names each instance with the time since its latest report and the index that it reported, or 'unheard'. AcknowledgementBarrierTest checks both; two assertions compare more than before.

--- a/control/src/main/java/org/teaseltrestle/control/leader/AcknowledgementBarrier.java
+++ b/control/src/main/java/org/teaseltrestle/control/leader/AcknowledgementBarrier.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -34,6 +35,23 @@
 
   private record Progress(long boot, long appliedIndex, long heardAtNanos) {}
 
+  /**
+   * Instance that is not known to have applied a change and is not waited for.
+   *
+   * @param instance the instance
+   * @param silentMillis time since its latest report or, without one, since this leadership began
+   * @param appliedIndex log index that it reported last, empty if it has not reported to this
+   *     leader
+   */
+  public record PassedOver(String instance, long silentMillis, OptionalLong appliedIndex) {
+
+    @Override
+    public String toString() {
+      String applied = appliedIndex.isPresent() ? "" + appliedIndex.getAsLong() : "unheard";
+      return instance + "(silentMillis=" + silentMillis + ",applied=" + applied + ")";
+    }
+  }
+
   /**
    * What is known of a change.
    *
@@ -41,7 +59,7 @@
    * @param passedOver instances that are not known to have applied it and are not waited for
    * @param newlyPassed whether the change may be acknowledged and could not before
    */
-  public record Status(List<String> awaited, List<String> passedOver, boolean newlyPassed) {
+  public record Status(List<String> awaited, List<PassedOver> passedOver, boolean newlyPassed) {
 
     /** Copies the lists. */
     public Status {
@@ -101,12 +119,16 @@
     boolean quorumConfirmed =
         voters.stream().filter(each -> hasApplied(each, index)).count() > voters.size() / 2;
     List<String> awaited = new ArrayList<>();
-    List<String> passedOver = new ArrayList<>();
+    List<PassedOver> passedOver = new ArrayList<>();
     for (String instance : instances(registered, voters)) {
       if (!hasApplied(instance, index)) {
         boolean needed = !quorumConfirmed && voters.contains(instance);
         boolean waits = needed || (mayWait && !isSilent(instance, nowNanos));
-        (waits ? awaited : passedOver).add(instance);
+        if (waits) {
+          awaited.add(instance);
+        } else {
+          passedOver.add(passedOver(instance, nowNanos));
+        }
       }
     }
     boolean passed = awaited.isEmpty();
@@ -130,9 +152,20 @@
   }
 
   private boolean isSilent(String instance, long nowNanos) {
+    return silentNanos(instance, nowNanos) >= limitNanos;
+  }
+
+  private long silentNanos(String instance, long nowNanos) {
+    Progress latest = progress.get(instance);
+    return nowNanos - (latest == null ? leadershipStartNanos : latest.heardAtNanos());
+  }
+
+  private PassedOver passedOver(String instance, long nowNanos) {
     Progress latest = progress.get(instance);
-    long heardAtNanos = latest == null ? leadershipStartNanos : latest.heardAtNanos();
-    return nowNanos - heardAtNanos >= limitNanos;
+    return new PassedOver(
+        instance,
+        TimeUnit.NANOSECONDS.toMillis(silentNanos(instance, nowNanos)),
+        latest == null ? OptionalLong.empty() : OptionalLong.of(latest.appliedIndex()));
   }
 
   /** A voter that was replaced stays registered; it counts only if it is heard of. */
--- a/control/src/test/java/org/teaseltrestle/control/leader/AcknowledgementBarrierTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/leader/AcknowledgementBarrierTest.java
@@ -5,8 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.control.leader.AcknowledgementBarrier.PassedOver;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -79,7 +81,11 @@
     assertEquals(status(START + LIMIT - 1).awaited(), List.of("entry-0", "entry-1"));
     AcknowledgementBarrier.Status later = status(START + LIMIT);
     assertEquals(later.awaited(), List.of());
-    assertEquals(later.passedOver(), List.of("entry-0", "entry-1"));
+    assertEquals(
+        later.passedOver(),
+        List.of(
+            new PassedOver("entry-0", 3_000, OptionalLong.empty()),
+            new PassedOver("entry-1", 3_000, OptionalLong.empty())));
   }
 
   /** Guards against a change that is acknowledged although only a minority can tell it on. */
@@ -106,7 +112,8 @@
     }
     AcknowledgementBarrier.Status later = status(askedAt + LIMIT);
     assertEquals(later.awaited(), List.of());
-    assertEquals(later.passedOver(), List.of("late"));
+    assertEquals(
+        later.passedOver(), List.of(new PassedOver("late", 500, OptionalLong.of(INDEX - 1))));
   }
 
   /** Guards against a process that counts as having what its predecessor had. */
