Ask other nodes for the log when all known control nodes are gone

Callers saw: one entry node ran requests by an old version long after a newer one was acknowledged, in touch with all control nodes of the time. Cause: a node looks for a parent among its ancestors, the voters of the log that it followed and those of its settings. If all of these were replaced while it was cut off, it asks nobody who lives, for good, and goes on serving by its old view, as a cut-off node must. The leader passes it over in each acknowledgement, as it is silent. Class: a list of others that is renewed only through those who are on it. Change: a search that goes on for a second also asks other registered nodes, two a second. They are followed only by recent news, and left for a voter that has some. E3023 names whom a search asks and who does not answer. ParentSelectorTest.Acquaintances bounds the questions and keeps nodes of an isolated domain from following each other.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -201,7 +201,8 @@
               settings.failureDomain(),
               settings.voters(),
               settings.tree().fanOut(),
-              state.view()));
+              state.view()),
+          TreePlacement.acquaintances(settings.instance(), settings.failureDomain(), state.view()));
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -15,6 +15,10 @@
  * parent and leaves the parent only for one that has told recent news, so that a change of the
  * parent costs no news and a candidate that is gone costs no time. It asks all others while the
  * news of its parent is old, and otherwise those that it prefers to its parent.
+ *
+ * <p>While a search goes on, it also asks other nodes that it knows, a few in each round: all
+ * candidates may have been replaced while this node was cut off, and any node that is in touch
+ * knows their successors.
  */
 final class ParentSelector {
 
@@ -34,6 +38,15 @@
 
   private final DisseminationTreeSettings tree;
 
+  /** Other nodes that are asked in each round of a search that goes on. */
+  private static final int ACQUAINTANCES_PER_ROUND = 2;
+
+  /** Time between two log lines about a search that has found no parent. */
+  private static final long SEARCH_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Time after which a search that has found no parent is logged first. */
+  private static final long FIRST_SEARCH_LOG_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   /** Candidates that have not answered the latest question; they are asked last. */
   private final Set<String> unanswered = new HashSet<>();
 
@@ -41,6 +54,11 @@
   private final Deque<String> toAsk = new ArrayDeque<>();
 
   private List<String> candidates = List.of();
+
+  /** Other nodes that may become the parent if no candidate has recent news. */
+  private List<String> acquaintances = List.of();
+
+  private int nextAcquaintance;
   private String parent = "";
   private KnownState parentNews = KnownState.UNKNOWN;
   private long parentContactNanos;
@@ -54,6 +72,8 @@
   /** Whether this node needs another parent, as of the last update. */
   private boolean searching;
 
+  private long searchBeganNanos;
+  private long nextSearchLogNanos;
   private long earliestChangeNanos;
   private long nextRoundNanos;
   private long nextQuestionNanos;
@@ -71,6 +91,8 @@
   ParentSelector(DisseminationTreeSettings tree, long nowNanos) {
     this.tree = tree;
     this.parentContactNanos = nowNanos;
+    this.searchBeganNanos = nowNanos;
+    this.nextSearchLogNanos = nowNanos + FIRST_SEARCH_LOG_NANOS;
     this.earliestChangeNanos = nowNanos;
     this.nextRoundNanos = nowNanos;
     this.nextQuestionNanos = nowNanos;
@@ -81,11 +103,21 @@
     return parent;
   }
 
-  /** Sets the possible parents, the preferred one first. */
-  void setCandidates(List<String> newCandidates) {
+  /**
+   * Sets the possible parents.
+   *
+   * @param newCandidates candidates, the preferred one first
+   * @param others other nodes, in the order in which they are asked if no candidate helps
+   */
+  void setCandidates(List<String> newCandidates, List<String> others) {
     candidates = List.copyOf(newCandidates);
-    unanswered.retainAll(candidates);
-    toAsk.retainAll(candidates);
+    acquaintances = others.stream().filter(each -> !candidates.contains(each)).toList();
+    unanswered.removeIf(each -> !mayBeParent(each));
+    toAsk.removeIf(each -> !mayBeParent(each));
+  }
+
+  private boolean mayBeParent(String instance) {
+    return candidates.contains(instance) || acquaintances.contains(instance);
   }
 
   /** Records a message without news of a leader, such as a part of the state. */
@@ -93,7 +125,7 @@
     unanswered.remove(sender);
     if (sender.equals(parent)) {
       parentContactNanos = nowNanos;
-    } else if (candidates.contains(sender)) {
+    } else if (mayBeParent(sender)) {
       askAgain = sender;
       nextQuestionNanos = nowNanos + MINIMUM_STAY_NANOS;
     }
@@ -105,7 +137,7 @@
     if (sender.equals(parent)) {
       parentContactNanos = nowNanos;
       parentNews = news;
-    } else if (candidates.contains(sender) && news.isKnown()) {
+    } else if (mayBeParent(sender) && news.isKnown()) {
       News other = contender;
       if (other == null || isPreferred(sender, other.sender())) {
         contender = new News(sender, news);
@@ -132,9 +164,15 @@
     needsOther &= !changed;
     if (needsOther != searching || changed) {
       searching = needsOther;
+      searchBeganNanos = nowNanos;
+      nextSearchLogNanos = nowNanos + FIRST_SEARCH_LOG_NANOS;
       toAsk.clear();
       nextRoundNanos = searching ? nowNanos : nowNanos + PREFERENCE_ROUND_NANOS;
     }
+    if (searching && nowNanos - nextSearchLogNanos >= 0) {
+      nextSearchLogNanos = nowNanos + SEARCH_LOG_INTERVAL_NANOS;
+      logSearch(appliedIndex, nowNanos);
+    }
     return new Decision(changed, takeQuestions(nowNanos));
   }
 
@@ -168,6 +206,9 @@
     if (recent && needsOther) {
       return true;
     }
+    if (!candidates.contains(other.sender())) {
+      return false;
+    }
     if (nowNanos - earliestChangeNanos < 0) {
       return false;
     }
@@ -207,9 +248,20 @@
             .filter(each -> searching ? !each.equals(parent) : isPreferred(each, parent))
             .toList();
     others.stream().filter(each -> !unanswered.contains(each)).forEach(toAsk::add);
+    if (searching && nowNanos - searchBeganNanos >= SEARCH_ROUND_NANOS) {
+      addAcquaintances();
+    }
     others.stream().filter(unanswered::contains).forEach(toAsk::add);
   }
 
+  private void addAcquaintances() {
+    int count = Math.min(ACQUAINTANCES_PER_ROUND, acquaintances.size());
+    for (int i = 0; i < count; i++) {
+      nextAcquaintance = (nextAcquaintance + 1) % acquaintances.size();
+      toAsk.add(acquaintances.get(nextAcquaintance));
+    }
+  }
+
   private void logChange(News next, boolean needsOther, long appliedIndex, long nowNanos) {
     LOG.info(
         ReplicaEvent.PARENT_CHANGED,
@@ -229,6 +281,25 @@
         appliedIndex);
   }
 
+  private void logSearch(long appliedIndex, long nowNanos) {
+    LOG.warn(
+        ReplicaEvent.PARENT_NOT_FOUND,
+        "parent",
+        parent,
+        "searchMillis",
+        TimeUnit.NANOSECONDS.toMillis(nowNanos - searchBeganNanos),
+        "rootAgeMillis",
+        age(parentNews, nowNanos),
+        "candidates",
+        candidates,
+        "acquaintances",
+        acquaintances.size(),
+        "unanswered",
+        unanswered,
+        "appliedIndex",
+        appliedIndex);
+  }
+
   private static Object age(KnownState news, long nowNanos) {
     return news.isKnown() ? news.ageMillis(nowNanos) : "unknown";
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -27,7 +27,8 @@
   LEADER_HEARD(3020, "this instance has heard of another leader; waiting calls are sent to it"),
   VOTERS_RECORDED(3021, "voters of the group changed and are being recorded for all nodes"),
   CHANGE_IN_FORCE(
-      3022, "change may be acknowledged: all instances but those that are passed over obey it");
+      3022, "change may be acknowledged: all instances but those that are passed over obey it"),
+  PARENT_NOT_FOUND(3023, "no candidate for the parent has recent news; the search goes on");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/TreePlacement.java
@@ -60,6 +60,32 @@
     return new ArrayList<>(parents);
   }
 
+  /**
+   * Returns the other registered non-voters, those of other failure domains and of the own one in
+   * turn, beginning at a place that differs from node to node.
+   */
+  static List<String> acquaintances(InstanceId self, FailureDomain domain, ControlView view) {
+    List<String> near = new ArrayList<>();
+    List<String> far = new ArrayList<>();
+    for (InstanceRecord each : view.instances()) {
+      if (!each.getVoter() && !each.getInstance().equals(self.value())) {
+        (each.getFailureDomain().equals(domain.value()) ? near : far).add(each.getInstance());
+      }
+    }
+    for (List<String> each : List.of(near, far)) {
+      Collections.sort(each);
+      if (!each.isEmpty()) {
+        Collections.rotate(each, Math.floorMod(self.value().hashCode(), each.size()));
+      }
+    }
+    List<String> inTurn = new ArrayList<>();
+    for (int i = 0; i < Math.max(near.size(), far.size()); i++) {
+      far.stream().skip(i).limit(1).forEach(inTurn::add);
+      near.stream().skip(i).limit(1).forEach(inTurn::add);
+    }
+    return inTurn;
+  }
+
   private static int parentOf(int position, int fanOut) {
     return (position - 1) / fanOut;
   }
--- a/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
@@ -110,4 +110,45 @@
       assertFalse(cluster.hasContactedGoneVoter("entry-1"), "a replaced voter was asked");
     }
   }
+
+  /** Tests of a node that is cut off while all control nodes are replaced. */
+  public static final class ReplacedGroup {
+
+    private static final int VOTERS = 3;
+
+    private static LoopbackCluster clusterWithEntries() {
+      LoopbackCluster cluster =
+          new LoopbackCluster(
+              VOTERS, DisseminationTreeSettings.FLAT, LoopbackCluster.Timing.PLATFORM);
+      cluster.startVoters();
+      String leader = cluster.awaitLeader();
+      for (int i = 0; i < VOTERS; i++) {
+        cluster.startNonVoterBelow("voter-" + i, "entry-" + i);
+      }
+      for (int i = 0; i < VOTERS; i++) {
+        String entry = "entry-" + i;
+        LoopbackCluster.await("registration", () -> cluster.hasInstance(leader, entry));
+        LoopbackCluster.await("ready", cluster.node(entry).plane()::isReady);
+      }
+      cluster.awaitApplied("entry-1", cluster.commit(leader, "before"));
+      return cluster;
+    }
+
+    /**
+     * Guards against a node that obeys an old version for good because all voters that it knows
+     * were replaced while it was cut off.
+     */
+    @Test
+    public void healedNodeFindsSuccessorsOfAllVoters() {
+      try (LoopbackCluster cluster = clusterWithEntries()) {
+        cluster.isolate("entry-1");
+        for (int i = 0; i < VOTERS; i++) {
+          cluster.replaceVoter("voter-" + i);
+        }
+        long index = cluster.commit(cluster.awaitLeader(), "during the cut");
+        cluster.heal("entry-1");
+        assertAppliesInTime(cluster, index, System.nanoTime());
+      }
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -25,6 +25,7 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.consensus.FileReplicaStorage;
@@ -70,6 +71,10 @@
   private final Map<InetSocketAddress, Long> lateness = new ConcurrentHashMap<>();
 
   private final List<VoterSettings> goneVoters = new ArrayList<>();
+
+  /** Voters that no settings name, since they replace others. */
+  private final List<VoterSettings> successors = new ArrayList<>();
+
   private final List<ServerSocket> silentSockets = new ArrayList<>();
 
   /** Address that each node called last, by the address of the node. */
@@ -146,8 +151,15 @@
     return start(instance, voter(voter).failureDomain(), freeAddress(), -1);
   }
 
+  /** Returns the voters that the settings of a machine name that is added now. */
+  private List<VoterSettings> runningVoters() {
+    return Stream.concat(voters.stream(), successors.stream())
+        .filter(each -> nodes.containsKey(each.instance().value()))
+        .collect(Collectors.toCollection(ArrayList::new));
+  }
+
   private VoterSettings voter(String instance) {
-    return voters.stream()
+    return Stream.concat(voters.stream(), successors.stream())
         .filter(candidate -> candidate.instance().value().equals(instance))
         .findFirst()
         .get();
@@ -185,6 +197,26 @@
     }
   }
 
+  /**
+   * Replaces a voter for good by another one of its failure domain, which no settings name, and
+   * waits until the group consists of the voters that are left. The successor is named by its
+   * address, as on the platform, so that others find it.
+   */
+  void replaceVoter(String instance) {
+    VoterSettings replaced = voter(instance);
+    stop(instance);
+    InetSocketAddress address = freeAddress();
+    String successor = PeerAddresses.format(address);
+    successors.add(new VoterSettings(new InstanceId(successor), replaced.failureDomain(), address));
+    startVoter(successor, Long.MAX_VALUE);
+    await(
+        successor + " in place of " + instance,
+        () -> {
+          List<String> recorded = node(awaitLeader()).plane().view().recordedVoters();
+          return recorded.contains(successor) && !recorded.contains(instance);
+        });
+  }
+
   private InetSocketAddress silentAddress() {
     try {
       ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
@@ -505,7 +537,8 @@
       String instance, FailureDomain domain, InetSocketAddress address, long maximumDataBytes) {
     long boot = random.nextLong();
     NettyPeerTransport transport = transport(instance, boot, address);
-    List<VoterSettings> knownVoters = new ArrayList<>(voters);
+    boolean succeeds = successors.stream().anyMatch(v -> v.instance().value().equals(instance));
+    List<VoterSettings> knownVoters = succeeds ? runningVoters() : new ArrayList<>(voters);
     if (maximumDataBytes < 0) {
       knownVoters.addAll(goneVoters);
     }
--- a/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
@@ -43,7 +43,12 @@
     }
 
     Simulation preferring(String... candidates) {
-      selector.setCandidates(List.of(candidates));
+      selector.setCandidates(List.of(candidates), List.of());
+      return this;
+    }
+
+    Simulation preferring(List<String> candidates, List<String> others) {
+      selector.setCandidates(candidates, others);
       return this;
     }
 
@@ -114,7 +119,7 @@
   @Test
   public void parentThatCatchesUpAfterItsRestartIsKept() {
     ParentSelector selector = new ParentSelector(TREE, 0);
-    selector.setCandidates(List.of("restarted", "other"));
+    selector.setCandidates(List.of("restarted", "other"), List.of());
     selector.newsReceived("restarted", KnownState.asOf(4, 0), 0);
     assertTrue(selector.update(4, 0).parentChanged());
     selector.newsReceived("restarted", KnownState.UNKNOWN, 800 * MILLISECOND);
@@ -158,7 +163,7 @@
   @Test
   public void candidateThatSendsItsStateGetsTime() {
     ParentSelector selector = new ParentSelector(TREE, 0);
-    selector.setCandidates(List.of("first", "second"));
+    selector.setCandidates(List.of("first", "second"), List.of());
     assertEquals(selector.update(0, 0).asked(), List.of("first"));
     for (long now = 50 * MILLISECOND; now <= 1_450 * MILLISECOND; now += 200 * MILLISECOND) {
       selector.messageReceived("first", now);
@@ -236,4 +241,63 @@
       default -> recent(nowNanos);
     };
   }
+
+  /** Tests of a search in which no candidate has news. */
+  public static final class Acquaintances {
+
+    private static final List<String> GONE = List.of("gone-1", "gone-2", "gone-3");
+    private static final List<String> OTHERS =
+        List.of("other-1", "other-2", "other-3", "other-4", "other-5");
+
+    /** Time in which each of the other nodes has been asked, two in each second. */
+    private static final long ALL_ASKED_NANOS = 5 * SECOND;
+
+    /** Guards against a node whose candidates are all gone and that asks nobody else. */
+    @Test
+    public void anyNodeWithRecentNewsBecomesParent() {
+      for (String informed : OTHERS) {
+        Simulation simulation =
+            new Simulation().preferring(GONE, OTHERS).with(informed, now -> recent(now));
+        simulation.runUntil(ALL_ASKED_NANOS);
+        assertEquals(simulation.parents, List.of(informed));
+      }
+    }
+
+    /** Guards against questions to all nodes whenever a leader is replaced. */
+    @Test
+    public void otherNodesAreAskedSeldomAndNotAtOnce() {
+      Simulation simulation = new Simulation().preferring(GONE, OTHERS);
+      simulation.runUntil(900 * MILLISECOND);
+      assertTrue(simulation.questions.keySet().stream().noneMatch(OTHERS::contains));
+      simulation.runUntil(30 * SECOND);
+      int asked = OTHERS.stream().mapToInt(each -> simulation.questions.get(each)).sum();
+      assertTrue(asked >= 50 && asked <= 60, asked + " questions in 30 s");
+    }
+
+    /** Guards against nodes of an isolated failure domain that follow each other. */
+    @Test
+    public void oldNewsOfAnotherNodeAreNotFollowed() {
+      Simulation simulation =
+          new Simulation()
+              .preferring(List.of("voter"), OTHERS)
+              .with("voter", until(SECOND, now -> recent(now), now -> gone(now)))
+              .with("other-1", now -> KnownState.asOf(4, SECOND));
+      simulation.runUntil(20 * SECOND);
+      assertEquals(simulation.parents, List.of("voter"));
+    }
+
+    /** Guards against a node that stays below another one when a candidate is back. */
+    @Test
+    public void candidateWithNewsTakesThePlaceOfAnotherNode() {
+      Simulation simulation =
+          new Simulation()
+              .preferring(List.of("voter"), OTHERS)
+              .with("other-1", now -> recent(now))
+              .with("voter", until(10 * SECOND, now -> gone(now), now -> recent(now)));
+      simulation.runUntil(10 * SECOND);
+      assertEquals(simulation.parents, List.of("other-1"));
+      simulation.runUntil(13 * SECOND);
+      assertEquals(simulation.parents, List.of("other-1", "voter"));
+    }
+  }
 }
