--- a/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleet.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/CommittedFleet.java
@@ -52,7 +52,8 @@
             record.getState().equals("leaving")
                 ? BackendServer.State.LEAVING
                 : BackendServer.State.LIVE,
-            role(record.getRole()));
+            role(record.getRole()),
+            record.getSoftwareVersion());
     return new ListedServer(
         server,
         record.getKind().equals("service") ? ListedServer.Kind.SERVICE : ListedServer.Kind.ENGINE);
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -177,6 +177,9 @@
       return new AccountLimiter.Denial(
           quarantine.refusalCode(request.work), quarantine.retryAfter(request.work, nowNanos));
     }
+    if (!fleet.listsVersionOf(request) && request.work.options().softwareVersion() != null) {
+      return new AccountLimiter.Denial(RefusalCode.STREAM_VERSION_GONE, RETRY_AFTER);
+    }
     Duration retryAfter = unservable.retryAfter(request, nowNanos);
     if (retryAfter != null) {
       return new AccountLimiter.Denial(RefusalCode.NO_BACKEND_SERVER, retryAfter);
@@ -228,6 +231,9 @@
     fleet.recordOutcome(server, request, failure, nowNanos);
     fleet.removeIfUnlisted(server);
     request.outputTokens += event.outcome().outputTokens();
+    if (event.outcome().outputTokens() > 0) {
+      request.streamedBy(server.server);
+    }
     long ranNanos = nowNanos - request.dispatchedAtNanos;
     quarantine.reportAttempt(
         request.work, server.server.id(), event.outcome(), ranNanos, nowNanos, actions);
@@ -258,9 +264,12 @@
     }
     Progress progress = request.outputTokens > 0 ? Progress.PARTIAL : Progress.NONE;
     RetryAction action = RetryTable.action(failure, request.work.repeatability(), progress);
-    // A partly delivered response waits even if no server remains: one may return before the
-    // deadline.
-    boolean serverAvailable = action == RetryAction.RESUME || fleet.canServe(request, nowNanos);
+    // A partly delivered response waits even if no server takes work: one may return before the
+    // deadline. Servers of a software version that is no longer listed don't.
+    boolean serverAvailable =
+        action == RetryAction.RESUME
+            ? fleet.listsVersionOf(request)
+            : fleet.canServe(request, nowNanos);
     long deadline = nowNanos + configuration.maximumQueueNanos();
     Duration limited =
         action == RetryAction.RESUME ? null : unservable.whileLimited(request, deadline, nowNanos);
--- a/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
@@ -18,6 +18,8 @@
  *     seconds' notice
  * @param state whether new work may be sent to it
  * @param role role that the platform has assigned to an engine
+ * @param softwareVersion version of its software, empty if unknown; what servers of two versions
+ *     write does not fit together in one stream
  */
 public record BackendServer(
     BackendServerId id,
@@ -27,13 +29,27 @@
     Set<ItemName> models,
     Capacity capacity,
     State state,
-    EngineRole role) {
+    EngineRole role,
+    String softwareVersion) {
 
   /** Copies the model names. */
   public BackendServer {
     models = Set.copyOf(models);
   }
 
+  /** Creates a backend server whose software version is unknown. */
+  public BackendServer(
+      BackendServerId id,
+      PoolId pool,
+      FailureDomain failureDomain,
+      String address,
+      Set<ItemName> models,
+      Capacity capacity,
+      State state,
+      EngineRole role) {
+    this(id, pool, failureDomain, address, models, capacity, state, role, "");
+  }
+
   /** Creates a backend server without an assigned role; its load reports carry the role. */
   public BackendServer(
       BackendServerId id,
@@ -48,7 +64,8 @@
 
   /** Returns a copy of this server in another state. */
   public BackendServer withState(State newState) {
-    return new BackendServer(id, pool, failureDomain, address, models, capacity, newState, role);
+    return new BackendServer(
+        id, pool, failureDomain, address, models, capacity, newState, role, softwareVersion);
   }
 
   /** Price class. */
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -132,6 +132,13 @@
     return false;
   }
 
+  /** Returns whether a listed server, whatever its state, could go on with a request's stream. */
+  boolean listsVersionOf(RequestState request) {
+    return serving(request).stream()
+        .filter(state -> state.server.role() != EngineRole.PREFILL_ONLY)
+        .anyMatch(state -> request.fitsStream(state.server));
+  }
+
   /**
    * Returns the servers that may run a request if they have capacity. Servers with an open breaker
    * are excluded only if another server accepts work.
--- a/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/RequestState.java
@@ -72,6 +72,9 @@
 
   private @Nullable RefusalCode possibleRunCode;
 
+  /** Software version that began the stream of this request, null before its first event. */
+  private @Nullable String streamVersion;
+
   RequestState(WorkRequest work, PlanLimits limits, long sequence, long queueDeadlineNanos) {
     this.work = work;
     this.limits = limits;
@@ -79,6 +82,7 @@
     this.queueKey = new QueueKey(work.pool(), work.item(), work.kind());
     this.queueDeadlineNanos = queueDeadlineNanos;
     this.prefix = PrefixIndex.parseHashes(work.prefixHashes());
+    this.streamVersion = work.options().softwareVersion();
   }
 
   /** Phase of a request. */
@@ -120,12 +124,24 @@
   }
 
   /**
-   * Returns whether this request may be sent to a server. One that must run at most once is not
-   * sent again to a server that refused it: the earlier refusal, repeated, would hide a run.
+   * Returns whether this request may be sent to a server. A stream goes on only at the software
+   * version that began it. A request that must run at most once is not sent again to a server that
+   * refused it: the earlier refusal, repeated, would hide a run.
    */
-  boolean maySendTo(BackendServerId server) {
-    return work.repeatability() != WorkRequest.Repeatability.AT_MOST_ONCE
-        || !refusedBy.contains(server);
+  boolean maySendTo(BackendServer candidate) {
+    return fitsStream(candidate)
+        && (work.repeatability() != WorkRequest.Repeatability.AT_MOST_ONCE
+            || !refusedBy.contains(candidate.id()));
+  }
+
+  /** Records the server that sent events of the response. */
+  void streamedBy(BackendServer sender) {
+    streamVersion = sender.softwareVersion();
+  }
+
+  /** Returns whether what a server writes fits what the caller has of this stream. */
+  boolean fitsStream(BackendServer candidate) {
+    return streamVersion == null || streamVersion.equals(candidate.softwareVersion());
   }
 
   /** Records the code of the first failed attempt that may have run. */
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -81,7 +81,7 @@
 
   /** Returns whether the server may run the request, whatever its load is. */
   boolean allows(RequestState request) {
-    return request.maySendTo(server.id()) && allowsOnItsCapacity(request);
+    return request.maySendTo(server) && allowsOnItsCapacity(request);
   }
 
   /** Preemptible servers may be reclaimed while they run a request. */
--- a/wire/src/main/java/org/teaseltrestle/wire/BackendServerRecord.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/BackendServerRecord.java
@@ -38,6 +38,7 @@
         com.google.protobuf.LazyStringArrayList.emptyList();
     state_ = "";
     role_ = "";
+    softwareVersion_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -437,6 +438,53 @@
     }
   }
 
+  public static final int SOFTWARE_VERSION_FIELD_NUMBER = 11;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object softwareVersion_ = "";
+  /**
+   * <pre>
+   * Version of the server's software, empty if the list names none.
+   * </pre>
+   *
+   * <code>string software_version = 11;</code>
+   * @return The softwareVersion.
+   */
+  @java.lang.Override
+  public java.lang.String getSoftwareVersion() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      softwareVersion_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Version of the server's software, empty if the list names none.
+   * </pre>
+   *
+   * <code>string software_version = 11;</code>
+   * @return The bytes for softwareVersion.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getSoftwareVersionBytes() {
+    java.lang.Object ref = softwareVersion_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      softwareVersion_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -481,6 +529,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(role_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 10, role_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 11, softwareVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -526,6 +577,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(role_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(10, role_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(softwareVersion_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(11, softwareVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -561,6 +615,8 @@
         .equals(other.getState())) return false;
     if (!getRole()
         .equals(other.getRole())) return false;
+    if (!getSoftwareVersion()
+        .equals(other.getSoftwareVersion())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -595,6 +651,8 @@
     hash = (53 * hash) + getState().hashCode();
     hash = (37 * hash) + ROLE_FIELD_NUMBER;
     hash = (53 * hash) + getRole().hashCode();
+    hash = (37 * hash) + SOFTWARE_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + getSoftwareVersion().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -737,6 +795,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       state_ = "";
       role_ = "";
+      softwareVersion_ = "";
       return this;
     }
 
@@ -801,6 +860,9 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.role_ = role_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.softwareVersion_ = softwareVersion_;
+      }
     }
 
     @java.lang.Override
@@ -868,6 +930,11 @@
         bitField0_ |= 0x00000200;
         onChanged();
       }
+      if (!other.getSoftwareVersion().isEmpty()) {
+        softwareVersion_ = other.softwareVersion_;
+        bitField0_ |= 0x00000400;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -945,6 +1012,11 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 82
+            case 90: {
+              softwareVersion_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 90
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1741,6 +1813,98 @@
       return this;
     }
 
+    private java.lang.Object softwareVersion_ = "";
+    /**
+     * <pre>
+     * Version of the server's software, empty if the list names none.
+     * </pre>
+     *
+     * <code>string software_version = 11;</code>
+     * @return The softwareVersion.
+     */
+    public java.lang.String getSoftwareVersion() {
+      java.lang.Object ref = softwareVersion_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        softwareVersion_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version of the server's software, empty if the list names none.
+     * </pre>
+     *
+     * <code>string software_version = 11;</code>
+     * @return The bytes for softwareVersion.
+     */
+    public com.google.protobuf.ByteString
+        getSoftwareVersionBytes() {
+      java.lang.Object ref = softwareVersion_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        softwareVersion_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Version of the server's software, empty if the list names none.
+     * </pre>
+     *
+     * <code>string software_version = 11;</code>
+     * @param value The softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersion(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the server's software, empty if the list names none.
+     * </pre>
+     *
+     * <code>string software_version = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSoftwareVersion() {
+      softwareVersion_ = getDefaultInstance().getSoftwareVersion();
+      bitField0_ = (bitField0_ & ~0x00000400);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Version of the server's software, empty if the list names none.
+     * </pre>
+     *
+     * <code>string software_version = 11;</code>
+     * @param value The bytes for softwareVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSoftwareVersionBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      softwareVersion_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.BackendServerRecord)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/BackendServerRecordOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/BackendServerRecordOrBuilder.java
@@ -160,4 +160,24 @@
    */
   com.google.protobuf.ByteString
       getRoleBytes();
+
+  /**
+   * <pre>
+   * Version of the server's software, empty if the list names none.
+   * </pre>
+   *
+   * <code>string software_version = 11;</code>
+   * @return The softwareVersion.
+   */
+  java.lang.String getSoftwareVersion();
+  /**
+   * <pre>
+   * Version of the server's software, empty if the list names none.
+   * </pre>
+   *
+   * <code>string software_version = 11;</code>
+   * @return The bytes for softwareVersion.
+   */
+  com.google.protobuf.ByteString
+      getSoftwareVersionBytes();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Control.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Control.java
@@ -288,55 +288,56 @@
       "er\030\001 \001(\0132\026.trestle.PlatformOrder\022\026\n\016auth" +
       "ority_term\030\002 \001(\004\"O\n\023SettlePlatformOrder\022" +
       "\020\n\010order_id\030\001 \001(\t\022\016\n\006result\030\002 \001(\t\022\026\n\016aut" +
-      "hority_term\030\003 \001(\004\"\275\001\n\023BackendServerRecor" +
+      "hority_term\030\003 \001(\004\"\327\001\n\023BackendServerRecor" +
       "d\022\n\n\002id\030\001 \001(\t\022\014\n\004pool\030\002 \001(\t\022\026\n\016failure_d" +
       "omain\030\003 \001(\t\022\017\n\007address\030\004 \001(\t\022\014\n\004kind\030\005 \001" +
       "(\t\022\020\n\010capacity\030\006 \001(\t\022\026\n\016checks_fencing\030\007" +
       " \001(\010\022\016\n\006models\030\010 \003(\t\022\r\n\005state\030\t \001(\t\022\014\n\004r" +
-      "ole\030\n \001(\t\"`\n\014ObserveFleet\022*\n\004seen\030\001 \003(\0132" +
-      "\034.trestle.BackendServerRecord\022\014\n\004gone\030\002 " +
-      "\003(\t\022\026\n\016authority_term\030\003 \001(\004\"2\n\nPlanChang" +
-      "e\022\026\n\016backend_server\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"" +
-      "\203\001\n\013UsageFigure\022\017\n\007account\030\001 \001(\t\022\014\n\004item" +
-      "\030\002 \001(\t\022\025\n\rprompt_tokens\030\003 \001(\004\022\025\n\routput_" +
-      "tokens\030\004 \001(\004\022\020\n\010requests\030\005 \001(\004\022\025\n\rlate_r" +
-      "equests\030\006 \001(\004\"\222\001\n\nUsageBatch\022\020\n\010instance" +
-      "\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003" +
-      " \001(\004\022\025\n\rlast_sequence\030\004 \001(\004\022\016\n\006window\030\005 " +
-      "\001(\004\022%\n\007figures\030\006 \003(\0132\024.trestle.UsageFigu" +
-      "re\":\n\020CloseUsageWindow\022\016\n\006window\030\001 \001(\004\022\026" +
-      "\n\016authority_term\030\002 \001(\004\"7\n\rUsageReported\022" +
-      "\016\n\006window\030\001 \001(\004\022\026\n\016authority_term\030\002 \001(\004\"" +
-      "\361\002\n\021IdempotencyRecord\022\017\n\007account\030\001 \001(\t\022\017" +
-      "\n\007service\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t" +
-      "\022\026\n\016request_digest\030\004 \001(\014\022\027\n\017runner_insta" +
-      "nce\030\005 \001(\t\022\023\n\013runner_boot\030\006 \001(\006\022\031\n\021claime" +
-      "d_at_millis\030\007 \001(\003\022/\n\005state\030\010 \001(\0162 .trest" +
-      "le.IdempotencyRecord.State\022\023\n\013http_statu" +
-      "s\030\t \001(\r\022\024\n\014content_type\030\n \001(\t\022\014\n\004body\030\013 " +
-      "\001(\014\"V\n\005State\022\017\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED" +
-      "\020\001\022\r\n\tCOMPLETED\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013" +
-      "\n\007NOT_RUN\020\004\"=\n\020ClaimIdempotency\022)\n\005claim" +
-      "\030\001 \001(\0132\032.trestle.IdempotencyRecord\"V\n\rRe" +
-      "cordOutcome\022+\n\007outcome\030\001 \001(\0132\032.trestle.I" +
-      "dempotencyRecord\022\030\n\020claim_request_id\030\002 \001" +
-      "(\t\"9\n\024PublishConfiguration\022\017\n\007version\030\001 " +
-      "\001(\004\022\020\n\010document\030\002 \001(\014\"S\n\021ReportPromptPar" +
-      "ts\022&\n\004lost\030\001 \003(\0132\030.trestle.LostPromptPar" +
-      "ts\022\026\n\016answered_parts\030\002 \003(\006\"h\n\017LostPrompt" +
-      "Parts\022\026\n\016backend_server\030\001 \001(\t\022\r\n\005parts\030\002" +
-      " \003(\006\022\026\n\016lost_at_millis\030\003 \001(\003\022\026\n\016sent_at_" +
-      "millis\030\004 \001(\003\"m\n\021SuspectPromptPart\022\014\n\004par" +
-      "t\030\001 \001(\006\022\016\n\006losses\030\002 \001(\r\022#\n\006latest\030\003 \003(\0132" +
-      "\023.trestle.ServerLoss\022\025\n\rchanged_index\030\004 " +
-      "\001(\004\"@\n\nServerLoss\022\026\n\016backend_server\030\001 \001(" +
-      "\t\022\032\n\022reported_at_millis\030\002 \001(\003\"i\n\021ReportS" +
-      "erverLimit\022\016\n\006server\030\001 \001(\t\022\033\n\023requests_p" +
-      "er_second\030\002 \001(\001\022\r\n\005ended\030\003 \001(\010\022\030\n\020replac" +
-      "ed_version\030\004 \001(\004\"g\n\013ServerLimit\022\016\n\006serve" +
-      "r\030\001 \001(\t\022\033\n\023requests_per_second\030\002 \001(\001\022\017\n\007" +
-      "version\030\003 \001(\004\022\032\n\022reported_at_millis\030\004 \001(" +
-      "\003B\032\n\026org.teaseltrestle.wireP\001b\006proto3"
+      "ole\030\n \001(\t\022\030\n\020software_version\030\013 \001(\t\"`\n\014O" +
+      "bserveFleet\022*\n\004seen\030\001 \003(\0132\034.trestle.Back" +
+      "endServerRecord\022\014\n\004gone\030\002 \003(\t\022\026\n\016authori" +
+      "ty_term\030\003 \001(\004\"2\n\nPlanChange\022\026\n\016backend_s" +
+      "erver\030\001 \001(\t\022\014\n\004kind\030\002 \001(\t\"\203\001\n\013UsageFigur" +
+      "e\022\017\n\007account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprom" +
+      "pt_tokens\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\020" +
+      "\n\010requests\030\005 \001(\004\022\025\n\rlate_requests\030\006 \001(\004\"" +
+      "\222\001\n\nUsageBatch\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot" +
+      "\030\002 \001(\006\022\026\n\016first_sequence\030\003 \001(\004\022\025\n\rlast_s" +
+      "equence\030\004 \001(\004\022\016\n\006window\030\005 \001(\004\022%\n\007figures" +
+      "\030\006 \003(\0132\024.trestle.UsageFigure\":\n\020CloseUsa" +
+      "geWindow\022\016\n\006window\030\001 \001(\004\022\026\n\016authority_te" +
+      "rm\030\002 \001(\004\"7\n\rUsageReported\022\016\n\006window\030\001 \001(" +
+      "\004\022\026\n\016authority_term\030\002 \001(\004\"\361\002\n\021Idempotenc" +
+      "yRecord\022\017\n\007account\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
+      "\t\022\027\n\017idempotency_key\030\003 \001(\t\022\026\n\016request_di" +
+      "gest\030\004 \001(\014\022\027\n\017runner_instance\030\005 \001(\t\022\023\n\013r" +
+      "unner_boot\030\006 \001(\006\022\031\n\021claimed_at_millis\030\007 " +
+      "\001(\003\022/\n\005state\030\010 \001(\0162 .trestle.Idempotency" +
+      "Record.State\022\023\n\013http_status\030\t \001(\r\022\024\n\014con" +
+      "tent_type\030\n \001(\t\022\014\n\004body\030\013 \001(\014\"V\n\005State\022\017" +
+      "\n\013UNSPECIFIED\020\000\022\013\n\007CLAIMED\020\001\022\r\n\tCOMPLETE" +
+      "D\020\002\022\023\n\017OUTCOME_UNKNOWN\020\003\022\013\n\007NOT_RUN\020\004\"=\n" +
+      "\020ClaimIdempotency\022)\n\005claim\030\001 \001(\0132\032.trest" +
+      "le.IdempotencyRecord\"V\n\rRecordOutcome\022+\n" +
+      "\007outcome\030\001 \001(\0132\032.trestle.IdempotencyReco" +
+      "rd\022\030\n\020claim_request_id\030\002 \001(\t\"9\n\024PublishC" +
+      "onfiguration\022\017\n\007version\030\001 \001(\004\022\020\n\010documen" +
+      "t\030\002 \001(\014\"S\n\021ReportPromptParts\022&\n\004lost\030\001 \003" +
+      "(\0132\030.trestle.LostPromptParts\022\026\n\016answered" +
+      "_parts\030\002 \003(\006\"h\n\017LostPromptParts\022\026\n\016backe" +
+      "nd_server\030\001 \001(\t\022\r\n\005parts\030\002 \003(\006\022\026\n\016lost_a" +
+      "t_millis\030\003 \001(\003\022\026\n\016sent_at_millis\030\004 \001(\003\"m" +
+      "\n\021SuspectPromptPart\022\014\n\004part\030\001 \001(\006\022\016\n\006los" +
+      "ses\030\002 \001(\r\022#\n\006latest\030\003 \003(\0132\023.trestle.Serv" +
+      "erLoss\022\025\n\rchanged_index\030\004 \001(\004\"@\n\nServerL" +
+      "oss\022\026\n\016backend_server\030\001 \001(\t\022\032\n\022reported_" +
+      "at_millis\030\002 \001(\003\"i\n\021ReportServerLimit\022\016\n\006" +
+      "server\030\001 \001(\t\022\033\n\023requests_per_second\030\002 \001(" +
+      "\001\022\r\n\005ended\030\003 \001(\010\022\030\n\020replaced_version\030\004 \001" +
+      "(\004\"g\n\013ServerLimit\022\016\n\006server\030\001 \001(\t\022\033\n\023req" +
+      "uests_per_second\030\002 \001(\001\022\017\n\007version\030\003 \001(\004\022" +
+      "\032\n\022reported_at_millis\030\004 \001(\003B\032\n\026org.tease" +
+      "ltrestle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -455,7 +456,7 @@
     internal_static_trestle_BackendServerRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_BackendServerRecord_descriptor,
-        new java.lang.String[] { "Id", "Pool", "FailureDomain", "Address", "Kind", "Capacity", "ChecksFencing", "Models", "State", "Role", });
+        new java.lang.String[] { "Id", "Pool", "FailureDomain", "Address", "Kind", "Capacity", "ChecksFencing", "Models", "State", "Role", "SoftwareVersion", });
     internal_static_trestle_ObserveFleet_descriptor =
       getDescriptor().getMessageTypes().get(19);
     internal_static_trestle_ObserveFleet_fieldAccessorTable = new
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshot.java
@@ -53,6 +53,7 @@
     recordedVoters_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     serverLimits_ = java.util.Collections.emptyList();
+    leftSoftwareVersions_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -1065,6 +1066,47 @@
     return servingChangedIndex_;
   }
 
+  public static final int LEFT_SOFTWARE_VERSIONS_FIELD_NUMBER = 29;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion> leftSoftwareVersions_;
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion> getLeftSoftwareVersionsList() {
+    return leftSoftwareVersions_;
+  }
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder> 
+      getLeftSoftwareVersionsOrBuilderList() {
+    return leftSoftwareVersions_;
+  }
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  @java.lang.Override
+  public int getLeftSoftwareVersionsCount() {
+    return leftSoftwareVersions_.size();
+  }
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.LeftSoftwareVersion getLeftSoftwareVersions(int index) {
+    return leftSoftwareVersions_.get(index);
+  }
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder getLeftSoftwareVersionsOrBuilder(
+      int index) {
+    return leftSoftwareVersions_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -1163,6 +1205,9 @@
     if (servingChangedIndex_ != 0L) {
       output.writeUInt64(28, servingChangedIndex_);
     }
+    for (int i = 0; i < leftSoftwareVersions_.size(); i++) {
+      output.writeMessage(29, leftSoftwareVersions_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -1286,6 +1331,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(28, servingChangedIndex_);
     }
+    for (int i = 0; i < leftSoftwareVersions_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, leftSoftwareVersions_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -1363,6 +1412,8 @@
         .equals(other.getServerLimitsList())) return false;
     if (getServingChangedIndex()
         != other.getServingChangedIndex()) return false;
+    if (!getLeftSoftwareVersionsList()
+        .equals(other.getLeftSoftwareVersionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -1475,6 +1526,10 @@
     hash = (37 * hash) + SERVING_CHANGED_INDEX_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getServingChangedIndex());
+    if (getLeftSoftwareVersionsCount() > 0) {
+      hash = (37 * hash) + LEFT_SOFTWARE_VERSIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getLeftSoftwareVersionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -1628,6 +1683,7 @@
         internalGetServingConfigurationFieldBuilder();
         internalGetSuspectPromptPartsFieldBuilder();
         internalGetServerLimitsFieldBuilder();
+        internalGetLeftSoftwareVersionsFieldBuilder();
       }
     }
     @java.lang.Override
@@ -1767,6 +1823,13 @@
       }
       bitField0_ = (bitField0_ & ~0x04000000);
       servingChangedIndex_ = 0L;
+      if (leftSoftwareVersionsBuilder_ == null) {
+        leftSoftwareVersions_ = java.util.Collections.emptyList();
+      } else {
+        leftSoftwareVersions_ = null;
+        leftSoftwareVersionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x10000000);
       return this;
     }
 
@@ -1944,6 +2007,15 @@
       } else {
         result.serverLimits_ = serverLimitsBuilder_.build();
       }
+      if (leftSoftwareVersionsBuilder_ == null) {
+        if (((bitField0_ & 0x10000000) != 0)) {
+          leftSoftwareVersions_ = java.util.Collections.unmodifiableList(leftSoftwareVersions_);
+          bitField0_ = (bitField0_ & ~0x10000000);
+        }
+        result.leftSoftwareVersions_ = leftSoftwareVersions_;
+      } else {
+        result.leftSoftwareVersions_ = leftSoftwareVersionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.teaseltrestle.wire.ControlSnapshot result) {
@@ -2470,6 +2542,32 @@
       if (other.getServingChangedIndex() != 0L) {
         setServingChangedIndex(other.getServingChangedIndex());
       }
+      if (leftSoftwareVersionsBuilder_ == null) {
+        if (!other.leftSoftwareVersions_.isEmpty()) {
+          if (leftSoftwareVersions_.isEmpty()) {
+            leftSoftwareVersions_ = other.leftSoftwareVersions_;
+            bitField0_ = (bitField0_ & ~0x10000000);
+          } else {
+            ensureLeftSoftwareVersionsIsMutable();
+            leftSoftwareVersions_.addAll(other.leftSoftwareVersions_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.leftSoftwareVersions_.isEmpty()) {
+          if (leftSoftwareVersionsBuilder_.isEmpty()) {
+            leftSoftwareVersionsBuilder_.dispose();
+            leftSoftwareVersionsBuilder_ = null;
+            leftSoftwareVersions_ = other.leftSoftwareVersions_;
+            bitField0_ = (bitField0_ & ~0x10000000);
+            leftSoftwareVersionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLeftSoftwareVersionsFieldBuilder() : null;
+          } else {
+            leftSoftwareVersionsBuilder_.addAllMessages(other.leftSoftwareVersions_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -2769,6 +2867,19 @@
               bitField0_ |= 0x08000000;
               break;
             } // case 224
+            case 234: {
+              org.teaseltrestle.wire.LeftSoftwareVersion m =
+                  input.readMessage(
+                      org.teaseltrestle.wire.LeftSoftwareVersion.parser(),
+                      extensionRegistry);
+              if (leftSoftwareVersionsBuilder_ == null) {
+                ensureLeftSoftwareVersionsIsMutable();
+                leftSoftwareVersions_.add(m);
+              } else {
+                leftSoftwareVersionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 234
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -7659,6 +7770,246 @@
       return this;
     }
 
+    private java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion> leftSoftwareVersions_ =
+      java.util.Collections.emptyList();
+    private void ensureLeftSoftwareVersionsIsMutable() {
+      if (!((bitField0_ & 0x10000000) != 0)) {
+        leftSoftwareVersions_ = new java.util.ArrayList<org.teaseltrestle.wire.LeftSoftwareVersion>(leftSoftwareVersions_);
+        bitField0_ |= 0x10000000;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.LeftSoftwareVersion, org.teaseltrestle.wire.LeftSoftwareVersion.Builder, org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder> leftSoftwareVersionsBuilder_;
+
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion> getLeftSoftwareVersionsList() {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(leftSoftwareVersions_);
+      } else {
+        return leftSoftwareVersionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public int getLeftSoftwareVersionsCount() {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        return leftSoftwareVersions_.size();
+      } else {
+        return leftSoftwareVersionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public org.teaseltrestle.wire.LeftSoftwareVersion getLeftSoftwareVersions(int index) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        return leftSoftwareVersions_.get(index);
+      } else {
+        return leftSoftwareVersionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder setLeftSoftwareVersions(
+        int index, org.teaseltrestle.wire.LeftSoftwareVersion value) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.set(index, value);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder setLeftSoftwareVersions(
+        int index, org.teaseltrestle.wire.LeftSoftwareVersion.Builder builderForValue) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder addLeftSoftwareVersions(org.teaseltrestle.wire.LeftSoftwareVersion value) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.add(value);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder addLeftSoftwareVersions(
+        int index, org.teaseltrestle.wire.LeftSoftwareVersion value) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.add(index, value);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder addLeftSoftwareVersions(
+        org.teaseltrestle.wire.LeftSoftwareVersion.Builder builderForValue) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.add(builderForValue.build());
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder addLeftSoftwareVersions(
+        int index, org.teaseltrestle.wire.LeftSoftwareVersion.Builder builderForValue) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder addAllLeftSoftwareVersions(
+        java.lang.Iterable<? extends org.teaseltrestle.wire.LeftSoftwareVersion> values) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        ensureLeftSoftwareVersionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leftSoftwareVersions_);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder clearLeftSoftwareVersions() {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        leftSoftwareVersions_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x10000000);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public Builder removeLeftSoftwareVersions(int index) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        ensureLeftSoftwareVersionsIsMutable();
+        leftSoftwareVersions_.remove(index);
+        onChanged();
+      } else {
+        leftSoftwareVersionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public org.teaseltrestle.wire.LeftSoftwareVersion.Builder getLeftSoftwareVersionsBuilder(
+        int index) {
+      return internalGetLeftSoftwareVersionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder getLeftSoftwareVersionsOrBuilder(
+        int index) {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        return leftSoftwareVersions_.get(index);  } else {
+        return leftSoftwareVersionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public java.util.List<? extends org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder> 
+         getLeftSoftwareVersionsOrBuilderList() {
+      if (leftSoftwareVersionsBuilder_ != null) {
+        return leftSoftwareVersionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(leftSoftwareVersions_);
+      }
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public org.teaseltrestle.wire.LeftSoftwareVersion.Builder addLeftSoftwareVersionsBuilder() {
+      return internalGetLeftSoftwareVersionsFieldBuilder().addBuilder(
+          org.teaseltrestle.wire.LeftSoftwareVersion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public org.teaseltrestle.wire.LeftSoftwareVersion.Builder addLeftSoftwareVersionsBuilder(
+        int index) {
+      return internalGetLeftSoftwareVersionsFieldBuilder().addBuilder(
+          index, org.teaseltrestle.wire.LeftSoftwareVersion.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion.Builder> 
+         getLeftSoftwareVersionsBuilderList() {
+      return internalGetLeftSoftwareVersionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.LeftSoftwareVersion, org.teaseltrestle.wire.LeftSoftwareVersion.Builder, org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder> 
+        internalGetLeftSoftwareVersionsFieldBuilder() {
+      if (leftSoftwareVersionsBuilder_ == null) {
+        leftSoftwareVersionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaseltrestle.wire.LeftSoftwareVersion, org.teaseltrestle.wire.LeftSoftwareVersion.Builder, org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder>(
+                leftSoftwareVersions_,
+                ((bitField0_ & 0x10000000) != 0),
+                getParentForChildren(),
+                isClean());
+        leftSoftwareVersions_ = null;
+      }
+      return leftSoftwareVersionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.ControlSnapshot)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOrBuilder.java
@@ -610,4 +610,28 @@
    * @return The servingChangedIndex.
    */
   long getServingChangedIndex();
+
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  java.util.List<org.teaseltrestle.wire.LeftSoftwareVersion> 
+      getLeftSoftwareVersionsList();
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  org.teaseltrestle.wire.LeftSoftwareVersion getLeftSoftwareVersions(int index);
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  int getLeftSoftwareVersionsCount();
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  java.util.List<? extends org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder> 
+      getLeftSoftwareVersionsOrBuilderList();
+  /**
+   * <code>repeated .trestle.LeftSoftwareVersion left_software_versions = 29;</code>
+   */
+  org.teaseltrestle.wire.LeftSoftwareVersionOrBuilder getLeftSoftwareVersionsOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOuterClass.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/ControlSnapshotOuterClass.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_ControlSnapshot_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_LeftSoftwareVersion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_LeftSoftwareVersion_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_AnsweredRequest_descriptor;
   static final 
@@ -76,7 +81,7 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\026control_snapshot.proto\022\007trestle\032\rcontr" +
-      "ol.proto\"\371\010\n\017ControlSnapshot\022\025\n\rapplied_" +
+      "ol.proto\"\267\t\n\017ControlSnapshot\022\025\n\rapplied_" +
       "index\030\001 \001(\004\022\031\n\021state_time_millis\030\002 \001(\003\022\026" +
       "\n\016lists_revision\030\003 \001(\004\022\025\n\raccounts_json\030" +
       "\004 \001(\t\022\022\n\nplans_json\030\005 \001(\t\0223\n\021answered_re" +
@@ -104,24 +109,28 @@
       "\024suspect_prompt_parts\030\031 \003(\0132\032.trestle.Su" +
       "spectPromptPart\022\027\n\017recorded_voters\030\032 \003(\t" +
       "\022+\n\rserver_limits\030\033 \003(\0132\024.trestle.Server" +
-      "Limit\022\035\n\025serving_changed_index\030\034 \001(\004\"e\n\017" +
-      "AnsweredRequest\022\022\n\nrequest_id\030\001 \001(\t\022\026\n\016c" +
-      "ontent_digest\030\002 \001(\014\022&\n\006answer\030\003 \001(\0132\026.tr" +
-      "estle.CommandAnswer\"C\n\010PastBoot\022\020\n\010insta" +
-      "nce\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\027\n\017ended_at_mill" +
-      "is\030\003 \001(\003\"W\n\017AuthorityRecord\022\014\n\004term\030\001 \001(" +
-      "\004\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\022\026\n\016fen" +
-      "cing_number\030\004 \001(\004\"E\n\013EngineOwner\022\026\n\016back" +
-      "end_server\030\001 \001(\t\022\020\n\010instance\030\002 \001(\t\022\014\n\004bo" +
-      "ot\030\003 \001(\006\"f\n\013UsageWindow\022\016\n\006window\030\001 \001(\004\022" +
-      "%\n\007figures\030\002 \003(\0132\024.trestle.UsageFigure\022\016" +
-      "\n\006closed\030\003 \001(\010\022\020\n\010reported\030\004 \001(\010\"_\n\013Usag" +
-      "eSource\022\020\n\010instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022" +
-      "\025\n\rlast_sequence\030\003 \001(\004\022\031\n\021changed_at_mil" +
-      "lis\030\004 \001(\003\"i\n\rClaimSnapshot\022)\n\005claim\030\001 \001(" +
-      "\0132\032.trestle.IdempotencyRecord\022\022\n\nrequest" +
-      "_id\030\002 \001(\t\022\031\n\021kept_since_millis\030\003 \001(\003B\032\n\026" +
-      "org.teaseltrestle.wireP\001b\006proto3"
+      "Limit\022\035\n\025serving_changed_index\030\034 \001(\004\022<\n\026" +
+      "left_software_versions\030\035 \003(\0132\034.trestle.L" +
+      "eftSoftwareVersion\"U\n\023LeftSoftwareVersio" +
+      "n\022\014\n\004pool\030\001 \001(\t\022\030\n\020software_version\030\002 \001(" +
+      "\t\022\026\n\016left_at_millis\030\003 \001(\004\"e\n\017AnsweredReq" +
+      "uest\022\022\n\nrequest_id\030\001 \001(\t\022\026\n\016content_dige" +
+      "st\030\002 \001(\014\022&\n\006answer\030\003 \001(\0132\026.trestle.Comma" +
+      "ndAnswer\"C\n\010PastBoot\022\020\n\010instance\030\001 \001(\t\022\014" +
+      "\n\004boot\030\002 \001(\006\022\027\n\017ended_at_millis\030\003 \001(\003\"W\n" +
+      "\017AuthorityRecord\022\014\n\004term\030\001 \001(\004\022\020\n\010instan" +
+      "ce\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\022\026\n\016fencing_number" +
+      "\030\004 \001(\004\"E\n\013EngineOwner\022\026\n\016backend_server\030" +
+      "\001 \001(\t\022\020\n\010instance\030\002 \001(\t\022\014\n\004boot\030\003 \001(\006\"f\n" +
+      "\013UsageWindow\022\016\n\006window\030\001 \001(\004\022%\n\007figures\030" +
+      "\002 \003(\0132\024.trestle.UsageFigure\022\016\n\006closed\030\003 " +
+      "\001(\010\022\020\n\010reported\030\004 \001(\010\"_\n\013UsageSource\022\020\n\010" +
+      "instance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rlast_seq" +
+      "uence\030\003 \001(\004\022\031\n\021changed_at_millis\030\004 \001(\003\"i" +
+      "\n\rClaimSnapshot\022)\n\005claim\030\001 \001(\0132\032.trestle" +
+      ".IdempotencyRecord\022\022\n\nrequest_id\030\002 \001(\t\022\031" +
+      "\n\021kept_since_millis\030\003 \001(\003B\032\n\026org.teaselt" +
+      "restle.wireP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -133,45 +142,51 @@
     internal_static_trestle_ControlSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ControlSnapshot_descriptor,
-        new java.lang.String[] { "AppliedIndex", "StateTimeMillis", "ListsRevision", "AccountsJson", "PlansJson", "AnsweredRequests", "Keys", "Instances", "PastBoots", "Authority", "LastFencingNumber", "OpenEngineOrders", "SettledEngineOrders", "EngineOwners", "OpenPlatformOrders", "SettledPlatformOrders", "BackendServers", "PlannedChanges", "UsageClosedThrough", "UsageAnyClosed", "UsageWindows", "UsageSources", "Claims", "ServingConfiguration", "SuspectPromptParts", "RecordedVoters", "ServerLimits", "ServingChangedIndex", });
-    internal_static_trestle_AnsweredRequest_descriptor =
+        new java.lang.String[] { "AppliedIndex", "StateTimeMillis", "ListsRevision", "AccountsJson", "PlansJson", "AnsweredRequests", "Keys", "Instances", "PastBoots", "Authority", "LastFencingNumber", "OpenEngineOrders", "SettledEngineOrders", "EngineOwners", "OpenPlatformOrders", "SettledPlatformOrders", "BackendServers", "PlannedChanges", "UsageClosedThrough", "UsageAnyClosed", "UsageWindows", "UsageSources", "Claims", "ServingConfiguration", "SuspectPromptParts", "RecordedVoters", "ServerLimits", "ServingChangedIndex", "LeftSoftwareVersions", });
+    internal_static_trestle_LeftSoftwareVersion_descriptor =
       getDescriptor().getMessageTypes().get(1);
+    internal_static_trestle_LeftSoftwareVersion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_LeftSoftwareVersion_descriptor,
+        new java.lang.String[] { "Pool", "SoftwareVersion", "LeftAtMillis", });
+    internal_static_trestle_AnsweredRequest_descriptor =
+      getDescriptor().getMessageTypes().get(2);
     internal_static_trestle_AnsweredRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_AnsweredRequest_descriptor,
         new java.lang.String[] { "RequestId", "ContentDigest", "Answer", });
     internal_static_trestle_PastBoot_descriptor =
-      getDescriptor().getMessageTypes().get(2);
+      getDescriptor().getMessageTypes().get(3);
     internal_static_trestle_PastBoot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_PastBoot_descriptor,
         new java.lang.String[] { "Instance", "Boot", "EndedAtMillis", });
     internal_static_trestle_AuthorityRecord_descriptor =
-      getDescriptor().getMessageTypes().get(3);
+      getDescriptor().getMessageTypes().get(4);
     internal_static_trestle_AuthorityRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_AuthorityRecord_descriptor,
         new java.lang.String[] { "Term", "Instance", "Boot", "FencingNumber", });
     internal_static_trestle_EngineOwner_descriptor =
-      getDescriptor().getMessageTypes().get(4);
+      getDescriptor().getMessageTypes().get(5);
     internal_static_trestle_EngineOwner_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_EngineOwner_descriptor,
         new java.lang.String[] { "BackendServer", "Instance", "Boot", });
     internal_static_trestle_UsageWindow_descriptor =
-      getDescriptor().getMessageTypes().get(5);
+      getDescriptor().getMessageTypes().get(6);
     internal_static_trestle_UsageWindow_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageWindow_descriptor,
         new java.lang.String[] { "Window", "Figures", "Closed", "Reported", });
     internal_static_trestle_UsageSource_descriptor =
-      getDescriptor().getMessageTypes().get(6);
+      getDescriptor().getMessageTypes().get(7);
     internal_static_trestle_UsageSource_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageSource_descriptor,
         new java.lang.String[] { "Instance", "Boot", "LastSequence", "ChangedAtMillis", });
     internal_static_trestle_ClaimSnapshot_descriptor =
-      getDescriptor().getMessageTypes().get(7);
+      getDescriptor().getMessageTypes().get(8);
     internal_static_trestle_ClaimSnapshot_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_ClaimSnapshot_descriptor,
