Go on with a stream that a caller takes up only where it began

Callers saw: a stream that broke off, taken up at another machine, was answered 200 and joined from two software versions. Cause: nothing of a stream is kept when its response ends, and Resumes was not read, so a take-up counted as a new stream that may begin anywhere. The route's pool and the version that began it are used again.

--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -123,7 +123,8 @@
         claims.claims(),
         serving.document(),
         suspectParts.suspects(),
-        serverLimits.limits());
+        serverLimits.limits(),
+        fleet.leftVersions());
   }
 
   /** Returns the encoded state; equal states have equal bytes. */
@@ -181,7 +182,7 @@
       case PLACE_PLATFORM_ORDER -> platformOrders.place(command.getPlacePlatformOrder(), authority);
       case SETTLE_PLATFORM_ORDER ->
           platformOrders.settle(command.getSettlePlatformOrder(), authority);
-      case OBSERVE_FLEET -> observe(command.getObserveFleet());
+      case OBSERVE_FLEET -> observe(command.getObserveFleet(), context);
       case PLAN_CHANGE -> fleet.plan(command.getPlanChange());
       case USAGE_BATCH -> usage.count(command.getUsageBatch(), context);
       case CLOSE_USAGE_WINDOW -> usage.close(command.getCloseUsageWindow(), authority);
@@ -212,8 +213,8 @@
     return answer;
   }
 
-  private CommandAnswer.Builder observe(ObserveFleet observed) {
-    CommandAnswer.Builder answer = fleet.observe(observed, authority);
+  private CommandAnswer.Builder observe(ObserveFleet observed, CommandContext context) {
+    CommandAnswer.Builder answer = fleet.observe(observed, authority, context.proposedAtMillis());
     if (answer.getStatus() == CommandAnswer.Status.ACCEPTED) {
       observed.getGoneList().forEach(engineOrders::removeOwnerOfRemovedEngine);
       observed.getGoneList().forEach(serverLimits::remove);
--- a/control/src/main/java/org/teaseltrestle/control/ControlView.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlView.java
@@ -11,6 +11,7 @@
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.LeftSoftwareVersion;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.ServerLimit;
@@ -108,6 +109,11 @@
     return List.of();
   }
 
+  /** Returns the software versions whose last backend server has left within some minutes. */
+  default Collection<LeftSoftwareVersion> leftSoftwareVersions() {
+    return List.of();
+  }
+
   /** Returns how many backend servers of open purchases are not available yet. */
   default int outstandingServers(String pool, String failureDomain, String capacity) {
     return openPlatformOrders().stream()
--- a/control/src/main/java/org/teaseltrestle/control/StateView.java
+++ b/control/src/main/java/org/teaseltrestle/control/StateView.java
@@ -12,6 +12,7 @@
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.LeftSoftwareVersion;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.ServerLimit;
@@ -38,7 +39,8 @@
     PersistentMap<ClaimsArea.ClaimKey, ClaimSnapshot> claimsByKey,
     ServingDocument servingDocument,
     PersistentMap<Long, SuspectPromptPart> suspectsByPart,
-    PersistentMap<String, ServerLimit> limitsByServer)
+    PersistentMap<String, ServerLimit> limitsByServer,
+    PersistentMap<String, LeftSoftwareVersion> leftVersionsByName)
     implements ControlView {
 
   @Override
@@ -51,6 +53,11 @@
     return limitsByServer.values();
   }
 
+  @Override
+  public Collection<LeftSoftwareVersion> leftSoftwareVersions() {
+    return leftVersionsByName.values();
+  }
+
   @Override
   public Optional<KeyRecord> key(String keyId) {
     return keysById.get(keyId);
--- a/control/src/test/java/org/teaseltrestle/control/Commands.java
+++ b/control/src/test/java/org/teaseltrestle/control/Commands.java
@@ -125,6 +125,19 @@
         .build();
   }
 
+  static Command observeVersion(String server, String version, long proposedAtMillis) {
+    return command("observe")
+        .setProposedAtMillis(proposedAtMillis)
+        .setObserveFleet(
+            ObserveFleet.newBuilder()
+                .addSeen(
+                    BackendServerRecord.newBuilder()
+                        .setId(server)
+                        .setPool("pool")
+                        .setSoftwareVersion(version)))
+        .build();
+  }
+
   static Command removeServer(String engine) {
     return command("gone").setObserveFleet(ObserveFleet.newBuilder().addGone(engine)).build();
   }
--- a/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/ControlStateTest.java
@@ -70,6 +70,52 @@
     }
   }
 
+  /** Software versions of backend servers that have left. */
+  public static class LeftVersions extends StateFixture {
+
+    private static final long MINUTE_MILLIS = 60_000;
+
+    private List<String> left() {
+      return state.view().leftSoftwareVersions().stream()
+          .map(each -> each.getSoftwareVersion() + "@" + each.getLeftAtMillis())
+          .toList();
+    }
+
+    private Command remove(String server, long proposedAtMillis) {
+      return Commands.removeServer(server).toBuilder()
+          .setProposedAtMillis(proposedAtMillis)
+          .build();
+    }
+
+    /** Guards against a version that is forgotten with its last server. */
+    @Test
+    public void versionIsKeptForMinutesAfterItsLastServer() {
+      expect(Status.ACCEPTED, Commands.observeVersion("s1", "v1", 1_000));
+      expect(Status.ACCEPTED, Commands.observeVersion("s2", "v1", 1_000));
+      expect(Status.ACCEPTED, Commands.observeVersion("s3", "v2", 1_000));
+      expect(Status.ACCEPTED, remove("s1", 2_000));
+      assertEquals(left(), List.of());
+      expect(Status.ACCEPTED, remove("s2", 3_000));
+      assertEquals(left(), List.of("v1@3000"));
+      state = ControlState.restore(state.snapshot());
+      assertEquals(left(), List.of("v1@3000"));
+      expect(Status.ACCEPTED, remove("unknown", 3_000 + 10 * MINUTE_MILLIS));
+      assertEquals(left(), List.of("v1@3000"));
+      expect(Status.ACCEPTED, remove("unknown", 3_001 + 10 * MINUTE_MILLIS));
+      assertEquals(left(), List.of());
+    }
+
+    /** Guards against a version that counts as gone although it is listed again, or replaced. */
+    @Test
+    public void versionOfListedServerHasNotLeft() {
+      expect(Status.ACCEPTED, Commands.observeVersion("s1", "v1", 1_000));
+      expect(Status.ACCEPTED, Commands.observeVersion("s1", "v2", 2_000));
+      assertEquals(left(), List.of("v1@2000"));
+      expect(Status.ACCEPTED, Commands.observeVersion("s2", "v1", 3_000));
+      assertEquals(left(), List.of());
+    }
+  }
+
   /** Recorded voters of the group. */
   public static class Voters extends StateFixture {
 
--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetDuty.java
@@ -3,9 +3,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.kernel.DutyThread;
@@ -106,6 +108,14 @@
     return serversById.get(server);
   }
 
+  @Override
+  public Set<String> softwareVersions(PoolId pool) {
+    return serversById.values().stream()
+        .filter(server -> server.pool().equals(pool))
+        .map(BackendServer::softwareVersion)
+        .collect(Collectors.toSet());
+  }
+
   @Override
   public void reportLeaving(BackendServerId server) {
     thread.offer(new FleetDutyInput.LeavingReported(server));
--- a/node/src/main/java/org/teaseltrestle/node/port/IncomingRequest.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/IncomingRequest.java
@@ -16,6 +16,8 @@
  * @param promptParts parts of the prompt in order; only the last one is unique to this request
  * @param lastEventId identifier of the last event that the caller received, null unless it resumes
  *     a stream
+ * @param resumedRequestId identifier of the request that brought the first event of the stream
+ *     which the caller resumes, null if it names none
  */
 public record IncomingRequest(
     String callerRequestId,
@@ -25,7 +27,8 @@
     int promptTokens,
     int expectedOutputTokens,
     List<PromptPart> promptParts,
-    @Nullable String lastEventId) {
+    @Nullable String lastEventId,
+    @Nullable String resumedRequestId) {
 
   /** Copies the prompt parts. */
   public IncomingRequest {
--- a/node/src/main/java/org/teaseltrestle/node/port/ServerDirectory.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/ServerDirectory.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.port;
 
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.model.PoolId;
@@ -20,6 +21,11 @@
   /** Records that a connection to a backend server was refused or lost. */
   void reportLost(BackendServerId server);
 
+  /** Returns the software versions of a pool's servers, empty if it has no servers. */
+  default Set<String> softwareVersions(PoolId pool) {
+    return Set.of();
+  }
+
   /** Returns the tokens in one KV cache block of a pool's engines, 0 if not known. */
   int pieceTokens(PoolId pool);
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RelayEvent.java
@@ -42,7 +42,8 @@
   SERVER_LIMIT_NOT_REPORTED(5033, "report of a limit failed; it is sent again"),
   SERVER_LIMIT_DROPPED(5034, "limit was not passed on, too many are waiting"),
   SHARED_LIMIT_APPLIED(5035, "limit that an instance passed on applies to a backend server"),
-  SHARED_LIMIT_ENDED(5036, "limit that an instance passed on has ended");
+  SHARED_LIMIT_ENDED(5036, "limit that an instance passed on has ended"),
+  STREAM_RESUMED(5037, "caller takes up a stream; it may go on only where it began");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -24,6 +24,7 @@
 import org.teaseltrestle.model.serving.ServingRoute;
 import org.teaseltrestle.node.port.IncomingRequest;
 import org.teaseltrestle.node.port.PromptPart;
+import org.teaseltrestle.node.port.StreamOrigin;
 import org.teaseltrestle.policy.RequestOptions;
 import org.teaseltrestle.policy.WorkRequest;
 
@@ -48,6 +49,7 @@
   private final BodyReader bodies;
   private final RelayMetrics metrics;
   private final AttemptDeadlines deadlines;
+  private final ResumedStreams resumedStreams;
   private final AtomicLong nextRequest = new AtomicLong();
 
   RoutedCallerInterface(
@@ -60,6 +62,7 @@
     this.bodies = bodies;
     this.metrics = metrics;
     this.deadlines = new AttemptDeadlines(context.clock());
+    this.resumedStreams = new ResumedStreams(context, dependencies.streams());
   }
 
   @Override
@@ -155,7 +158,12 @@
           RefusalCode.MALFORMED_REQUEST, "a " + method + " request must not have a body");
     }
     long sample = ThreadLocalRandom.current().nextLong();
-    PoolId pool = route.poolFor(sample);
+    long deadlineNanos = deadline(route, incoming, arrivedAtNanos);
+    PoolId drawn = route.poolFor(sample);
+    StreamOrigin origin =
+        resumedStreams.originOf(
+            id, route, incoming, account == null ? null : account.account(), drawn, deadlineNanos);
+    PoolId pool = origin == null ? drawn : origin.pool();
     RoutedRequest request =
         new RoutedRequest(
             route,
@@ -168,7 +176,8 @@
             HeaderFilter.endToEnd(http.getRequestHeaders()),
             body,
             arrivedAtNanos,
-            deadline(route, incoming, arrivedAtNanos));
+            deadlineNanos,
+            origin);
     WorkRequest work =
         work(
             id,
@@ -315,7 +324,7 @@
         fingerprint,
         request.deadlineNanos(),
         sample,
-        terms(route, incoming, priority));
+        terms(route, incoming, priority, request.origin()));
   }
 
   /** The caller's host field may name the port of this instance, so the route's host counts. */
@@ -334,7 +343,8 @@
     return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::hash).toList();
   }
 
-  private static RequestOptions terms(ServingRoute route, IncomingRequest incoming, int priority) {
+  private static RequestOptions terms(
+      ServingRoute route, IncomingRequest incoming, int priority, @Nullable StreamOrigin origin) {
     List<PromptPart> parts = incoming.promptParts();
     int sharedTokens = 0;
     long affinity = 0;
@@ -347,7 +357,8 @@
         Math.max(1, route.maximumAttempts()),
         priority >= 0 ? priority : route.priority(),
         hasSharedPrefix ? affinity : 0,
-        hasSharedPrefix ? sharedTokens : 0);
+        hasSharedPrefix ? sharedTokens : 0,
+        origin == null ? null : origin.softwareVersion());
   }
 
   private IncomingRequest incoming(HttpServerExchange http) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRequest.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRequest.java
@@ -7,6 +7,7 @@
 import org.teaseltrestle.model.serving.ServingRoute;
 import org.teaseltrestle.node.port.HeaderField;
 import org.teaseltrestle.node.port.IncomingRequest;
+import org.teaseltrestle.node.port.StreamOrigin;
 
 /**
  * A validated routed request.
@@ -22,6 +23,7 @@
  * @param body body
  * @param arrivedAtNanos monotonic time of its arrival
  * @param deadlineNanos monotonic time by which it must have ended
+ * @param origin where the stream that it takes up began, null if it may begin anywhere
  */
 record RoutedRequest(
     ServingRoute route,
@@ -34,4 +36,5 @@
     List<HeaderField> headers,
     byte[] body,
     long arrivedAtNanos,
-    long deadlineNanos) {}
+    long deadlineNanos,
+    @Nullable StreamOrigin origin) {}
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -19,6 +19,7 @@
 import org.teaseltrestle.node.port.ResponseVerdict;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.ServiceResponse;
+import org.teaseltrestle.node.port.StreamOrigin;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.FailureKind;
@@ -50,6 +51,7 @@
   private int attempts;
   private int identifiedEvents;
   private boolean resumable = true;
+  private boolean originRecorded;
   private boolean responseStarted;
   private long firstByteNanos;
 
@@ -148,6 +150,20 @@
     }
   }
 
+  /**
+   * Records which software version sends the first event, before the caller has it and may take the
+   * stream up at another instance.
+   */
+  private void recordOrigin(BackendServer server) {
+    String stream = ResumedStreams.name(request.incoming(), request.account());
+    if (!originRecorded && stream != null && request.route().allowsReexecution()) {
+      originRecorded = true;
+      dependencies
+          .streams()
+          .began(stream, new StreamOrigin(server.pool(), server.softwareVersion()));
+    }
+  }
+
   private void recordUsage() {
     if (request.account() == null) {
       return;
@@ -250,7 +266,7 @@
         }
         attemptFirstByteNanos = Math.max(1, context.clock().nowNanos() - startNanos);
         if (request.route().kind() == ServingRoute.Kind.STREAM && backendResponse.status() == OK) {
-          forwardEvents(backendResponse);
+          forwardEvents(server, backendResponse);
         } else {
           return forwardBuffered(EventStreamResponse.checkingEnd(backendResponse));
         }
@@ -304,6 +320,8 @@
           dispatch.attempt(),
           "server",
           server.id(),
+          "version",
+          server.softwareVersion(),
           "work",
           work,
           "leftMillis",
@@ -320,12 +338,13 @@
                   handle));
     }
 
-    private void forwardEvents(ServiceResponse backendResponse) {
+    private void forwardEvents(BackendServer server, ServiceResponse backendResponse) {
       byte[] buffer = new byte[BUFFER_BYTES];
       int count = backendResponse.read(buffer);
       while (count >= 0) {
         byte[] events = splitter.split(buffer, count);
         if (events.length > 0) {
+          recordOrigin(server);
           forward(backendResponse, events);
         }
         count = backendResponse.read(buffer);
--- a/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.replica;
 
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -84,6 +85,13 @@
     return List.copyOf(names);
   }
 
+  /** Returns the addresses of the recorded voters, or of those of the settings before that. */
+  public List<InetSocketAddress> voterAddresses() {
+    Voters latest = known;
+    Collection<String> names = latest.recorded() ? latest.instances() : voters.keySet();
+    return names.stream().map(this::find).flatMap(Optional::stream).toList();
+  }
+
   /** Returns the address of an instance, if it is known. */
   public Optional<InetSocketAddress> find(InstanceId instance) {
     return find(instance.value());
--- a/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/PlainRequestCodec.java
@@ -31,7 +31,8 @@
         10,
         10,
         parts(header.apply("Parts")),
-        header.apply("Last-Event-Id"));
+        header.apply("Last-Event-Id"),
+        header.apply("Resumes"));
   }
 
   /** Parses hexadecimal hashes separated by commas. */
--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -12,11 +12,13 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
@@ -42,12 +44,14 @@
 import org.teaseltrestle.node.backend.HttpServiceClient;
 import org.teaseltrestle.node.port.RoutedClient;
 import org.teaseltrestle.node.port.ServerDirectory;
+import org.teaseltrestle.node.port.StreamOrigins;
 import org.teaseltrestle.node.replica.DisseminationTreeSettings;
 import org.teaseltrestle.node.serving.ServingConfigurationView;
 import org.teaseltrestle.policy.AdmissionAction;
 import org.teaseltrestle.policy.AdmissionCore;
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.EngineRole;
 import org.teaseltrestle.policy.PolicyConfiguration;
 
 /** Relay with several routes in front of fake servers that are called round robin. */
@@ -101,6 +105,20 @@
     this(new StubControl(), List.of(), memory, routedClient, fakes);
   }
 
+  /** Creates a relay whose servers have the given software versions. */
+  RoutedHarness(
+      StubControl control, StreamOrigins streams, List<String> versions, FakeServer... fakes) {
+    this(
+        withDocument(control),
+        control.reportTimes,
+        List.of(),
+        ByteBudget.ofHeap(),
+        null,
+        streams,
+        versions,
+        fakes);
+  }
+
   private RoutedHarness(
       StubControl control,
       List<ServedAccount> accounts,
@@ -117,6 +135,26 @@
       ByteBudget memory,
       @Nullable RoutedClient routedClient,
       FakeServer... fakes) {
+    this(
+        control,
+        reportTimes,
+        accounts,
+        memory,
+        routedClient,
+        StreamOrigins.NONE,
+        Collections.nCopies(fakes.length, ""),
+        fakes);
+  }
+
+  private RoutedHarness(
+      ControlGateway control,
+      WallClock reportTimes,
+      List<ServedAccount> accounts,
+      ByteBudget memory,
+      @Nullable RoutedClient routedClient,
+      StreamOrigins streams,
+      List<String> versions,
+      FakeServer... fakes) {
     this.control = control;
     for (FakeServer fake : fakes) {
       servers.add(
@@ -127,7 +165,9 @@
               fake.address(),
               Set.of(new ItemName("model")),
               BackendServer.Capacity.REGULAR,
-              BackendServer.State.LIVE));
+              BackendServer.State.LIVE,
+              EngineRole.MIXED,
+              versions.get(servers.size())));
     }
     PolicyConfiguration policy =
         PolicyConfiguration.builder()
@@ -161,7 +201,8 @@
                     new PlainRequestCodec(),
                     routedClient == null ? new HttpRoutedClient(http) : routedClient,
                     new ServingConfigurationView(
-                        control, document -> configuration(accounts, new String(document, UTF_8)))))
+                        control, document -> configuration(accounts, new String(document, UTF_8))),
+                    streams))
             .build();
     relay.start();
   }
@@ -354,6 +395,14 @@
     return servers.stream().filter(each -> each.id().equals(server)).findFirst().orElse(null);
   }
 
+  @Override
+  public Set<String> softwareVersions(PoolId pool) {
+    return servers.stream()
+        .filter(each -> each.pool().equals(pool))
+        .map(BackendServer::softwareVersion)
+        .collect(Collectors.toSet());
+  }
+
   @Override
   public void reportLeaving(BackendServerId server) {
     // The tests check only what callers receive.
--- a/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StubControl.java
@@ -40,6 +40,7 @@
 import org.teaseltrestle.wire.IdempotencyRecord;
 import org.teaseltrestle.wire.InstanceRecord;
 import org.teaseltrestle.wire.KeyRecord;
+import org.teaseltrestle.wire.LeftSoftwareVersion;
 import org.teaseltrestle.wire.PlanChange;
 import org.teaseltrestle.wire.PlatformOrder;
 import org.teaseltrestle.wire.ServerLimit;
@@ -74,6 +75,7 @@
   private volatile Collection<SuspectPromptPart> suspects = List.of();
   private volatile Collection<ServerLimit> limits = List.of();
   volatile Collection<InstanceRecord> instances = List.of();
+  volatile Collection<LeftSoftwareVersion> leftVersions = List.of();
 
   /** Wall clock on which each report is made at a moment of its own. */
   final WallClock reportTimes = () -> reportedAtMillis.addAndGet(1_000);
@@ -256,4 +258,9 @@
   public Collection<PlatformOrder> openPlatformOrders() {
     return List.of();
   }
+
+  @Override
+  public Collection<LeftSoftwareVersion> leftSoftwareVersions() {
+    return leftVersions;
+  }
 }
