Apply control nodes that changed settings name to a running node

It asks the control nodes of its settings, which it read once; if they are gone, it never becomes ready, and new ones that the file names were only logged, and only on SIGHUP.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ControlPlane.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.teaseltrestle.control.ControlGateway;
 import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.node.settings.VoterSettings;
 import org.teaseltrestle.wire.PoolDemand;
 
 /** Access to the control state, including the operations that only some parts of a node need. */
@@ -28,6 +29,12 @@
   /** Retires instances that the platform lists as removed; has an effect only on the leader. */
   default void retireRemovedInstances(Set<String> instances) {}
 
+  /**
+   * Replaces the voters that the settings name. Has an effect only on an instance that follows the
+   * committed log; a replica knows its group from the log.
+   */
+  default void nameVoters(List<VoterSettings> voters) {}
+
   /** Returns role, term and leader of this process for status pages. */
   ControlStatus status();
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FallbackControlPlane.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.node.settings.VoterSettings;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.PoolDemand;
@@ -143,6 +144,11 @@
     current().delegate().retireRemovedInstances(instances);
   }
 
+  @Override
+  public void nameVoters(List<VoterSettings> voters) {
+    current().delegate().nameVoters(voters);
+  }
+
   @Override
   public ControlStatus status() {
     return current().delegate().status();
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -9,6 +9,7 @@
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.node.settings.VoterSettings;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.CommittedCommands;
@@ -60,6 +61,7 @@
   private @Nullable KnownLeader heardLeader;
   private long publishedIndex;
   private long reportedConfigurationIndex;
+  private List<VoterSettings> namedVoters;
   private long nextCandidatesNanos;
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
 
@@ -68,6 +70,7 @@
     this.settings = settings;
     this.context = context;
     this.addresses = new PeerAddresses(settings);
+    this.namedVoters = settings.voters();
     this.leaderCalls =
         new LeaderCalls(settings, context.transport(), addresses, context.clock(), null);
     this.leader = new LeaderClient(leaderCalls, context.clock());
@@ -152,6 +155,17 @@
     return leader.withdrawalReport(index);
   }
 
+  @Override
+  public void nameVoters(List<VoterSettings> voters) {
+    inbox.offer(
+        0,
+        () -> {
+          namedVoters = List.copyOf(voters);
+          addresses.nameVoters(voters);
+          nextCandidatesNanos = context.clock().nowNanos();
+        });
+  }
+
   @Override
   public ControlStatus status() {
     return status;
@@ -199,7 +213,7 @@
           TreePlacement.parents(
               settings.instance(),
               settings.failureDomain(),
-              settings.voters(),
+              namedVoters,
               settings.tree().fanOut(),
               state.view()),
           TreePlacement.acquaintances(settings.instance(), settings.failureDomain(), state.view()));
--- a/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/PeerAddresses.java
@@ -2,7 +2,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,7 +21,7 @@
 public final class PeerAddresses {
 
   private final Map<String, InetSocketAddress> routes = new HashMap<>();
-  private final Map<String, InetSocketAddress> voters = new HashMap<>();
+  private volatile Map<String, InetSocketAddress> voters = Map.of();
   private volatile Map<String, InetSocketAddress> registered = Map.of();
 
   /** Voters of the latest view: the recorded ones, or the registered ones if none are recorded. */
@@ -30,9 +32,14 @@
   /** Creates addresses with the routes and voters of the settings. */
   public PeerAddresses(ControlPlaneSettings settings) {
     settings.peerRoutes().forEach((instance, address) -> routes.put(instance.value(), address));
-    for (VoterSettings voter : settings.voters()) {
-      voters.put(voter.instance().value(), voter.peerAddress());
-    }
+    nameVoters(settings.voters());
+  }
+
+  /** Replaces the voters of the settings. */
+  void nameVoters(List<VoterSettings> named) {
+    Map<String, InetSocketAddress> updated = new LinkedHashMap<>();
+    named.forEach(voter -> updated.put(voter.instance().value(), voter.peerAddress()));
+    voters = Collections.unmodifiableMap(updated);
   }
 
   static String format(InetSocketAddress address) {
--- a/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/GoneParentsTest.java
@@ -91,6 +91,22 @@
     }
   }
 
+  /**
+   * Guards against a node that never starts because its settings name only voters that are gone.
+   */
+  @Test
+  public void nodeFindsVotersThatChangedSettingsName() {
+    try (LoopbackCluster cluster = new LoopbackCluster(3, DisseminationTreeSettings.FLAT)) {
+      cluster.startVoters();
+      String leader = cluster.awaitLeader();
+      ControlPlane entry = cluster.startNonVoterNamingGoneVoters(leader, "entry-1").plane();
+      LoopbackCluster.await("question", () -> cluster.hasContactedGoneVoter("entry-1"));
+      assertFalse(entry.isReady());
+      entry.nameVoters(cluster.namedVoters());
+      LoopbackCluster.await("ready entry node", entry::isReady);
+    }
+  }
+
   /** Guards against a node that goes on asking registered voters that were replaced. */
   @Test
   public void replacedVotersAreNotAsked() {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -158,6 +158,23 @@
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
+  /** Starts a non-voter whose settings name only voters that are gone. */
+  Node startNonVoterNamingGoneVoters(String domainOf, String instance) {
+    addGoneVoters(domainOf, 3);
+    List<VoterSettings> all = List.copyOf(voters);
+    voters.clear();
+    try {
+      return start(instance, DOMAIN, freeAddress(), -1);
+    } finally {
+      voters.addAll(all);
+    }
+  }
+
+  /** Returns the voters as settings name them. */
+  List<VoterSettings> namedVoters() {
+    return List.copyOf(voters);
+  }
+
   private VoterSettings voter(String instance) {
     return Stream.concat(voters.stream(), successors.stream())
         .filter(candidate -> candidate.instance().value().equals(instance))
