Ask once more for the origin of a stream that may have just begun

Cause: origins are passed on every 50 ms, so a stream whose connection is reset right after its first event, and that is taken up elsewhere at once, was unknown there and refused. Change: a node that is told 'unknown' asks again after 100 ms, within its 300 ms. StreamOriginServiceTest.streamThatHasJustBegunIsFoundAtOnce: 20 streams taken up right after they began.

--- a/node/src/main/java/org/teaseltrestle/node/streams/StreamOriginService.java
+++ b/node/src/main/java/org/teaseltrestle/node/streams/StreamOriginService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Supplier;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
@@ -98,6 +99,12 @@
     }
     long answerBy = Math.min(deadlineNanos - now, ANSWER_TIMEOUT_NANOS) + now;
     Optional<StreamOrigin> answered = ask(stream, answerBy);
+    long again = clock.nowNanos() + 2 * REPORT_INTERVAL_NANOS;
+    if (answered.isEmpty() && answerBy - again > 0) {
+      // The report of a stream that has just begun may still be on its way.
+      LockSupport.parkNanos(again - clock.nowNanos());
+      answered = ask(stream, answerBy);
+    }
     answered.ifPresent(origin -> own.record(stream, origin, clock.nowNanos()));
     LOG.info(
         StreamEvent.ORIGIN_ASKED,
--- a/node/src/test/java/org/teaseltrestle/node/streams/StreamOriginServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/streams/StreamOriginServiceTest.java
@@ -106,6 +106,23 @@
     awaitOrigin(entryNode("entry-2"), "yard/id-1");
   }
 
+  /** Guards against a stream that is taken up elsewhere before its origin has been passed on. */
+  @Test
+  public void streamThatHasJustBegunIsFoundAtOnce() {
+    StreamOriginService first = entryNode("entry-0");
+    StreamOriginService second = entryNode("entry-1");
+    awaitConnections(first, second);
+    for (int i = 0; i < 20; i++) {
+      first.began("yard/new-" + i, ORIGIN);
+      assertEquals(find(second, "yard/new-" + i), Optional.of(ORIGIN));
+    }
+  }
+
+  private static void awaitConnections(StreamOriginService first, StreamOriginService second) {
+    first.began("yard/connected", ORIGIN);
+    awaitOrigin(second, "yard/connected");
+  }
+
   /** Guards against callers that wait long for an origin that nobody knows. */
   @Test
   public void unknownOriginIsToldSoon() {
