Name the software version of an attempt apart from the configuration's

E5016 said version, which is the configuration's in other lines. E3023 names the candidates that did not answer, not the other nodes, which may be hundreds.

--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -320,7 +320,7 @@
           dispatch.attempt(),
           "server",
           server.id(),
-          "version",
+          "softwareVersion",
           server.softwareVersion(),
           "work",
           work,
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -257,8 +257,7 @@
   private void addAcquaintances() {
     int count = Math.min(ACQUAINTANCES_PER_ROUND, acquaintances.size());
     for (int i = 0; i < count; i++) {
-      nextAcquaintance = (nextAcquaintance + 1) % acquaintances.size();
-      toAsk.add(acquaintances.get(nextAcquaintance));
+      toAsk.add(acquaintances.get(nextAcquaintance++ % acquaintances.size()));
     }
   }
 
@@ -295,7 +294,7 @@
         "acquaintances",
         acquaintances.size(),
         "unanswered",
-        unanswered,
+        candidates.stream().filter(unanswered::contains).toList(),
         "appliedIndex",
         appliedIndex);
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/AdmissionCore.java
@@ -177,7 +177,7 @@
       return new AccountLimiter.Denial(
           quarantine.refusalCode(request.work), quarantine.retryAfter(request.work, nowNanos));
     }
-    if (!fleet.listsVersionOf(request) && request.work.options().softwareVersion() != null) {
+    if (request.work.options().softwareVersion() != null && !fleet.listsVersionOf(request)) {
       return new AccountLimiter.Denial(RefusalCode.STREAM_VERSION_GONE, RETRY_AFTER);
     }
     Duration retryAfter = unservable.retryAfter(request, nowNanos);
