Reproduce an acknowledgement that passes over a node in touch

A voter still receives the leader's messages while its own are lost. The entry node below it has recent news, so it keeps its parent; its renewals do not reach the leader, which passes over it after 3 s. The next change is then acknowledged before the node has it.

--- a/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LoopbackCluster.java
@@ -66,6 +66,7 @@
   private final Timing timing;
   private final Set<InetSocketAddress> cutOff = ConcurrentHashMap.newKeySet();
   private final Set<InetSocketAddress> isolated = ConcurrentHashMap.newKeySet();
+  private final Set<InetSocketAddress> muted = ConcurrentHashMap.newKeySet();
 
   /** Milliseconds by which messages to nodes are late, by the address of the node. */
   private final Map<InetSocketAddress, Long> lateness = new ConcurrentHashMap<>();
@@ -283,6 +284,16 @@
     cutOff.remove(voter(instance).peerAddress());
   }
 
+  /** Loses all messages of a voter to the other voters from now on; it still receives theirs. */
+  void muteVoter(String instance) {
+    muted.add(voter(instance).peerAddress());
+  }
+
+  /** Ends what {@link #muteVoter} began. */
+  void unmuteVoter(String instance) {
+    muted.remove(voter(instance).peerAddress());
+  }
+
   /** Subscribes to a voter as a child that lacks no entries and returns its first message. */
   CommittedCommands askForNews(String voter) {
     InetSocketAddress address = freeAddress();
@@ -332,7 +343,7 @@
             .allMatch(each -> voters.stream().anyMatch(v -> v.peerAddress().equals(each)));
     return isolated.contains(from)
         || isolated.contains(to)
-        || (bothVote && (cutOff.contains(from) || cutOff.contains(to)));
+        || (bothVote && (cutOff.contains(from) || cutOff.contains(to) || muted.contains(from)));
   }
 
   private void recordContact(InetSocketAddress from, InetSocketAddress to) {
