Look for another parent when the leader does not answer renewals

Callers saw requests handled by an older version than an acknowledged one, at nodes in touch. The leader passes over an instance that has been silent for 3 s. A node left its parent when its news were old or the parent was silent, but not when its own renewals were lost above the parent: the two sides of the path were taken for one.

A grant names the send time of its renewal, so a node now knows which of its renewals the leader has answered, and through whom. It looks for another parent by that age too, its questions carry renewals, and only a candidate that has passed an answer on takes the place of a parent with recent news. The leader's limit is derived from the node's timeouts: what is silent for longer has no path.

That this is what the users saw is not shown.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -267,7 +267,7 @@
       }
       case GRANTS -> {
         GrantBundle grants = MessageHandlerRegistry.parse(message, GrantBundle.parser());
-        inbox.offer(bytes, () -> leaseRenewer.applyGrants(grants));
+        inbox.offer(bytes, () -> onGrants(sender, grants));
       }
       default -> throw new IllegalArgumentException(kind.name());
     }
@@ -303,6 +303,14 @@
     updateParent(now);
   }
 
+  private void onGrants(String sender, GrantBundle grants) {
+    leaseRenewer.applyGrants(grants);
+    grants.getGrantsList().stream()
+        .filter(lease::isForThisProcess)
+        .forEach(each -> parentSelector.renewalAnswered(sender, each.getSentAtNanos()));
+    updateParent(context.clock().nowNanos());
+  }
+
   private void leaderHeard(KnownLeader news, String sender) {
     KnownLeader earlier = heardLeader;
     if (earlier != null && !news.isNewsAfter(earlier)) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/KeyLease.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/KeyLease.java
@@ -39,14 +39,17 @@
     return renewal.build();
   }
 
+  /** Returns whether a grant is for a renewal of this process start. */
+  boolean isForThisProcess(LeaseGrant grant) {
+    return grant.getInstance().equals(settings.instance().value())
+        && grant.getBoot() == settings.boot();
+  }
+
   /** Extends the lease if the grant is for a renewal of this process start. */
   void applyGrant(LeaseGrant grant) {
-    boolean isForThisProcess =
-        grant.getInstance().equals(settings.instance().value())
-            && grant.getBoot() == settings.boot();
     long now = clock.nowNanos();
     long end = grant.getSentAtNanos() + settings.keyLeaseNanos();
-    if (isForThisProcess && grant.getSentAtNanos() - now <= 0 && end - endsAtNanos > 0) {
+    if (isForThisProcess(grant) && grant.getSentAtNanos() - now <= 0 && end - endsAtNanos > 0) {
       endsAtNanos = end;
     }
   }
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -22,8 +22,11 @@
   /** Time after a change in which the renewals of children are passed on at once. */
   private static final long PROMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Time in which a node that has lost its parent finds another one. */
-  private static final long PARENT_SEARCH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  /** Time in which a node that looks for another path to the leader has asked all candidates. */
+  private static final long PATH_SEARCH_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  /** Time that a renewal needs to the leader, with the wait at the node that passes it on. */
+  private static final long PASSING_ON_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /** What this node subscribes to with its bundles. */
   enum Subscription {
@@ -62,9 +65,13 @@
     this.promptUntilNanos = nowNanos;
   }
 
-  /** Returns the longest time between two renewals of a node that changes its parent once. */
+  /**
+   * Returns the longest time between two renewals that the leader receives of a node which has any
+   * path to it: the leader has received each renewal that it answered, and a node whose latest
+   * answered renewal is older than the timeout sends its renewals to all candidates.
+   */
   static long longestSilenceNanos(DisseminationTreeSettings tree) {
-    return OWN_RENEWAL_INTERVAL_NANOS + tree.parentTimeoutNanos() + PARENT_SEARCH_NANOS;
+    return tree.renewalTimeoutNanos() + PATH_SEARCH_NANOS + PASSING_ON_NANOS;
   }
 
   boolean isDue(long nowNanos) {
@@ -95,9 +102,12 @@
     makeDueNow(nowNanos);
   }
 
-  /** Returns a bundle that only subscribes: leases and demand go to one parent. */
+  /**
+   * Returns a bundle for a node that may become the parent: it subscribes, and its renewal proves
+   * whether the node has a path to the leader. The demand goes to one parent only.
+   */
   RenewalBundle subscription(AppliedState state, long nowNanos) {
-    return withoutRenewals(state, nowNanos).build();
+    return withoutRenewals(state, nowNanos).addRenewals(lease.renewal(state.view())).build();
   }
 
   private RenewalBundle.Builder withoutRenewals(AppliedState state, long nowNanos) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ParentSelector.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -14,7 +16,9 @@
  * Selects the parent in the dissemination tree. A node asks other candidates for news beside its
  * parent and leaves the parent only for one that has told recent news, so that a change of the
  * parent costs no news and a candidate that is gone costs no time. It asks all others while the
- * news of its parent is old, and otherwise those that it prefers to its parent.
+ * news of its parent is old or the leader does not answer its renewals, and otherwise those that it
+ * prefers to its parent. The questions carry renewals, and only a candidate through which the
+ * leader has answered one takes the place of a parent that has recent news.
  *
  * <p>While a search goes on, it also asks other nodes that it knows, a few in each round: all
  * candidates may have been replaced while this node was cut off, and any node that is in touch
@@ -47,6 +51,8 @@
   /** Time after which a search that has found no parent is logged first. */
   private static final long FIRST_SEARCH_LOG_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+  private static final int MAXIMUM_LOGGED_ANSWERS = 16;
+
   /** Candidates that have not answered the latest question; they are asked last. */
   private final Set<String> unanswered = new HashSet<>();
 
@@ -78,6 +84,11 @@
   private long nextRoundNanos;
   private long nextQuestionNanos;
 
+  /** Latest news of nodes that may become the parent. */
+  private final Map<String, KnownState> told = new HashMap<>();
+
+  private final AnsweredRenewals renewals;
+
   private record News(String sender, KnownState state) {}
 
   /**
@@ -90,6 +101,7 @@
 
   ParentSelector(DisseminationTreeSettings tree, long nowNanos) {
     this.tree = tree;
+    this.renewals = new AnsweredRenewals(tree.renewalTimeoutNanos(), nowNanos);
     this.parentContactNanos = nowNanos;
     this.searchBeganNanos = nowNanos;
     this.nextSearchLogNanos = nowNanos + FIRST_SEARCH_LOG_NANOS;
@@ -114,6 +126,8 @@
     acquaintances = others.stream().filter(each -> !candidates.contains(each)).toList();
     unanswered.removeIf(each -> !mayBeParent(each));
     toAsk.removeIf(each -> !mayBeParent(each));
+    told.keySet().removeIf(each -> !mayBeParent(each));
+    renewals.retain(each -> mayBeParent(each) || each.equals(parent));
   }
 
   private boolean mayBeParent(String instance) {
@@ -138,10 +152,29 @@
       parentContactNanos = nowNanos;
       parentNews = news;
     } else if (mayBeParent(sender) && news.isKnown()) {
-      News other = contender;
-      if (other == null || isPreferred(sender, other.sender())) {
-        contender = new News(sender, news);
-      }
+      told.put(sender, news);
+      consider(new News(sender, news));
+    }
+  }
+
+  /**
+   * Records that the leader answered a renewal of this node.
+   *
+   * @param sender node that passed the answer on
+   * @param sentAtNanos monotonic time at which the renewal was sent
+   */
+  void renewalAnswered(String sender, long sentAtNanos) {
+    renewals.answered(sender, sentAtNanos);
+    KnownState news = told.get(sender);
+    if (news != null && !sender.equals(parent)) {
+      consider(new News(sender, news));
+    }
+  }
+
+  private void consider(News news) {
+    News other = contender;
+    if (other == null || isPreferred(news.sender(), other.sender())) {
+      contender = news;
     }
   }
 
@@ -153,21 +186,23 @@
     if (searching) {
       return nextQuestion;
     }
-    long old = newsAreOldAtNanos();
-    return old - nextQuestion < 0 ? old : nextQuestion;
+    long lost = earlier(newsAreOldAtNanos(), renewals.lostAtNanos());
+    return earlier(lost, nextQuestion);
   }
 
   /** Selects the parent and the candidates to ask. */
   Decision update(long appliedIndex, long nowNanos) {
-    boolean needsOther = parent.isEmpty() || nowNanos - newsAreOldAtNanos() > 0;
-    boolean changed = followContender(needsOther, appliedIndex, nowNanos);
-    needsOther &= !changed;
+    boolean changed = followContender(appliedIndex, nowNanos);
+    boolean needsOther = !hasNews(nowNanos) || isPathLost(nowNanos);
     if (needsOther != searching || changed) {
       searching = needsOther;
       searchBeganNanos = nowNanos;
       nextSearchLogNanos = nowNanos + FIRST_SEARCH_LOG_NANOS;
       toAsk.clear();
       nextRoundNanos = searching ? nowNanos : nowNanos + PREFERENCE_ROUND_NANOS;
+      if (searching && !changed) {
+        logSearchBegins(appliedIndex, nowNanos);
+      }
     }
     if (searching && nowNanos - nextSearchLogNanos >= 0) {
       nextSearchLogNanos = nowNanos + SEARCH_LOG_INTERVAL_NANOS;
@@ -176,34 +211,49 @@
     return new Decision(changed, takeQuestions(nowNanos));
   }
 
+  private static long earlier(long nanos, long otherNanos) {
+    return nanos - otherNanos < 0 ? nanos : otherNanos;
+  }
+
+  private boolean hasNews(long nowNanos) {
+    return !parent.isEmpty() && nowNanos - newsAreOldAtNanos() <= 0;
+  }
+
+  private boolean isPathLost(long nowNanos) {
+    return nowNanos - renewals.lostAtNanos() > 0;
+  }
+
   private long newsAreOldAtNanos() {
     long silentAt = parentContactNanos + tree.parentTimeoutNanos();
     // A parent that says it knows nothing was restarted or cut off before it heard from a leader.
     long oldAt = parentNews.asOfNanos().orElse(parentContactNanos) + ageLimitNanos();
-    return silentAt - oldAt < 0 ? silentAt : oldAt;
+    return earlier(silentAt, oldAt);
   }
 
   private long ageLimitNanos() {
     return parentNews.isKnown() ? tree.rootTimeoutNanos() : 0;
   }
 
-  private boolean followContender(boolean needsOther, long appliedIndex, long nowNanos) {
+  private boolean followContender(long appliedIndex, long nowNanos) {
     News other = contender;
     contender = null;
-    if (other == null || !isBetter(other, needsOther, nowNanos)) {
+    if (other == null || !isBetter(other, nowNanos)) {
       return false;
     }
-    logChange(other, needsOther, appliedIndex, nowNanos);
+    logChange(other, appliedIndex, nowNanos);
     parent = other.sender();
+    renewals.parentSelected(parent, nowNanos);
     parentNews = other.state();
     parentContactNanos = nowNanos;
     earliestChangeNanos = nowNanos + MINIMUM_STAY_NANOS;
     return true;
   }
 
-  private boolean isBetter(News other, boolean needsOther, long nowNanos) {
+  private boolean isBetter(News other, long nowNanos) {
     boolean recent = !other.state().isOlderThan(tree.rootTimeoutNanos(), nowNanos);
-    if (recent && needsOther) {
+    boolean answered = renewals.isAnsweredThrough(other.sender(), nowNanos);
+    boolean lacksNews = !hasNews(nowNanos);
+    if (recent && (lacksNews || (answered && isPathLost(nowNanos)))) {
       return true;
     }
     if (!candidates.contains(other.sender())) {
@@ -212,9 +262,12 @@
     if (nowNanos - earliestChangeNanos < 0) {
       return false;
     }
-    // Old news from a parent that lives are better than silence.
-    boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
-    return needsOther ? parent.isEmpty() || silent : recent && isPreferred(other.sender(), parent);
+    if (lacksNews) {
+      // Old news from a parent that lives are better than silence.
+      boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
+      return parent.isEmpty() || silent;
+    }
+    return recent && answered && isPreferred(other.sender(), parent);
   }
 
   private boolean isPreferred(String candidate, String other) {
@@ -261,7 +314,7 @@
     }
   }
 
-  private void logChange(News next, boolean needsOther, long appliedIndex, long nowNanos) {
+  private void logChange(News next, long appliedIndex, long nowNanos) {
     LOG.info(
         ReplicaEvent.PARENT_CHANGED,
         "from",
@@ -269,13 +322,32 @@
         "to",
         next.sender(),
         "reason",
-        reason(needsOther, nowNanos),
+        reason(nowNanos),
         "parentAgeMillis",
         TimeUnit.NANOSECONDS.toMillis(nowNanos - parentContactNanos),
         "rootAgeMillis",
         age(parentNews, nowNanos),
         "nextRootAgeMillis",
         age(next.state(), nowNanos),
+        "answeredRenewalAgeMillis",
+        answeredRenewalAge(nowNanos),
+        "answers",
+        answers(nowNanos),
+        "appliedIndex",
+        appliedIndex);
+  }
+
+  private void logSearchBegins(long appliedIndex, long nowNanos) {
+    LOG.info(
+        ReplicaEvent.PARENT_SEARCH_BEGINS,
+        "parent",
+        parent,
+        "reason",
+        reason(nowNanos),
+        "rootAgeMillis",
+        age(parentNews, nowNanos),
+        "answeredRenewalAgeMillis",
+        answeredRenewalAge(nowNanos),
         "appliedIndex",
         appliedIndex);
   }
@@ -289,26 +361,48 @@
         TimeUnit.NANOSECONDS.toMillis(nowNanos - searchBeganNanos),
         "rootAgeMillis",
         age(parentNews, nowNanos),
+        "answeredRenewalAgeMillis",
+        answeredRenewalAge(nowNanos),
         "candidates",
         candidates,
         "acquaintances",
         acquaintances.size(),
+        "answers",
+        answers(nowNanos),
         "unanswered",
         candidates.stream().filter(unanswered::contains).toList(),
         "appliedIndex",
         appliedIndex);
   }
 
+  /** Returns who has told news, how old that is, and who passed on an answer of the leader. */
+  private List<String> answers(long nowNanos) {
+    return told.entrySet().stream()
+        .sorted(Map.Entry.comparingByKey())
+        .limit(MAXIMUM_LOGGED_ANSWERS)
+        .map(
+            each ->
+                each.getKey()
+                    + "="
+                    + age(each.getValue(), nowNanos)
+                    + (renewals.isAnsweredThrough(each.getKey(), nowNanos) ? "/answered" : ""))
+        .toList();
+  }
+
   private static Object age(KnownState news, long nowNanos) {
     return news.isKnown() ? news.ageMillis(nowNanos) : "unknown";
   }
 
-  private String reason(boolean needsOther, long nowNanos) {
+  private long answeredRenewalAge(long nowNanos) {
+    return TimeUnit.NANOSECONDS.toMillis(renewals.ageNanos(nowNanos));
+  }
+
+  private String reason(long nowNanos) {
     if (parent.isEmpty()) {
       return "none";
     }
-    if (!needsOther) {
-      return "preferred";
+    if (hasNews(nowNanos)) {
+      return isPathLost(nowNanos) ? "renewals-unanswered" : "preferred";
     }
     boolean silent = nowNanos - parentContactNanos > tree.parentTimeoutNanos();
     return silent ? "parent-silent" : "no-news-of-leader";
--- a/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
@@ -12,6 +12,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
+import java.util.function.LongPredicate;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
@@ -23,7 +24,11 @@
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final long CONTACT_NANOS = 3 * SECOND;
 
-  /** A selector and the candidates that answer its questions and send news as its parent. */
+  /**
+   * A selector and the candidates that answer its questions and send news as its parent. One
+   * that tells recent news also passes on the leader's answers to renewals, unless its own messages
+   * to the leader are lost.
+   */
   private static final class Simulation {
 
     private static final long STEP_NANOS = 10 * MILLISECOND;
@@ -33,7 +38,9 @@
     final List<String> parents = new ArrayList<>();
     private final Map<String, LongFunction<@Nullable KnownState>> tells = new HashMap<>();
     private KnownState known = KnownState.UNKNOWN;
+    private final Map<String, LongPredicate> losesRenewals = new HashMap<>();
     private long nextParentNewsNanos;
+    private long leaderHeardAtNanos;
     private long now;
 
     /** Sets what a candidate tells at a time; null if it does not answer. */
@@ -42,6 +49,12 @@
       return this;
     }
 
+    /** Sets the times at which the renewals that a candidate passes on are lost. */
+    Simulation losingRenewals(String candidate, LongPredicate isLost) {
+      losesRenewals.put(candidate, isLost);
+      return this;
+    }
+
     Simulation preferring(String... candidates) {
       selector.setCandidates(List.of(candidates), List.of());
       return this;
@@ -78,6 +91,11 @@
       if (state != null) {
         selector.newsReceived(sender, state, now);
         known = known.newerOf(state);
+        boolean recent = !state.isOlderThan(TREE.rootTimeoutNanos(), now);
+        if (recent && !losesRenewals.getOrDefault(sender, time -> false).test(now)) {
+          leaderHeardAtNanos = now;
+          selector.renewalAnswered(sender, now);
+        }
       }
     }
   }
@@ -242,6 +260,114 @@
     };
   }
 
+  /** Tests of candidates that have recent news while the renewals they pass on are lost. */
+  public static final class LostRenewals {
+
+    /** Guards against a node that keeps a parent through which the leader hears nothing of it. */
+    @Test
+    public void parentThatLosesRenewalsIsLeft() {
+      Simulation simulation =
+          new Simulation()
+              .preferring("mute", "other")
+              .with("mute", now -> recent(now))
+              .with("other", now -> recent(now))
+              .losingRenewals("mute", now -> now >= 2 * SECOND);
+      simulation.runUntil(2 * SECOND);
+      assertEquals(simulation.parents, List.of("mute"));
+      simulation.runUntil(4 * SECOND);
+      assertEquals(simulation.parents, List.of("mute", "other"));
+    }
+
+    /** Guards against a node that alternates between its preferred parent and another one. */
+    @Test
+    public void preferredParentIsTakenAgainOnceItPassesRenewalsOn() {
+      Simulation simulation =
+          new Simulation()
+              .preferring("mute", "other")
+              .with("mute", now -> recent(now))
+              .with("other", now -> recent(now))
+              .losingRenewals("mute", now -> now >= 2 * SECOND && now < 20 * SECOND);
+      simulation.runUntil(20 * SECOND);
+      assertEquals(simulation.parents, List.of("mute", "other"));
+      simulation.runUntil(23 * SECOND);
+      assertEquals(simulation.parents, List.of("mute", "other", "mute"));
+    }
+
+    /** Guards against changes of the parent while no leader answers anyone. */
+    @Test
+    public void parentIsKeptWhileNobodyPassesRenewalsOn() {
+      Simulation simulation = new Simulation().preferring("first", "second");
+      for (String each : List.of("first", "second")) {
+        simulation.with(each, now -> recent(now)).losingRenewals(each, now -> now >= SECOND);
+      }
+      simulation.runUntil(30 * SECOND);
+      assertEquals(simulation.parents, List.of("first"));
+    }
+
+    /**
+     * Guards against timeouts by which the leader passes over a node that has a path to it. Each
+     * candidate loses news or renewals for random spans, and one always passes both on.
+     */
+    @Test
+    public void leaderHearsInTimeOfNodeThatHasAnyPath() {
+      for (int seed = 0; seed < 300; seed++) {
+        SplittableRandom random = new SplittableRandom(seed);
+        String[] names = new String[2 + random.nextInt(7)];
+        Arrays.setAll(names, i -> "candidate-" + i);
+        Simulation simulation = new Simulation().preferring(names);
+        int[] sound = new int[60];
+        for (int second = 1; second < sound.length; second++) {
+          sound[second] =
+              random.nextInt(8) == 0 ? random.nextInt(names.length) : sound[second - 1];
+        }
+        for (int i = 0; i < names.length; i++) {
+          int candidate = i;
+          boolean[] goneAt = spans(random);
+          boolean[] muteAt = spans(random);
+          simulation.with(
+              names[i],
+              now -> {
+                int second = (int) (now / SECOND);
+                boolean gone = goneAt[second] && !isSound(sound, second, candidate);
+                return gone ? gone(now) : recent(now);
+              });
+          simulation.losingRenewals(
+              names[i],
+              now -> {
+                int second = (int) (now / SECOND);
+                return muteAt[second] && !isSound(sound, second, candidate);
+              });
+        }
+        for (long end = 0; end < 60 * SECOND; end += 100 * MILLISECOND) {
+          simulation.runUntil(end);
+          long silence = end - simulation.leaderHeardAtNanos;
+          assertTrue(
+              silence <= LeaseRenewer.longestSilenceNanos(TREE),
+              "seed " + seed + " at " + end / MILLISECOND + " ms: " + silence / MILLISECOND);
+        }
+      }
+    }
+
+    /** A candidate that becomes the sound one is so a little before, as its links heal. */
+    private static boolean isSound(int[] sound, int second, int candidate) {
+      int last = Math.min(sound.length - 1, second + 3);
+      for (int each = second; each <= last; each++) {
+        if (sound[each] == candidate) {
+          return true;
+        }
+      }
+      return false;
+    }
+
+    private static boolean[] spans(SplittableRandom random) {
+      boolean[] spans = new boolean[61];
+      for (int second = 1; second < spans.length; second++) {
+        spans[second] = random.nextInt(4) == 0 ? random.nextBoolean() : spans[second - 1];
+      }
+      return spans;
+    }
+  }
+
   /** Tests of a search in which no candidate has news. */
   public static final class Acquaintances {
 
