--- a/node/src/main/java/org/teaseltrestle/node/replica/DisseminationTreeSettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/DisseminationTreeSettings.java
@@ -18,10 +18,7 @@
   /** A tree of several levels for hundreds of nodes. */
   public static final DisseminationTreeSettings DEEP =
       new DisseminationTreeSettings(
-          8,
-          TimeUnit.SECONDS.toNanos(3),
-          TimeUnit.SECONDS.toNanos(8),
-          TimeUnit.SECONDS.toNanos(3));
+          8, TimeUnit.SECONDS.toNanos(3), TimeUnit.SECONDS.toNanos(8), TimeUnit.SECONDS.toNanos(3));
 
   /**
    * All nodes of a failure domain directly below one voter. The timeouts are shorter, since no
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -30,8 +30,7 @@
       3022, "change may be acknowledged: all instances but those that are passed over obey it"),
   PARENT_NOT_FOUND(3023, "no candidate for the parent has recent news; the search goes on"),
   PARENT_SEARCH_BEGINS(
-      3024,
-      "parent has no recent news, or the leader does not answer renewals; others are asked");
+      3024, "parent has no recent news, or the leader does not answer renewals; others are asked");
 
   private final int number;
   private final String text;
--- a/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ParentSelectorTest.java
@@ -25,9 +25,9 @@
   private static final long CONTACT_NANOS = 3 * SECOND;
 
   /**
-   * A selector and the candidates that answer its questions and send news as its parent. One
-   * that tells recent news also passes on the leader's answers to renewals, unless its own messages
-   * to the leader are lost.
+   * A selector and the candidates that answer its questions and send news as its parent. One that
+   * tells recent news also passes on the leader's answers to renewals, unless its own messages to
+   * the leader are lost.
    */
   private static final class Simulation {
 
@@ -317,8 +317,7 @@
         Simulation simulation = new Simulation().preferring(names);
         int[] sound = new int[60];
         for (int second = 1; second < sound.length; second++) {
-          sound[second] =
-              random.nextInt(8) == 0 ? random.nextInt(names.length) : sound[second - 1];
+          sound[second] = random.nextInt(8) == 0 ? random.nextInt(names.length) : sound[second - 1];
         }
         for (int i = 0; i < names.length; i++) {
           int candidate = i;
