--- a/node/src/main/java/org/teaseltrestle/node/relay/AttemptDeadlines.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/AttemptDeadlines.java
@@ -9,25 +9,26 @@
 import org.teaseltrestle.node.port.AttemptHandle;
 
 /** Expires attempts at their deadlines. */
-final class AttemptDeadlines implements AutoCloseable {
+public final class AttemptDeadlines implements AutoCloseable {
 
   private final MonotonicClock clock;
   private final ScheduledThreadPoolExecutor timer;
 
-  AttemptDeadlines(MonotonicClock clock) {
+  /** Creates a timer without deadlines. */
+  public AttemptDeadlines(MonotonicClock clock) {
     this.clock = clock;
     this.timer = new ScheduledThreadPoolExecutor(1, new DaemonThreads("attempt-deadlines"));
     timer.setRemoveOnCancelPolicy(true);
   }
 
   /** Deadline that applies until it is closed. */
-  interface Deadline extends AutoCloseable {
+  public interface Deadline extends AutoCloseable {
     @Override
     void close();
   }
 
   /** Expires an attempt at a monotonic time unless the returned deadline is closed before. */
-  Deadline schedule(AttemptHandle handle, long deadlineNanos) {
+  public Deadline schedule(AttemptHandle handle, long deadlineNanos) {
     long remainingNanos = Math.max(0, deadlineNanos - clock.nowNanos());
     ScheduledFuture<?> task =
         timer.schedule(FatalErrors.reporting(handle::expire), remainingNanos, TimeUnit.NANOSECONDS);
--- a/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RemotePrefill.java
@@ -119,12 +119,14 @@
                 .client()
                 .call(
                     new RoutedCall(
+                        id,
                         source.address(),
                         "DELETE",
                         dependencies.codec().kvCacheReleaseTarget(source.memory()),
                         List.of(),
                         new byte[0],
-                        releaseHandle))) {
+                        releaseHandle,
+                        deadlineNanos))) {
       LOG.info(RelayEvent.MEMORY_RELEASED, "request", id, "status", releaseResponse.status());
     } catch (AttemptFailure e) {
       // The prefill engine frees the memory itself after a timeout.
@@ -146,12 +148,14 @@
         .client()
         .call(
             new RoutedCall(
+                id,
                 prefillEngine.address(),
                 request.method(),
                 request.target(),
                 dependencies.codec().attemptHeaders(request.headers(), options),
                 request.body(),
-                prefillHandle));
+                prefillHandle,
+                request.deadlineNanos()));
   }
 
   private String readCacheHandle(ServiceResponse prefillResponse, long sentAtNanos) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -330,12 +330,14 @@
           .client()
           .call(
               new RoutedCall(
+                  id,
                   server.address(),
                   request.method(),
                   request.target(),
                   dependencies.codec().attemptHeaders(request.headers(), options),
                   request.body(),
-                  handle));
+                  handle,
+                  request.deadlineNanos()));
     }
 
     private void forwardEvents(BackendServer server, ServiceResponse backendResponse) {
--- a/node/src/test/java/org/teaseltrestle/node/relay/RawCaller.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RawCaller.java
@@ -16,6 +16,7 @@
 final class RawCaller implements AutoCloseable {
 
   private static final int READ_TIMEOUT_MILLIS = 8_000;
+  private static final int MAXIMUM_AWAITED_BYTES = 64 * 1024;
 
   private final Socket socket;
   private final InputStream input;
@@ -79,6 +80,16 @@
     return new Response(status, headText, text(body), end);
   }
 
+  /** Waits until a text has arrived, which is read again by {@link #read}. */
+  void awaitBytes(String expected) throws IOException {
+    input.mark(MAXIMUM_AWAITED_BYTES);
+    ByteArrayOutputStream received = new ByteArrayOutputStream();
+    while (!text(received).contains(expected)) {
+      received.write(readByte());
+    }
+    input.reset();
+  }
+
   /** Returns whether the connection stays open and silent for the given time. */
   boolean staysOpen(int millis) throws IOException {
     socket.setSoTimeout(millis);
--- a/node/src/test/java/org/teaseltrestle/node/relay/ResponseCompletenessTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/ResponseCompletenessTest.java
@@ -138,7 +138,16 @@
     try (ServiceResponse response =
         client == Client.ROUTED
             ? new HttpRoutedClient(http())
-                .call(new RoutedCall(address(), method, "/x", headers, new byte[0], handle))
+                .call(
+                    new RoutedCall(
+                        new RequestId(ID),
+                        address(),
+                        method,
+                        "/x",
+                        headers,
+                        new byte[0],
+                        handle,
+                        Long.MAX_VALUE))
             : new HttpServiceClient(http())
                 .call(
                     new ServiceCall(
