Refuse a taken-up stream of unknown origin at an instance out of step

Reported by operators of other systems: streams that began at servers of a new version went on at another version, at an entry node that was cut off or stood still while these servers joined.

The same could happen here. An origin that no control node answered was taken for one that nobody knows, and the only version that the node listed for the only one there is, whatever the age of its knowledge.

Such a stream is now refused as not run (stream_origin_unknown) unless the knowledge of the committed state was recent when the request arrived, and one of the control nodes that were told of the stream must have answered.

--- a/node/src/main/java/org/teaseltrestle/node/port/StreamOrigins.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/StreamOrigins.java
@@ -1,7 +1,5 @@
 package org.teaseltrestle.node.port;
 
-import java.util.Optional;
-
 /** Origins of the streams that callers may take up at any instance. Safe for use by any thread. */
 public interface StreamOrigins {
 
@@ -14,8 +12,8 @@
         }
 
         @Override
-        public Optional<StreamOrigin> find(String stream, long deadlineNanos) {
-          return Optional.empty();
+        public StreamLookup find(String stream, long deadlineNanos) {
+          return StreamLookup.unknown(true);
         }
       };
 
@@ -27,10 +25,9 @@
   void began(String stream, StreamOrigin origin);
 
   /**
-   * Returns the origin of a stream, empty if it is unknown. May ask other instances and wait for
-   * them.
+   * Looks up the origin of a stream. May ask other instances and wait for them.
    *
    * @param deadlineNanos monotonic time after which the answer is of no use
    */
-  Optional<StreamOrigin> find(String stream, long deadlineNanos);
+  StreamLookup find(String stream, long deadlineNanos);
 }
--- a/node/src/main/java/org/teaseltrestle/node/relay/ResumedStreams.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/ResumedStreams.java
@@ -1,7 +1,7 @@
 package org.teaseltrestle.node.relay;
 
 import java.util.HashSet;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -13,13 +13,15 @@
 import org.teaseltrestle.model.RequestId;
 import org.teaseltrestle.model.serving.ServingRoute;
 import org.teaseltrestle.node.port.IncomingRequest;
+import org.teaseltrestle.node.port.StreamLookup;
 import org.teaseltrestle.node.port.StreamOrigin;
 import org.teaseltrestle.node.port.StreamOrigins;
 
 /**
  * Decides where a stream that a caller takes up may go on: at the software version that began it.
  * If that is unknown, the stream goes on only if its pool has had one version for as long as a
- * stream may last.
+ * stream may last. An instance that is out of step cannot know that: neither if its knowledge of
+ * the fleet is old, nor if those that may know the stream did not answer.
  */
 final class ResumedStreams {
 
@@ -67,11 +69,20 @@
       return null;
     }
     String stream = name(incoming, account);
-    Optional<StreamOrigin> known =
-        stream == null ? Optional.empty() : origins.find(stream, deadlineNanos);
-    if (known.isPresent() && serves(route, known.get().pool())) {
-      log(id, stream, known.get(), "known");
-      return known.get();
+    boolean inStep = knowsFleet();
+    StreamLookup lookup =
+        stream == null ? StreamLookup.unknown(true) : origins.find(stream, deadlineNanos);
+    StreamOrigin known = lookup.origin();
+    if (known != null && serves(route, known.pool())) {
+      log(id, stream, known, "known");
+      return known;
+    }
+    if (!inStep || !lookup.conclusive()) {
+      log(id, stream, null, inStep ? "no_answer" : "knowledge_old");
+      throw new RefusalException(
+          RefusalCode.STREAM_ORIGIN_UNKNOWN,
+          "it is unknown which software version began the stream, and this instance may not know"
+              + " all versions");
     }
     Set<String> versions = versions(pool);
     if (versions.size() > 1) {
@@ -96,6 +107,14 @@
     return route.weightedPools().stream().anyMatch(each -> each.pool().equals(pool));
   }
 
+  /** Returns whether this instance knew the fleet of a moment ago when the request arrived. */
+  private boolean knowsFleet() {
+    OptionalLong knownAsOf = context.control().knownAsOfNanos();
+    long limitNanos = context.settings().maximumKnowledgeAge().toNanos();
+    return knownAsOf.isPresent()
+        && context.clock().nowNanos() - knownAsOf.getAsLong() <= limitNanos;
+  }
+
   /** Returns the versions of a pool that are listed now or may have begun a stream that goes on. */
   private Set<String> versions(PoolId pool) {
     long since = context.wallClock().nowMillis() - STREAM_MILLIS;
--- a/node/src/main/java/org/teaseltrestle/node/streams/StreamOriginService.java
+++ b/node/src/main/java/org/teaseltrestle/node/streams/StreamOriginService.java
@@ -17,6 +17,7 @@
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
+import org.teaseltrestle.node.port.StreamLookup;
 import org.teaseltrestle.node.port.StreamOrigin;
 import org.teaseltrestle.node.port.StreamOrigins;
 import org.teaseltrestle.transport.PeerTransport;
@@ -91,27 +92,32 @@
   }
 
   @Override
-  public Optional<StreamOrigin> find(String stream, long deadlineNanos) {
+  public StreamLookup find(String stream, long deadlineNanos) {
     long now = clock.nowNanos();
-    Optional<StreamOrigin> known = own.find(stream, now);
-    if (known.isPresent()) {
-      return known;
+    StreamOrigin known = own.find(stream, now).orElse(null);
+    if (known != null) {
+      return StreamLookup.found(known);
     }
     long answerBy = Math.min(deadlineNanos - now, ANSWER_TIMEOUT_NANOS) + now;
-    Optional<StreamOrigin> answered = ask(stream, answerBy);
+    StreamLookup answered = ask(stream, answerBy);
     long again = clock.nowNanos() + 2 * REPORT_INTERVAL_NANOS;
-    if (answered.isEmpty() && answerBy - again > 0) {
+    if (answered.origin() == null && answerBy - again > 0) {
       // The report of a stream that has just begun may still be on its way.
       LockSupport.parkNanos(again - clock.nowNanos());
       answered = ask(stream, answerBy);
     }
-    answered.ifPresent(origin -> own.record(stream, origin, clock.nowNanos()));
+    StreamOrigin origin = answered.origin();
+    if (origin != null) {
+      own.record(stream, origin, clock.nowNanos());
+    }
     LOG.info(
         StreamEvent.ORIGIN_ASKED,
         "stream",
         stream,
         "origin",
-        answered.map(StreamOrigin::toString).orElse("unknown"),
+        origin == null ? "unknown" : origin,
+        "conclusive",
+        answered.conclusive(),
         "millis",
         TimeUnit.NANOSECONDS.toMillis(clock.nowNanos() - now));
     return answered;
@@ -122,14 +128,15 @@
     duty.close();
   }
 
-  private Optional<StreamOrigin> ask(String stream, long answerByNanos) {
+  private StreamLookup ask(String stream, long answerByNanos) {
     List<InetSocketAddress> asked = controlNodes.get();
     if (asked.isEmpty()) {
-      return Optional.empty();
+      return StreamLookup.unknown(false);
     }
     byte[] question = StreamOriginQuestion.newBuilder().setStream(stream).build().toByteArray();
     CompletableFuture<Optional<StreamOrigin>> found = new CompletableFuture<>();
     AtomicInteger open = new AtomicInteger(asked.size());
+    AtomicInteger answered = new AtomicInteger();
     for (InetSocketAddress each : asked) {
       transport
           .call(
@@ -138,7 +145,14 @@
               StreamOriginKeeper.QUESTION_KIND,
               question,
               answerByNanos)
-          .handle((answer, failure) -> failure == null ? origin(answer) : noOrigin())
+          .handle(
+              (answer, failure) -> {
+                if (failure != null) {
+                  return noOrigin();
+                }
+                answered.incrementAndGet();
+                return origin(answer);
+              })
           .thenAccept(
               origin -> {
                 if (open.decrementAndGet() == 0 || origin.isPresent()) {
@@ -148,17 +162,28 @@
     }
     try {
       long waitNanos = Math.max(0, answerByNanos - clock.nowNanos());
-      return found.get(waitNanos, TimeUnit.NANOSECONDS);
+      StreamOrigin origin = found.get(waitNanos, TimeUnit.NANOSECONDS).orElse(null);
+      return origin == null
+          ? StreamLookup.unknown(includesInformed(answered.get(), asked.size()))
+          : StreamLookup.found(origin);
     } catch (TimeoutException e) {
-      return Optional.empty();
+      return StreamLookup.unknown(includesInformed(answered.get(), asked.size()));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return Optional.empty();
+      return StreamLookup.unknown(false);
     } catch (ExecutionException e) {
       throw new TrestleException(ErrorCode.INTERNAL, "origin of a stream could not be asked", e);
     }
   }
 
+  /**
+   * Returns whether at least one of the control nodes that were told of a stream must be among
+   * those that have answered.
+   */
+  private static boolean includesInformed(int answered, int asked) {
+    return answered > 0 && answered + Math.min(COPIES, asked) > asked;
+  }
+
   private static Optional<StreamOrigin> noOrigin() {
     return Optional.empty();
   }
--- a/node/src/test/java/org/teaseltrestle/node/relay/StreamVersionTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/StreamVersionTest.java
@@ -8,10 +8,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
+import org.teaseltrestle.node.port.StreamLookup;
 import org.teaseltrestle.node.port.StreamOrigin;
 import org.teaseltrestle.node.port.StreamOrigins;
 import org.teaseltrestle.wire.LeftSoftwareVersion;
@@ -34,8 +35,8 @@
     }
 
     @Override
-    public Optional<StreamOrigin> find(String stream, long deadlineNanos) {
-      return Optional.ofNullable(origins.get(stream));
+    public StreamLookup find(String stream, long deadlineNanos) {
+      return new StreamLookup(origins.get(stream), true);
     }
   }
 
@@ -192,6 +193,58 @@
       }
     }
 
+    /**
+     * Guards against an instance that was out of step while servers of a newer version joined, and
+     * takes the one version that it lists for the only one.
+     */
+    @Test
+    public void streamOfUnknownOriginIsRefusedWhileKnowledgeIsOld() throws Exception {
+      StubControl control = new StubControl();
+      try (FakeServer old = server();
+          RoutedHarness relay =
+              new RoutedHarness(control, StreamOrigins.NONE, List.of("v1"), old)) {
+        long limitNanos = RoutedHarness.MAXIMUM_KNOWLEDGE_AGE.toNanos();
+        control.knownAsOfNanos = OptionalLong.of(System.nanoTime() - 2 * limitNanos);
+        RawCaller.Response response =
+            take(relay, "X-Request-Id: again", "Resumes: id-1", "Last-Event-Id: 2");
+        assertEquals(response.status(), 503);
+        assertTrue(response.body().contains("stream_origin_unknown"), response.body());
+        assertEquals(old.received.size(), 0);
+        control.knownAsOfNanos = null;
+        assertEquals(
+            take(relay, "X-Request-Id: again", "Resumes: id-1", "Last-Event-Id: 2").status(), 200);
+      }
+    }
+
+    /**
+     * Guards against an instance that takes the silence of the control nodes for the answer that
+     * nobody knows the stream.
+     */
+    @Test
+    public void streamIsRefusedWhenNobodyAnswersWhatBeganIt() throws Exception {
+      StreamOrigins silent =
+          new StreamOrigins() {
+            @Override
+            public void began(String stream, StreamOrigin origin) {
+              // Forgets the stream.
+            }
+
+            @Override
+            public StreamLookup find(String stream, long deadlineNanos) {
+              return StreamLookup.unknown(false);
+            }
+          };
+      try (FakeServer old = server();
+          RoutedHarness relay = new RoutedHarness(new StubControl(), silent, List.of("v1"), old)) {
+        RawCaller.Response response =
+            take(relay, "X-Request-Id: again", "Resumes: id-1", "Last-Event-Id: 2");
+        assertEquals(response.status(), 503);
+        assertEquals(old.received.size(), 0);
+        // A request that begins a stream is served as before.
+        assertEquals(take(relay, "X-Request-Id: id-2").status(), 200);
+      }
+    }
+
     /**
      * Guards against a restarted instance that finds one version and takes it for the only one,
      * although another has just left.
--- a/node/src/test/java/org/teaseltrestle/node/streams/StreamOriginServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/streams/StreamOriginServiceTest.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.streams;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
@@ -82,7 +83,7 @@
   }
 
   private static Optional<StreamOrigin> find(StreamOriginService service, String stream) {
-    return service.find(stream, System.nanoTime() + TIMEOUT_NANOS);
+    return Optional.ofNullable(service.find(stream, System.nanoTime() + TIMEOUT_NANOS).origin());
   }
 
   private static void awaitOrigin(StreamOriginService service, String stream) {
@@ -134,6 +135,18 @@
     assertTrue(System.nanoTime() - begin < LONGEST_WAIT_NANOS);
   }
 
+  /** Guards against the silence of control nodes that is taken for the answer that none knows. */
+  @Test
+  public void lookupIsConclusiveOnlyIfOneOfThoseThatWereToldHasAnswered() {
+    StreamOriginService service = entryNode("entry-0");
+    assertTrue(service.find("yard/unknown", System.nanoTime() + TIMEOUT_NANOS).conclusive());
+    controlNodes.get(0).close();
+    controlNodes.get(1).close();
+    assertTrue(service.find("yard/unknown", System.nanoTime() + TIMEOUT_NANOS).conclusive());
+    controlNodes.get(2).close();
+    assertFalse(service.find("yard/unknown", System.nanoTime() + TIMEOUT_NANOS).conclusive());
+  }
+
   /** Guards against a table that grows with each stream. */
   @Test
   public void tableForgetsOldStreamsAndThoseBeyondItsBound() {
