Treat the end of a connection as an error after a failed write

Reported by operators of other systems (MIXED): a server answered a long upload at once with a 200 without length, sent part of the body and reset the connection; the caller got that part as a complete answer.

The same happened here. The operating system reports a reset once: the write of the upload fails, and the HTTP client, which then reads the response, finds a regular end behind the bytes that had arrived.

BoundedSocket, through which all calls to backend servers go, now fails a read at the end of the input once a write has failed.

--- a/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
@@ -7,6 +7,7 @@
 import java.io.OutputStream;
 import java.net.ProtocolException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.time.Duration;
 import org.jspecify.annotations.Nullable;
@@ -17,7 +18,8 @@
  * body: heads, chunk extensions and trailers without end, and heads that never become complete.
  * Without a bound such bytes fill the memory or occupy a thread forever. Bytes that arrive before
  * the request belong to no request, so the connection fails, and so do chunks that are longer than
- * their size.
+ * their size. After a failed write the end of the input proves nothing: the operating system
+ * reports a reset once, so a reader sees a regular end if the writer has seen the reset.
  */
 final class BoundedSocket extends Socket {
 
@@ -32,6 +34,7 @@
   private long headDeadlineNanos;
   private ChunkFraming framing = new ChunkFraming();
   private @Nullable InputStream input;
+  private volatile @Nullable IOException writeFailure;
 
   /** Creates an unconnected socket; the bounds apply from {@link #startResponse}. */
   BoundedSocket(MonotonicClock clock, int maximumUndeliveredBytes) {
@@ -112,6 +115,13 @@
     }
   }
 
+  private void checkEnd(int result) throws IOException {
+    IOException failure = writeFailure;
+    if (result < 0 && failure != null) {
+      throw new SocketException("connection was reset while the request was written: " + failure);
+    }
+  }
+
   private void check(byte[] bytes, int offset, int length) throws ProtocolException {
     synchronized (lock) {
       if (bounded && length > 0) {
@@ -149,13 +159,23 @@
     @Override
     public void write(int value) throws IOException {
       startRequest();
-      out.write(value);
+      try {
+        out.write(value);
+      } catch (IOException e) {
+        writeFailure = e;
+        throw e;
+      }
     }
 
     @Override
     public void write(byte[] bytes, int offset, int length) throws IOException {
       startRequest();
-      out.write(bytes, offset, length);
+      try {
+        out.write(bytes, offset, length);
+      } catch (IOException e) {
+        writeFailure = e;
+        throw e;
+      }
     }
   }
 
@@ -170,6 +190,7 @@
       checkNoEarlyBytes();
       checkHeadDeadline();
       int value = super.read();
+      checkEnd(value);
       count(value < 0 ? 0 : 1);
       if (value >= 0) {
         check(new byte[] {(byte) value}, 0, 1);
@@ -182,6 +203,7 @@
       checkNoEarlyBytes();
       checkHeadDeadline();
       int count = super.read(bytes, offset, length);
+      checkEnd(count);
       count(count);
       check(bytes, offset, count);
       return count;
