Look for a caller's close on the request's own thread before an attempt

A request waits unread on a busy node, and its caller leaves. The node then reads the request with the close right behind it, but only the I/O thread reads on, and that thread is late for as long as the node is busy.

The thread of the request now reads the connection itself before each attempt and after a remote prefill, and sends nothing if the caller has left. BusyIoThreadTest blocks the only I/O thread: the close is found. That this is the whole cause on the site is not shown yet.

--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerDisconnectWatch.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerDisconnectWatch.java
@@ -18,7 +18,8 @@
  * <p>Undertow reads nothing between the end of a request and the end of its response, so a close in
  * that time reaches its close listeners only at the next write. While a request waits without
  * writing, this class reads the connection itself. A byte of a pipelined request is pushed back,
- * and the watch ends there.
+ * and the watch ends there. On a busy instance the I/O thread may be late, so {@link #check} reads
+ * at once on the thread of the request.
  */
 final class CallerDisconnectWatch implements AutoCloseable {
 
@@ -58,6 +59,11 @@
     return watch;
   }
 
+  /** Reports a close that has arrived already. Called by the thread of the request. */
+  void check() {
+    checkForClose();
+  }
+
   /** Ends the watch; must be called before the response ends. */
   @Override
   public synchronized void close() {
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedCallerInterface.java
@@ -249,6 +249,7 @@
             request,
             lifecycle,
             response,
+            () -> checkWatch(watch),
             () -> closeWatch(watch));
     try (lifecycle) {
       run.run();
@@ -265,6 +266,12 @@
     }
   }
 
+  private static void checkWatch(@Nullable CallerDisconnectWatch watch) {
+    if (watch != null) {
+      watch.check();
+    }
+  }
+
   private static void closeWatch(@Nullable CallerDisconnectWatch watch) {
     if (watch != null) {
       watch.close();
--- a/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/RoutedRun.java
@@ -45,6 +45,7 @@
   private final RoutedRequest request;
   private final RequestLifecycle lifecycle;
   private final CallerResponse response;
+  private final Runnable beforeAttempt;
   private final Runnable beforeFinish;
   private @Nullable BufferedResponse lastServerError;
   private @Nullable String lastEventId;
@@ -55,7 +56,12 @@
   private boolean responseStarted;
   private long firstByteNanos;
 
-  /** Creates a run that calls {@code beforeFinish} before it ends the response. */
+  /**
+   * Creates a run.
+   *
+   * @param beforeAttempt called before each attempt is sent; may find that the caller has left
+   * @param beforeFinish called before the response ends
+   */
   RoutedRun(
       RelayContext context,
       RoutedRelayDependencies dependencies,
@@ -64,6 +70,7 @@
       RoutedRequest request,
       RequestLifecycle lifecycle,
       CallerResponse response,
+      Runnable beforeAttempt,
       Runnable beforeFinish) {
     this.context = context;
     this.dependencies = dependencies;
@@ -72,6 +79,7 @@
     this.request = request;
     this.lifecycle = lifecycle;
     this.response = response;
+    this.beforeAttempt = beforeAttempt;
     this.beforeFinish = beforeFinish;
     this.lastEventId = request.incoming().lastEventId();
   }
@@ -225,6 +233,7 @@
 
     private boolean sendAndForward() {
       BackendServer server = lifecycle.startAttempt(dispatch, handle);
+      checkCaller();
       RemotePrefill prefill = remotePrefill();
       AttemptOptions.Work work =
           prefill == null ? new AttemptOptions.FullExecution() : prefill.run();
@@ -276,6 +285,18 @@
       return true;
     }
 
+    /**
+     * Checks that there still is a caller.
+     *
+     * @throws CallerDisconnectedException otherwise; nothing of this attempt has been sent then
+     */
+    private void checkCaller() {
+      beforeAttempt.run();
+      if (lifecycle.hasCallerDisconnected()) {
+        throw new CallerDisconnectedException();
+      }
+    }
+
     /** Returns the remote prefill of this attempt, or null if it has none. */
     private @Nullable RemotePrefill remotePrefill() {
       if (dispatch.prefillEngine() == null) {
@@ -291,8 +312,9 @@
     private ServiceResponse openOrRelease(
         BackendServer server, AttemptOptions.Work work, @Nullable RemotePrefill prefill) {
       try {
+        checkCaller();
         return open(server, work);
-      } catch (AttemptFailure failure) {
+      } catch (AttemptFailure | CallerDisconnectedException failure) {
         if (prefill != null && work instanceof AttemptOptions.FromMemory source) {
           prefill.release(source);
         }
