Take failed connections to half of the servers for lost links

With two failures as evidence, a node whose neighbours' failure domain is cut off could take its links for lost, be refused by neighbours in the same state, and wait for instances on the other side.

Evidence now is half of the servers that were called in the last two seconds, two at least, without a success in between. A connection that succeeds over the own links ends the loss, and asking other instances ends after half a second.

--- a/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
@@ -41,6 +41,9 @@
   private static final int MAXIMUM_ASKED = 6;
   private static final long RESERVATION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Time after which no further instance is asked to carry an attempt. */
+  private static final long ASKING_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private final RoutedClient own;
   private final ServerLinks links;
   private final LinkTrials trials;
@@ -100,7 +103,8 @@
     Set<String> asked = new HashSet<>();
     boolean anyBusy = false;
     CarrierChooser chooser = carriers.refreshed();
-    while (asked.size() < MAXIMUM_ASKED) {
+    long giveUpNanos = clock.nowNanos() + ASKING_TIMEOUT_NANOS;
+    while (asked.size() < MAXIMUM_ASKED && clock.nowNanos() - giveUpNanos < 0) {
       Optional<String> carrier =
           chooser.choose(asked, ThreadLocalRandom.current().nextLong(), clock.nowNanos());
       if (carrier.isEmpty()) {
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerLinks.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerLinks.java
@@ -6,16 +6,17 @@
 
 /**
  * Decides whether this instance sends attempts over its own connections or has them carried by
- * another instance. Its links count as lost once connections to several servers have failed without
- * a success in between, and as present again while other instances reach none of these servers
- * either: then the servers are gone. One lost or busy server is no lost link.
+ * another instance. Its links count as lost once connections to half of the servers that it calls
+ * have failed without a success in between, and as present again while other instances reach none
+ * of these servers either: then the servers are gone. One lost or busy server is no lost link, and
+ * neither is a failure domain that is cut off, as long as servers of others are called.
  *
  * <p>Lost links are tried in the background. Once a trial succeeds, a growing part of the attempts
  * uses them. Thread-safe; all times are monotonic.
  */
 public final class ServerLinks {
 
-  /** Servers to which connections must have failed, fewer if fewer were called. */
+  /** Least number of servers that must have failed, fewer if fewer were called. */
   private static final int FAILED_SERVERS = 2;
 
   /** Time for which a failed connection counts, and for which a called server counts as called. */
@@ -82,6 +83,7 @@
       step = 0;
       connectionsInStep = 0;
       attemptsInStep = 0;
+      failedAtNanos.clear();
     }
   }
 
@@ -93,6 +95,7 @@
   public synchronized boolean connected(String server, long nowNanos) {
     calledAtNanos.put(server, nowNanos);
     failedAtNanos.clear();
+    trialSucceeded();
     if (state != State.HEALING || ++connectionsInStep < CONNECTIONS_PER_STEP) {
       return false;
     }
@@ -116,8 +119,7 @@
     forgetBefore(nowNanos - MEMORY_NANOS);
     calledAtNanos.put(server, nowNanos);
     failedAtNanos.put(server, nowNanos);
-    boolean enough = failedAtNanos.size() >= Math.min(FAILED_SERVERS, calledAtNanos.size());
-    if (state == State.LOST || !(enough || state == State.HEALING)) {
+    if (state == State.LOST || failedAtNanos.size() < neededFailures()) {
       return false;
     }
     state = State.LOST;
@@ -148,6 +150,11 @@
     return true;
   }
 
+  private int neededFailures() {
+    int called = calledAtNanos.size();
+    return Math.max(Math.min(FAILED_SERVERS, called), (called + 1) / 2);
+  }
+
   private void forgetBefore(long nanos) {
     failedAtNanos.values().removeIf(each -> each - nanos < 0);
     calledAtNanos.values().removeIf(each -> each - nanos < 0);
