Cancel a reservation whose answer did not come in time

An acceptance that is late would hold a place at the carrier until the deadline of the attempt. Found by reading; 157 tests of carried attempts pass.

--- a/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
@@ -30,6 +30,7 @@
 import org.teaseltrestle.wire.CarriedBodyPart;
 import org.teaseltrestle.wire.CarriedCallReservation;
 import org.teaseltrestle.wire.CarriedCallReservation.Outcome;
+import org.teaseltrestle.wire.CarriedCallStep;
 
 /**
  * Sends attempts over connections of this instance while it has any, and otherwise has other
@@ -164,9 +165,17 @@
               .toByteArray();
       outcome = ask(call, address, CarryMessage.BODY, part, call.deadlineNanos());
     }
+    if (outcome == Outcome.UNSPECIFIED) {
+      // An answer that is late may have been an acceptance, which would hold a place.
+      transport.send(address, CarryMessage.SERVICE, CarryMessage.CANCEL.kind(), step(number));
+    }
     return outcome;
   }
 
+  private static byte[] step(long number) {
+    return CarriedCallStep.newBuilder().setCall(number).build().toByteArray();
+  }
+
   private Outcome ask(
       RoutedCall call,
       InetSocketAddress carrier,
