Believe that servers are gone only by carriers of several failure domains

An attempt that a carrier cannot connect, so that nothing was sent, now goes on to a carrier of another failure domain, and only servers that two domains do not reach count as gone. A test with two neighbours that are cut off unawares serves all callers by way of the other domain.

--- a/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/CarryingRoutedClient.java
@@ -7,7 +7,6 @@
 import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
@@ -19,6 +18,7 @@
 import java.util.function.Function;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.node.port.AttemptFailure;
 import org.teaseltrestle.node.port.RoutedCall;
 import org.teaseltrestle.node.port.RoutedClient;
@@ -40,6 +40,10 @@
 
   private static final EventLog LOG = EventLog.of(CarryingRoutedClient.class);
   private static final int MAXIMUM_ASKED = 6;
+
+  /** Failure domains from which a server must be unreachable before it counts as gone. */
+  private static final int DOMAINS_THAT_AGREE = 2;
+
   private static final long RESERVATION_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
   /** Time after which no further instance is asked to carry an attempt. */
@@ -102,33 +106,56 @@
 
   private ServiceResponse carry(RoutedCall call) {
     Set<String> asked = new HashSet<>();
+    Set<FailureDomain> unreachableFrom = new HashSet<>();
+    AttemptFailure connectFailure = null;
     boolean anyBusy = false;
     CarrierChooser chooser = carriers.refreshed();
     long giveUpNanos = clock.nowNanos() + ASKING_TIMEOUT_NANOS;
     while (asked.size() < MAXIMUM_ASKED && clock.nowNanos() - giveUpNanos < 0) {
-      Optional<String> carrier =
-          chooser.choose(asked, ThreadLocalRandom.current().nextLong(), clock.nowNanos());
-      if (carrier.isEmpty()) {
+      CarrierChooser.Carrier chosen =
+          chooser
+              .choose(
+                  asked, unreachableFrom, ThreadLocalRandom.current().nextLong(), clock.nowNanos())
+              .orElse(null);
+      if (chosen == null) {
         break;
       }
-      asked.add(carrier.get());
+      String carrier = chosen.instance();
+      asked.add(carrier);
       long number = nextCall.getAndIncrement();
-      Outcome outcome = reserve(call, number, carrier.get());
+      Outcome outcome = reserve(call, number, carrier);
       if (outcome == Outcome.ACCEPTED) {
-        return start(call, number, carrier.get());
+        try {
+          return start(call, number, carrier);
+        } catch (AttemptFailure failure) {
+          if (failure.kind() != FailureKind.CONNECT_FAILED || call.handle().isCancelled()) {
+            throw failure;
+          }
+          // The carrier may have lost its links too, and its failure domain with it.
+          connectFailure = failure;
+          unreachableFrom.add(chosen.domain());
+        }
+        if (unreachableFrom.size() >= DOMAINS_THAT_AGREE) {
+          break;
+        }
+        continue;
       }
       anyBusy |= outcome == Outcome.BUSY;
-      chooser.refused(carrier.get(), clock.nowNanos());
+      chooser.refused(carrier, clock.nowNanos());
       refusals.apply(outcome).inc();
       LOG.info(
           CarryEvent.CARRIER_REFUSED,
           "request",
           call.request(),
           "carrier",
-          carrier.get(),
+          carrier,
           "outcome",
           outcome);
     }
+    if (connectFailure != null) {
+      reportUnreachable(call, unreachableFrom.size());
+      throw connectFailure;
+    }
     withoutCarrier.inc();
     LOG.warn(
         CarryEvent.NO_CARRIER, "request", call.request(), "asked", asked.size(), "busy", anyBusy);
@@ -224,16 +251,16 @@
             call,
             clock,
             () -> chooser.ended(carrier, clock.nowNanos()));
-    try {
-      response.start();
-    } catch (AttemptFailure failure) {
-      if (failure.kind() == FailureKind.CONNECT_FAILED
-          && links.unreachableForOther(call.address(), clock.nowNanos())) {
-        LOG.info(CarryEvent.LINKS_SOUND, "unreachableForOthers", call.address());
-      }
-      throw failure;
-    }
+    response.start();
     links.reachedByOther();
     return response;
   }
+
+  /** A server counts as gone only if instances of several failure domains do not reach it. */
+  private void reportUnreachable(RoutedCall call, int failureDomains) {
+    if (failureDomains >= DOMAINS_THAT_AGREE
+        && links.unreachableForOther(call.address(), clock.nowNanos())) {
+      LOG.info(CarryEvent.LINKS_SOUND, "unreachableForOthers", call.address());
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/relay/CarriedAttemptsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/CarriedAttemptsTest.java
@@ -189,7 +189,7 @@
                   name ->
                       InstanceRecord.newBuilder()
                           .setInstance(name)
-                          .setFailureDomain(DOMAIN.value())
+                          .setFailureDomain(name.startsWith("far") ? "b" : DOMAIN.value())
                           .build())
               .toList();
       CarrierDirectory directory =
@@ -395,6 +395,32 @@
       }
     }
 
+    /**
+     * Guards against a whole failure domain without links, whose nodes take each other's failures
+     * for the loss of the servers.
+     */
+    @Test
+    public void neighbourThatHasLostItsLinksUnawaresIsNotBelieved() throws Exception {
+      RoutedClient cutOff =
+          call -> {
+            throw new AttemptFailure(FailureKind.CONNECT_FAILED, "cut off");
+          };
+      try (FakeServer first = new FakeServer(ANSWERS);
+          FakeServer second = new FakeServer(ANSWERS);
+          Network network =
+              new Network()
+                  .withCarrier("near-1", cutOff, 8)
+                  .withCarrier("near-2", cutOff, 8)
+                  .withCarrier("far", 8)) {
+        RoutedHarness relay = network.relayTo(first, second);
+        network.strand();
+        for (int i = 0; i < 8; i++) {
+          assertEquals(relay.post(CALL).statusCode(), 200);
+        }
+        assertEquals(network.ownAttempts.get(), 0);
+      }
+    }
+
     /** Guards against attempts that are carried although the server itself is gone. */
     @Test
     public void serversThatNobodyReachesEndTheCarrying() throws Exception {
@@ -404,7 +430,10 @@
           };
       try (FakeServer first = new FakeServer(ANSWERS);
           FakeServer second = new FakeServer(ANSWERS);
-          Network network = new Network().withCarrier("near", unreachable, 8)) {
+          Network network =
+              new Network()
+                  .withCarrier("near", unreachable, 8)
+                  .withCarrier("far", unreachable, 8)) {
         RoutedHarness relay = network.relayTo(first, second);
         network.strand();
         assertEquals(network.ownAttempts.get(), 0);
--- a/policy/src/main/java/org/teaseltrestle/policy/CarrierChooser.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/CarrierChooser.java
@@ -66,14 +66,17 @@
    * Returns the instance to ask next, if one is left.
    *
    * @param asked instances that were asked for this attempt already
+   * @param excluded failure domains whose instances do not reach the server either
    * @param sample random bits
    */
-  public synchronized Optional<String> choose(Set<String> asked, long sample, long nowNanos) {
+  public synchronized Optional<Carrier> choose(
+      Set<String> asked, Set<FailureDomain> excluded, long sample, long nowNanos) {
     List<Carrier> near = new ArrayList<>();
     List<Carrier> far = new ArrayList<>();
     for (Carrier each : carriers) {
       boolean refused = nowNanos - known(each.instance(), nowNanos).refusedUntilNanos < 0;
-      if (!refused && !asked.contains(each.instance())) {
+      boolean eligible = !asked.contains(each.instance()) && !excluded.contains(each.domain());
+      if (!refused && eligible) {
         (each.domain().equals(ownDomain) ? near : far).add(each);
       }
     }
@@ -88,7 +91,7 @@
         }
       }
     }
-    return Optional.ofNullable(best).map(Carrier::instance);
+    return Optional.ofNullable(best);
   }
 
   /** Records that an instance has accepted an attempt. */
--- a/policy/src/test/java/org/teaseltrestle/policy/CarrierChooserTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/CarrierChooserTest.java
@@ -38,7 +38,9 @@
   }
 
   private Optional<String> choose(CarrierChooser chooser, Set<String> asked, long now) {
-    return chooser.choose(asked, random.nextLong(), now);
+    return chooser
+        .choose(asked, Set.of(), random.nextLong(), now)
+        .map(CarrierChooser.Carrier::instance);
   }
 
   /** Guards against attempts that cross failure domains although the own one has room. */
@@ -88,6 +90,18 @@
     assertEquals(choose(chooser, asked, 0), Optional.empty());
   }
 
+  /** Guards against an instance of a failure domain whose links are lost as a whole. */
+  @Test
+  public void instancesOfExcludedFailureDomainsAreNotAsked() {
+    CarrierChooser chooser = chooser(3, 1);
+    for (int i = 0; i < 20; i++) {
+      CarrierChooser.Carrier chosen =
+          chooser.choose(Set.of(), Set.of(OWN), random.nextLong(), 0).orElseThrow();
+      assertEquals(chosen.domain(), OTHER);
+    }
+    assertEquals(chooser.choose(Set.of(), Set.of(OWN, OTHER), 7, 0), Optional.empty());
+  }
+
   /** Guards against load that is counted for good after its attempts have ended. */
   @Test
   public void endedAttemptsFreeTheirInstance() {
