Add the messages of a feed with acknowledged bytes to the wire

Change: RenewalBundle says that its sender only asks, that it reads differences and parts, and which part of a state it holds; LoggedCommand may hold a difference, CommittedCommands the index that was sent, CommittedStatePart a part of a state. New fields only: an earlier version ignores them and is never sent what it does not read. Not used yet. Conclusion: the forms before stay in use towards earlier versions.

--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommands.java
@@ -184,6 +184,35 @@
     return bundleSentAtNanos_;
   }
 
+  public static final int SENT_INDEX_FIELD_NUMBER = 7;
+  private long sentIndex_ = 0L;
+  /**
+   * <pre>
+   * Index up to which the receiver has been sent entries on this connection, with this message.
+   * Absent from earlier versions, which send all that they have before a message without commands.
+   * </pre>
+   *
+   * <code>optional uint64 sent_index = 7;</code>
+   * @return Whether the sentIndex field is set.
+   */
+  @java.lang.Override
+  public boolean hasSentIndex() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Index up to which the receiver has been sent entries on this connection, with this message.
+   * Absent from earlier versions, which send all that they have before a message without commands.
+   * </pre>
+   *
+   * <code>optional uint64 sent_index = 7;</code>
+   * @return The sentIndex.
+   */
+  @java.lang.Override
+  public long getSentIndex() {
+    return sentIndex_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -216,6 +245,9 @@
     if (bundleSentAtNanos_ != 0L) {
       output.writeSFixed64(6, bundleSentAtNanos_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeUInt64(7, sentIndex_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -249,6 +281,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(6, bundleSentAtNanos_);
     }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, sentIndex_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -279,6 +315,11 @@
     }
     if (getBundleSentAtNanos()
         != other.getBundleSentAtNanos()) return false;
+    if (hasSentIndex() != other.hasSentIndex()) return false;
+    if (hasSentIndex()) {
+      if (getSentIndex()
+          != other.getSentIndex()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -310,6 +351,11 @@
     hash = (37 * hash) + BUNDLE_SENT_AT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getBundleSentAtNanos());
+    if (hasSentIndex()) {
+      hash = (37 * hash) + SENT_INDEX_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSentIndex());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -468,6 +514,7 @@
         leaderBuilder_ = null;
       }
       bundleSentAtNanos_ = 0L;
+      sentIndex_ = 0L;
       return this;
     }
 
@@ -533,6 +580,10 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.bundleSentAtNanos_ = bundleSentAtNanos_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.sentIndex_ = sentIndex_;
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -589,6 +640,9 @@
       if (other.getBundleSentAtNanos() != 0L) {
         setBundleSentAtNanos(other.getBundleSentAtNanos());
       }
+      if (other.hasSentIndex()) {
+        setSentIndex(other.getSentIndex());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -655,6 +709,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 49
+            case 56: {
+              sentIndex_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1233,6 +1292,66 @@
       return this;
     }
 
+    private long sentIndex_ ;
+    /**
+     * <pre>
+     * Index up to which the receiver has been sent entries on this connection, with this message.
+     * Absent from earlier versions, which send all that they have before a message without commands.
+     * </pre>
+     *
+     * <code>optional uint64 sent_index = 7;</code>
+     * @return Whether the sentIndex field is set.
+     */
+    @java.lang.Override
+    public boolean hasSentIndex() {
+      return ((bitField0_ & 0x00000040) != 0);
+    }
+    /**
+     * <pre>
+     * Index up to which the receiver has been sent entries on this connection, with this message.
+     * Absent from earlier versions, which send all that they have before a message without commands.
+     * </pre>
+     *
+     * <code>optional uint64 sent_index = 7;</code>
+     * @return The sentIndex.
+     */
+    @java.lang.Override
+    public long getSentIndex() {
+      return sentIndex_;
+    }
+    /**
+     * <pre>
+     * Index up to which the receiver has been sent entries on this connection, with this message.
+     * Absent from earlier versions, which send all that they have before a message without commands.
+     * </pre>
+     *
+     * <code>optional uint64 sent_index = 7;</code>
+     * @param value The sentIndex to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSentIndex(long value) {
+
+      sentIndex_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Index up to which the receiver has been sent entries on this connection, with this message.
+     * Absent from earlier versions, which send all that they have before a message without commands.
+     * </pre>
+     *
+     * <code>optional uint64 sent_index = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSentIndex() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      sentIndex_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.CommittedCommands)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/CommittedCommandsOrBuilder.java
@@ -96,4 +96,25 @@
    * @return The bundleSentAtNanos.
    */
   long getBundleSentAtNanos();
+
+  /**
+   * <pre>
+   * Index up to which the receiver has been sent entries on this connection, with this message.
+   * Absent from earlier versions, which send all that they have before a message without commands.
+   * </pre>
+   *
+   * <code>optional uint64 sent_index = 7;</code>
+   * @return Whether the sentIndex field is set.
+   */
+  boolean hasSentIndex();
+  /**
+   * <pre>
+   * Index up to which the receiver has been sent entries on this connection, with this message.
+   * Absent from earlier versions, which send all that they have before a message without commands.
+   * </pre>
+   *
+   * <code>optional uint64 sent_index = 7;</code>
+   * @return The sentIndex.
+   */
+  long getSentIndex();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/Follow.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Follow.java
@@ -81,6 +81,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_LoggedCommand_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_CommandDifference_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_CommandDifference_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_trestle_LeaderNews_descriptor;
   static final 
@@ -96,6 +101,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_trestle_CommittedState_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_trestle_CommittedStatePart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_trestle_CommittedStatePart_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -125,29 +135,38 @@
       "\001\"\200\001\n\nPoolDemand\022\014\n\004pool\030\001 \001(\t\022!\n\031prefil" +
       "l_tokens_per_second\030\002 \001(\001\022 \n\030decode_toke" +
       "ns_per_second\030\003 \001(\001\022\037\n\027cheap_tokens_per_" +
-      "second\030\004 \001(\001\"\231\002\n\rRenewalBundle\022\020\n\010instan" +
+      "second\030\004 \001(\001\"\354\002\n\rRenewalBundle\022\020\n\010instan" +
       "ce\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rapplied_index\030" +
       "\003 \001(\004\022\025\n\rreply_address\030\004 \001(\t\022\'\n\010renewals" +
       "\030\005 \003(\0132\025.trestle.LeaseRenewal\022&\n\006demand\030" +
       "\006 \003(\0132\026.trestle.AccountDemand\022\017\n\007follows" +
       "\030\007 \001(\010\022(\n\013pool_demand\030\010 \003(\0132\023.trestle.Po" +
       "olDemand\022\027\n\017entries_missing\030\t \001(\010\022\025\n\rsen" +
-      "t_at_nanos\030\n \001(\020\"C\n\nLeaseGrant\022\020\n\010instan" +
-      "ce\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nanos\030" +
-      "\003 \001(\020\"~\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132\023.t" +
-      "restle.LeaseGrant\022,\n\014total_demand\030\002 \003(\0132" +
-      "\026.trestle.AccountDemand\022\034\n\024registered_in" +
-      "stances\030\003 \001(\r\"/\n\rLoggedCommand\022\r\n\005index\030" +
-      "\001 \001(\004\022\017\n\007command\030\002 \001(\014\"@\n\nLeaderNews\022\020\n\010" +
-      "instance\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022\n\nage_mill" +
-      "is\030\003 \001(\004\"\312\001\n\021CommittedCommands\022(\n\010comman" +
-      "ds\030\001 \003(\0132\026.trestle.LoggedCommand\022\025\n\rappl" +
-      "ied_index\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004" +
-      "\022\030\n\020root_age_unknown\030\004 \001(\010\022#\n\006leader\030\005 \001" +
-      "(\0132\023.trestle.LeaderNews\022\034\n\024bundle_sent_a" +
-      "t_nanos\030\006 \001(\020\"9\n\016CommittedState\022\025\n\rappli" +
-      "ed_index\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014B\032\n\026org." +
-      "teaseltrestle.wireP\001b\006proto3"
+      "t_at_nanos\030\n \001(\020\022\014\n\004asks\030\013 \001(\010\022\031\n\021reads_" +
+      "differences\030\014 \001(\010\022\023\n\013state_index\030\r \001(\004\022\023" +
+      "\n\013state_bytes\030\016 \001(\004\"C\n\nLeaseGrant\022\020\n\010ins" +
+      "tance\030\001 \001(\t\022\014\n\004boot\030\002 \001(\006\022\025\n\rsent_at_nan" +
+      "os\030\003 \001(\020\"~\n\013GrantBundle\022#\n\006grants\030\001 \003(\0132" +
+      "\023.trestle.LeaseGrant\022,\n\014total_demand\030\002 \003" +
+      "(\0132\026.trestle.AccountDemand\022\034\n\024registered" +
+      "_instances\030\003 \001(\r\"_\n\rLoggedCommand\022\r\n\005ind" +
+      "ex\030\001 \001(\004\022\017\n\007command\030\002 \001(\014\022.\n\ndifference\030" +
+      "\003 \001(\0132\032.trestle.CommandDifference\"=\n\021Com" +
+      "mandDifference\022\024\n\014base_version\030\001 \001(\004\022\022\n\n" +
+      "difference\030\002 \001(\014\"@\n\nLeaderNews\022\020\n\010instan" +
+      "ce\030\001 \001(\t\022\014\n\004term\030\002 \001(\004\022\022\n\nage_millis\030\003 \001" +
+      "(\004\"\362\001\n\021CommittedCommands\022(\n\010commands\030\001 \003" +
+      "(\0132\026.trestle.LoggedCommand\022\025\n\rapplied_in" +
+      "dex\030\002 \001(\004\022\027\n\017root_age_millis\030\003 \001(\004\022\030\n\020ro" +
+      "ot_age_unknown\030\004 \001(\010\022#\n\006leader\030\005 \001(\0132\023.t" +
+      "restle.LeaderNews\022\034\n\024bundle_sent_at_nano" +
+      "s\030\006 \001(\020\022\027\n\nsent_index\030\007 \001(\004H\000\210\001\001B\r\n\013_sen" +
+      "t_index\"9\n\016CommittedState\022\025\n\rapplied_ind" +
+      "ex\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(\014\"a\n\022CommittedS" +
+      "tatePart\022\025\n\rapplied_index\030\001 \001(\004\022\023\n\013total" +
+      "_bytes\030\002 \001(\004\022\016\n\006offset\030\003 \001(\004\022\017\n\007content\030" +
+      "\004 \001(\014B\032\n\026org.teaseltrestle.wireP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -201,7 +220,7 @@
     internal_static_trestle_RenewalBundle_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_RenewalBundle_descriptor,
-        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", "EntriesMissing", "SentAtNanos", });
+        new java.lang.String[] { "Instance", "Boot", "AppliedIndex", "ReplyAddress", "Renewals", "Demand", "Follows", "PoolDemand", "EntriesMissing", "SentAtNanos", "Asks", "ReadsDifferences", "StateIndex", "StateBytes", });
     internal_static_trestle_LeaseGrant_descriptor =
       getDescriptor().getMessageTypes().get(8);
     internal_static_trestle_LeaseGrant_fieldAccessorTable = new
@@ -219,25 +238,37 @@
     internal_static_trestle_LoggedCommand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LoggedCommand_descriptor,
-        new java.lang.String[] { "Index", "Command", });
-    internal_static_trestle_LeaderNews_descriptor =
+        new java.lang.String[] { "Index", "Command", "Difference", });
+    internal_static_trestle_CommandDifference_descriptor =
       getDescriptor().getMessageTypes().get(11);
+    internal_static_trestle_CommandDifference_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_CommandDifference_descriptor,
+        new java.lang.String[] { "BaseVersion", "Difference", });
+    internal_static_trestle_LeaderNews_descriptor =
+      getDescriptor().getMessageTypes().get(12);
     internal_static_trestle_LeaderNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_LeaderNews_descriptor,
         new java.lang.String[] { "Instance", "Term", "AgeMillis", });
     internal_static_trestle_CommittedCommands_descriptor =
-      getDescriptor().getMessageTypes().get(12);
+      getDescriptor().getMessageTypes().get(13);
     internal_static_trestle_CommittedCommands_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedCommands_descriptor,
-        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", "BundleSentAtNanos", });
+        new java.lang.String[] { "Commands", "AppliedIndex", "RootAgeMillis", "RootAgeUnknown", "Leader", "BundleSentAtNanos", "SentIndex", });
     internal_static_trestle_CommittedState_descriptor =
-      getDescriptor().getMessageTypes().get(13);
+      getDescriptor().getMessageTypes().get(14);
     internal_static_trestle_CommittedState_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_CommittedState_descriptor,
         new java.lang.String[] { "AppliedIndex", "Snapshot", });
+    internal_static_trestle_CommittedStatePart_descriptor =
+      getDescriptor().getMessageTypes().get(15);
+    internal_static_trestle_CommittedStatePart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_trestle_CommittedStatePart_descriptor,
+        new java.lang.String[] { "AppliedIndex", "TotalBytes", "Offset", "Content", });
     descriptor.resolveAllFeaturesImmutable();
     org.teaseltrestle.wire.Control.getDescriptor();
   }
--- a/wire/src/main/java/org/teaseltrestle/wire/LoggedCommand.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LoggedCommand.java
@@ -44,6 +44,7 @@
             org.teaseltrestle.wire.LoggedCommand.class, org.teaseltrestle.wire.LoggedCommand.Builder.class);
   }
 
+  private int bitField0_;
   public static final int INDEX_FIELD_NUMBER = 1;
   private long index_ = 0L;
   /**
@@ -70,6 +71,44 @@
     return command_;
   }
 
+  public static final int DIFFERENCE_FIELD_NUMBER = 3;
+  private org.teaseltrestle.wire.CommandDifference difference_;
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   * @return Whether the difference field is set.
+   */
+  @java.lang.Override
+  public boolean hasDifference() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   * @return The difference.
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.CommandDifference getDifference() {
+    return difference_ == null ? org.teaseltrestle.wire.CommandDifference.getDefaultInstance() : difference_;
+  }
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.CommandDifferenceOrBuilder getDifferenceOrBuilder() {
+    return difference_ == null ? org.teaseltrestle.wire.CommandDifference.getDefaultInstance() : difference_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -90,6 +129,9 @@
     if (!command_.isEmpty()) {
       output.writeBytes(2, command_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(3, getDifference());
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -107,6 +149,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(2, command_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, getDifference());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -126,6 +172,11 @@
         != other.getIndex()) return false;
     if (!getCommand()
         .equals(other.getCommand())) return false;
+    if (hasDifference() != other.hasDifference()) return false;
+    if (hasDifference()) {
+      if (!getDifference()
+          .equals(other.getDifference())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -142,6 +193,10 @@
         getIndex());
     hash = (37 * hash) + COMMAND_FIELD_NUMBER;
     hash = (53 * hash) + getCommand().hashCode();
+    if (hasDifference()) {
+      hash = (37 * hash) + DIFFERENCE_FIELD_NUMBER;
+      hash = (53 * hash) + getDifference().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -261,13 +316,19 @@
 
     // Construct using org.teaseltrestle.wire.LoggedCommand.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetDifferenceFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -275,6 +336,11 @@
       bitField0_ = 0;
       index_ = 0L;
       command_ = com.google.protobuf.ByteString.EMPTY;
+      difference_ = null;
+      if (differenceBuilder_ != null) {
+        differenceBuilder_.dispose();
+        differenceBuilder_ = null;
+      }
       return this;
     }
 
@@ -314,6 +380,14 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.command_ = command_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.difference_ = differenceBuilder_ == null
+            ? difference_
+            : differenceBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -334,6 +408,9 @@
       if (!other.getCommand().isEmpty()) {
         setCommand(other.getCommand());
       }
+      if (other.hasDifference()) {
+        mergeDifference(other.getDifference());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -370,6 +447,13 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetDifferenceFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -463,6 +547,163 @@
       return this;
     }
 
+    private org.teaseltrestle.wire.CommandDifference difference_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.CommandDifference, org.teaseltrestle.wire.CommandDifference.Builder, org.teaseltrestle.wire.CommandDifferenceOrBuilder> differenceBuilder_;
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     * @return Whether the difference field is set.
+     */
+    public boolean hasDifference() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     * @return The difference.
+     */
+    public org.teaseltrestle.wire.CommandDifference getDifference() {
+      if (differenceBuilder_ == null) {
+        return difference_ == null ? org.teaseltrestle.wire.CommandDifference.getDefaultInstance() : difference_;
+      } else {
+        return differenceBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public Builder setDifference(org.teaseltrestle.wire.CommandDifference value) {
+      if (differenceBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        difference_ = value;
+      } else {
+        differenceBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public Builder setDifference(
+        org.teaseltrestle.wire.CommandDifference.Builder builderForValue) {
+      if (differenceBuilder_ == null) {
+        difference_ = builderForValue.build();
+      } else {
+        differenceBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public Builder mergeDifference(org.teaseltrestle.wire.CommandDifference value) {
+      if (differenceBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          difference_ != null &&
+          difference_ != org.teaseltrestle.wire.CommandDifference.getDefaultInstance()) {
+          getDifferenceBuilder().mergeFrom(value);
+        } else {
+          difference_ = value;
+        }
+      } else {
+        differenceBuilder_.mergeFrom(value);
+      }
+      if (difference_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public Builder clearDifference() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      difference_ = null;
+      if (differenceBuilder_ != null) {
+        differenceBuilder_.dispose();
+        differenceBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public org.teaseltrestle.wire.CommandDifference.Builder getDifferenceBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetDifferenceFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    public org.teaseltrestle.wire.CommandDifferenceOrBuilder getDifferenceOrBuilder() {
+      if (differenceBuilder_ != null) {
+        return differenceBuilder_.getMessageOrBuilder();
+      } else {
+        return difference_ == null ?
+            org.teaseltrestle.wire.CommandDifference.getDefaultInstance() : difference_;
+      }
+    }
+    /**
+     * <pre>
+     * In place of the command, if the receiver reads it.
+     * </pre>
+     *
+     * <code>.trestle.CommandDifference difference = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.teaseltrestle.wire.CommandDifference, org.teaseltrestle.wire.CommandDifference.Builder, org.teaseltrestle.wire.CommandDifferenceOrBuilder> 
+        internalGetDifferenceFieldBuilder() {
+      if (differenceBuilder_ == null) {
+        differenceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.teaseltrestle.wire.CommandDifference, org.teaseltrestle.wire.CommandDifference.Builder, org.teaseltrestle.wire.CommandDifferenceOrBuilder>(
+                getDifference(),
+                getParentForChildren(),
+                isClean());
+        difference_ = null;
+      }
+      return differenceBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.LoggedCommand)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/LoggedCommandOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/LoggedCommandOrBuilder.java
@@ -25,4 +25,31 @@
    * @return The command.
    */
   com.google.protobuf.ByteString getCommand();
+
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   * @return Whether the difference field is set.
+   */
+  boolean hasDifference();
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   * @return The difference.
+   */
+  org.teaseltrestle.wire.CommandDifference getDifference();
+  /**
+   * <pre>
+   * In place of the command, if the receiver reads it.
+   * </pre>
+   *
+   * <code>.trestle.CommandDifference difference = 3;</code>
+   */
+  org.teaseltrestle.wire.CommandDifferenceOrBuilder getDifferenceOrBuilder();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundle.java
@@ -361,6 +361,64 @@
     return sentAtNanos_;
   }
 
+  public static final int ASKS_FIELD_NUMBER = 11;
+  private boolean asks_ = false;
+  /**
+   * <pre>
+   * Whether the sender only asks for news: the receiver sends it none of the log, also if it did
+   * before. Earlier versions take it for a subscription.
+   * </pre>
+   *
+   * <code>bool asks = 11;</code>
+   * @return The asks.
+   */
+  @java.lang.Override
+  public boolean getAsks() {
+    return asks_;
+  }
+
+  public static final int READS_DIFFERENCES_FIELD_NUMBER = 12;
+  private boolean readsDifferences_ = false;
+  /**
+   * <pre>
+   * Whether the sender reads CommandDifference and CommittedStatePart, and acknowledges what it
+   * receives. Not set by earlier versions, which are sent whole commands and states.
+   * </pre>
+   *
+   * <code>bool reads_differences = 12;</code>
+   * @return The readsDifferences.
+   */
+  @java.lang.Override
+  public boolean getReadsDifferences() {
+    return readsDifferences_;
+  }
+
+  public static final int STATE_INDEX_FIELD_NUMBER = 13;
+  private long stateIndex_ = 0L;
+  /**
+   * <pre>
+   * Part of a state that the sender has received: the index of the state and the number of bytes.
+   * </pre>
+   *
+   * <code>uint64 state_index = 13;</code>
+   * @return The stateIndex.
+   */
+  @java.lang.Override
+  public long getStateIndex() {
+    return stateIndex_;
+  }
+
+  public static final int STATE_BYTES_FIELD_NUMBER = 14;
+  private long stateBytes_ = 0L;
+  /**
+   * <code>uint64 state_bytes = 14;</code>
+   * @return The stateBytes.
+   */
+  @java.lang.Override
+  public long getStateBytes() {
+    return stateBytes_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -405,6 +463,18 @@
     if (sentAtNanos_ != 0L) {
       output.writeSFixed64(10, sentAtNanos_);
     }
+    if (asks_ != false) {
+      output.writeBool(11, asks_);
+    }
+    if (readsDifferences_ != false) {
+      output.writeBool(12, readsDifferences_);
+    }
+    if (stateIndex_ != 0L) {
+      output.writeUInt64(13, stateIndex_);
+    }
+    if (stateBytes_ != 0L) {
+      output.writeUInt64(14, stateBytes_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -452,6 +522,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeSFixed64Size(10, sentAtNanos_);
     }
+    if (asks_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(11, asks_);
+    }
+    if (readsDifferences_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, readsDifferences_);
+    }
+    if (stateIndex_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(13, stateIndex_);
+    }
+    if (stateBytes_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(14, stateBytes_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -487,6 +573,14 @@
         != other.getEntriesMissing()) return false;
     if (getSentAtNanos()
         != other.getSentAtNanos()) return false;
+    if (getAsks()
+        != other.getAsks()) return false;
+    if (getReadsDifferences()
+        != other.getReadsDifferences()) return false;
+    if (getStateIndex()
+        != other.getStateIndex()) return false;
+    if (getStateBytes()
+        != other.getStateBytes()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -529,6 +623,18 @@
     hash = (37 * hash) + SENT_AT_NANOS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSentAtNanos());
+    hash = (37 * hash) + ASKS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getAsks());
+    hash = (37 * hash) + READS_DIFFERENCES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsDifferences());
+    hash = (37 * hash) + STATE_INDEX_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStateIndex());
+    hash = (37 * hash) + STATE_BYTES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStateBytes());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -693,6 +799,10 @@
       bitField0_ = (bitField0_ & ~0x00000080);
       entriesMissing_ = false;
       sentAtNanos_ = 0L;
+      asks_ = false;
+      readsDifferences_ = false;
+      stateIndex_ = 0L;
+      stateBytes_ = 0L;
       return this;
     }
 
@@ -778,6 +888,18 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.sentAtNanos_ = sentAtNanos_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.asks_ = asks_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.readsDifferences_ = readsDifferences_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.stateIndex_ = stateIndex_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.stateBytes_ = stateBytes_;
+      }
     }
 
     @java.lang.Override
@@ -895,6 +1017,18 @@
       if (other.getSentAtNanos() != 0L) {
         setSentAtNanos(other.getSentAtNanos());
       }
+      if (other.getAsks() != false) {
+        setAsks(other.getAsks());
+      }
+      if (other.getReadsDifferences() != false) {
+        setReadsDifferences(other.getReadsDifferences());
+      }
+      if (other.getStateIndex() != 0L) {
+        setStateIndex(other.getStateIndex());
+      }
+      if (other.getStateBytes() != 0L) {
+        setStateBytes(other.getStateBytes());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -995,6 +1129,26 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 81
+            case 88: {
+              asks_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              readsDifferences_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              stateIndex_ = input.readUInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 112: {
+              stateBytes_ = input.readUInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2216,6 +2370,176 @@
       return this;
     }
 
+    private boolean asks_ ;
+    /**
+     * <pre>
+     * Whether the sender only asks for news: the receiver sends it none of the log, also if it did
+     * before. Earlier versions take it for a subscription.
+     * </pre>
+     *
+     * <code>bool asks = 11;</code>
+     * @return The asks.
+     */
+    @java.lang.Override
+    public boolean getAsks() {
+      return asks_;
+    }
+    /**
+     * <pre>
+     * Whether the sender only asks for news: the receiver sends it none of the log, also if it did
+     * before. Earlier versions take it for a subscription.
+     * </pre>
+     *
+     * <code>bool asks = 11;</code>
+     * @param value The asks to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsks(boolean value) {
+
+      asks_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender only asks for news: the receiver sends it none of the log, also if it did
+     * before. Earlier versions take it for a subscription.
+     * </pre>
+     *
+     * <code>bool asks = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsks() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      asks_ = false;
+      onChanged();
+      return this;
+    }
+
+    private boolean readsDifferences_ ;
+    /**
+     * <pre>
+     * Whether the sender reads CommandDifference and CommittedStatePart, and acknowledges what it
+     * receives. Not set by earlier versions, which are sent whole commands and states.
+     * </pre>
+     *
+     * <code>bool reads_differences = 12;</code>
+     * @return The readsDifferences.
+     */
+    @java.lang.Override
+    public boolean getReadsDifferences() {
+      return readsDifferences_;
+    }
+    /**
+     * <pre>
+     * Whether the sender reads CommandDifference and CommittedStatePart, and acknowledges what it
+     * receives. Not set by earlier versions, which are sent whole commands and states.
+     * </pre>
+     *
+     * <code>bool reads_differences = 12;</code>
+     * @param value The readsDifferences to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsDifferences(boolean value) {
+
+      readsDifferences_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the sender reads CommandDifference and CommittedStatePart, and acknowledges what it
+     * receives. Not set by earlier versions, which are sent whole commands and states.
+     * </pre>
+     *
+     * <code>bool reads_differences = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsDifferences() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      readsDifferences_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long stateIndex_ ;
+    /**
+     * <pre>
+     * Part of a state that the sender has received: the index of the state and the number of bytes.
+     * </pre>
+     *
+     * <code>uint64 state_index = 13;</code>
+     * @return The stateIndex.
+     */
+    @java.lang.Override
+    public long getStateIndex() {
+      return stateIndex_;
+    }
+    /**
+     * <pre>
+     * Part of a state that the sender has received: the index of the state and the number of bytes.
+     * </pre>
+     *
+     * <code>uint64 state_index = 13;</code>
+     * @param value The stateIndex to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStateIndex(long value) {
+
+      stateIndex_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Part of a state that the sender has received: the index of the state and the number of bytes.
+     * </pre>
+     *
+     * <code>uint64 state_index = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStateIndex() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      stateIndex_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long stateBytes_ ;
+    /**
+     * <code>uint64 state_bytes = 14;</code>
+     * @return The stateBytes.
+     */
+    @java.lang.Override
+    public long getStateBytes() {
+      return stateBytes_;
+    }
+    /**
+     * <code>uint64 state_bytes = 14;</code>
+     * @param value The stateBytes to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStateBytes(long value) {
+
+      stateBytes_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 state_bytes = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStateBytes() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      stateBytes_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.RenewalBundle)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/RenewalBundleOrBuilder.java
@@ -187,4 +187,42 @@
    * @return The sentAtNanos.
    */
   long getSentAtNanos();
+
+  /**
+   * <pre>
+   * Whether the sender only asks for news: the receiver sends it none of the log, also if it did
+   * before. Earlier versions take it for a subscription.
+   * </pre>
+   *
+   * <code>bool asks = 11;</code>
+   * @return The asks.
+   */
+  boolean getAsks();
+
+  /**
+   * <pre>
+   * Whether the sender reads CommandDifference and CommittedStatePart, and acknowledges what it
+   * receives. Not set by earlier versions, which are sent whole commands and states.
+   * </pre>
+   *
+   * <code>bool reads_differences = 12;</code>
+   * @return The readsDifferences.
+   */
+  boolean getReadsDifferences();
+
+  /**
+   * <pre>
+   * Part of a state that the sender has received: the index of the state and the number of bytes.
+   * </pre>
+   *
+   * <code>uint64 state_index = 13;</code>
+   * @return The stateIndex.
+   */
+  long getStateIndex();
+
+  /**
+   * <code>uint64 state_bytes = 14;</code>
+   * @return The stateBytes.
+   */
+  long getStateBytes();
 }
