Send messages whose bytes are shared

Cause: a message for several peers was copied into an array, a byte string, the encoded envelope and a buffer, for each of them. Change: PeerTransport.send takes a ByteString, which may be shared; an envelope is encoded straight into its buffer. Figures: none measured apart; the copies that remain for each receiver are one, in the buffer of its connection.

--- a/transport/src/main/java/org/teaseltrestle/transport/EnvelopeCodec.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/EnvelopeCodec.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufInputStream;
+import io.netty.buffer.ByteBufOutputStream;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
@@ -16,8 +17,14 @@
 
   @Override
   protected void encode(ChannelHandlerContext context, Envelope envelope, List<Object> out) {
-    byte[] bytes = envelope.toByteArray();
-    out.add(context.alloc().buffer(bytes.length).writeBytes(bytes));
+    ByteBuf frame = context.alloc().buffer(envelope.getSerializedSize());
+    try (ByteBufOutputStream output = new ByteBufOutputStream(frame)) {
+      envelope.writeTo(output);
+    } catch (IOException e) {
+      frame.release();
+      throw new TrestleException(ErrorCode.INTERNAL, "envelope could not be written", e);
+    }
+    out.add(frame);
   }
 
   @Override
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -1,5 +1,7 @@
 package org.teaseltrestle.transport;
 
+import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -106,13 +108,20 @@
 
   @Override
   public boolean send(InetSocketAddress peer, String service, int kind, byte[] body) {
+    return send(peer, service, kind, UnsafeByteOperations.unsafeWrap(body));
+  }
+
+  @Override
+  public boolean send(InetSocketAddress peer, String service, int kind, ByteString body) {
     return connectionTo(peer).send(service, kind, body, clock.nowNanos());
   }
 
   @Override
   public CompletableFuture<byte[]> call(
       InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
-    return connectionTo(peer).call(service, kind, body, deadlineNanos, clock.nowNanos());
+    return connectionTo(peer)
+        .call(
+            service, kind, UnsafeByteOperations.unsafeWrap(body), deadlineNanos, clock.nowNanos());
   }
 
   @Override
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
@@ -48,12 +48,12 @@
     this.nextAttemptNanos = nowNanos;
   }
 
-  boolean send(String service, int kind, byte[] body, long nowNanos) {
+  boolean send(String service, int kind, ByteString body, long nowNanos) {
     return write(envelope(service, kind, 0, body), nowNanos);
   }
 
   CompletableFuture<byte[]> call(
-      String service, int kind, byte[] body, long deadlineNanos, long nowNanos) {
+      String service, int kind, ByteString body, long deadlineNanos, long nowNanos) {
     CompletableFuture<byte[]> future = new CompletableFuture<>();
     long correlation = pendingCalls.register(future, deadlineNanos);
     if (!write(envelope(service, kind, correlation, body), nowNanos)) {
@@ -69,12 +69,12 @@
     }
   }
 
-  private Envelope envelope(String service, int kind, long correlation, byte[] body) {
+  private Envelope envelope(String service, int kind, long correlation, ByteString body) {
     return envelopeTemplate.toBuilder()
         .setService(service)
         .setKind(kind)
         .setCorrelation(correlation)
-        .setBody(ByteString.copyFrom(body))
+        .setBody(body)
         .build();
   }
 
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerTransport.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.transport;
 
+import com.google.protobuf.ByteString;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import org.teaseltrestle.model.ErrorCode;
@@ -24,6 +25,14 @@
   /** Sends a one-way message; returns false, without waiting, if it was dropped. */
   boolean send(InetSocketAddress peer, String service, int kind, byte[] body);
 
+  /**
+   * Sends a one-way message whose bytes may be shared with messages to other peers; returns false,
+   * without waiting, if it was dropped.
+   */
+  default boolean send(InetSocketAddress peer, String service, int kind, ByteString body) {
+    return send(peer, service, kind, body.toByteArray());
+  }
+
   /**
    * Sends a message and returns the body of its response. The future fails with a {@link
    * TrestleException} of {@link ErrorCode#UNREACHABLE} when the message is dropped, the deadline
