Count the bytes between nodes and the messages that are dropped

Change: the transport counts messages and bytes by service and kind (at most 64 kinds), drops by reason, the bytes that wait for all connections and for the one that holds the most. A message counts as waiting from its acceptance until the future of its write ends, responses and probes too. E2009 and E2010 say when messages to a peer begin to be dropped and when that ended: one line a peer and second, 20 for all peers. A message is no longer left in the queue of a connection whose attempt ended while it was being queued, or after the transport was closed.

--- a/node/src/main/java/org/teaseltrestle/node/NodeModule.java
+++ b/node/src/main/java/org/teaseltrestle/node/NodeModule.java
@@ -21,6 +21,7 @@
 import org.teaseltrestle.node.backend.HttpServiceClient;
 import org.teaseltrestle.node.fleet.FleetDuty;
 import org.teaseltrestle.node.fleet.FleetSettings;
+import org.teaseltrestle.node.metrics.ProcessMetrics;
 import org.teaseltrestle.node.operators.OperatorService;
 import org.teaseltrestle.node.orders.ListsFleetPlanner;
 import org.teaseltrestle.node.orders.OrdersDuty;
@@ -100,7 +101,8 @@
 
   @Provides
   @Singleton
-  PeerTransport transport(MonotonicClock clock, Closer closer, ServiceRegistry services) {
+  PeerTransport transport(
+      MonotonicClock clock, Closer closer, ServiceRegistry services, MetricRegistry metrics) {
     TransportConfiguration configuration =
         TransportConfiguration.builder()
             .instance(settings.instance())
@@ -108,7 +110,8 @@
             .listenAddress(settings.peerAddress())
             .tls(settings.tls())
             .build();
-    PeerTransport transport = closer.register(new NettyPeerTransport(configuration, clock));
+    NettyPeerTransport transport = closer.register(new NettyPeerTransport(configuration, clock));
+    ProcessMetrics.register(metrics, transport.statistics());
     return services.register(PeerTransport.NAME, transport);
   }
 
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.FatalErrors;
@@ -36,7 +37,6 @@
 public final class NettyPeerTransport implements PeerTransport {
 
   private static final EventLog LOG = EventLog.of(NettyPeerTransport.class);
-  private static final int LENGTH_PREFIX_BYTES = 4;
   private static final int MAXIMUM_NETWORK_THREADS = 2;
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 500;
 
@@ -56,6 +56,7 @@
 
   private final TransportConfiguration configuration;
   private final MonotonicClock clock;
+  private final TransportCounters counters;
   private final Envelope envelopeTemplate;
   private final Map<String, MessageHandler> handlers = new ConcurrentHashMap<>();
   private final Map<InetSocketAddress, PeerConnection> connections = new ConcurrentHashMap<>();
@@ -77,6 +78,7 @@
   public NettyPeerTransport(TransportConfiguration configuration, MonotonicClock clock) {
     this.configuration = configuration;
     this.clock = clock;
+    this.counters = new TransportCounters(clock);
     this.envelopeTemplate =
         Envelope.newBuilder()
             .setSenderInstance(configuration.instance().value())
@@ -91,6 +93,11 @@
         EXPIRY_INTERVAL_MILLISECONDS,
         EXPIRY_INTERVAL_MILLISECONDS,
         TimeUnit.MILLISECONDS);
+    group.scheduleAtFixedRate(
+        FatalErrors.reporting(counters::writeDueLines),
+        EXPIRY_INTERVAL_MILLISECONDS,
+        EXPIRY_INTERVAL_MILLISECONDS,
+        TimeUnit.MILLISECONDS);
     LOG.info(TransportEvent.LISTENING, "address", listener.localAddress());
   }
 
@@ -99,6 +106,11 @@
     return (InetSocketAddress) listener.localAddress();
   }
 
+  /** Returns what was sent, received and dropped, and what waits. */
+  public TransportStatistics statistics() {
+    return counters;
+  }
+
   @Override
   public void register(String service, MessageHandler handler) {
     if (handlers.putIfAbsent(service, handler) != null) {
@@ -141,7 +153,10 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 channelInitializer(
-                    serverTls, new PendingCalls(), ACCEPTED_PROBE_INTERVAL_MILLISECONDS));
+                    serverTls,
+                    new PendingCalls(),
+                    this::accountOfAccepted,
+                    ACCEPTED_PROBE_INTERVAL_MILLISECONDS));
     try {
       return bootstrap.bind(configuration.listenAddress()).syncUninterruptibly().channel();
     } catch (RuntimeException e) {
@@ -152,23 +167,32 @@
   }
 
   private PeerConnection connectionTo(InetSocketAddress peer) {
-    return connections.computeIfAbsent(
+    return connections.computeIfAbsent(peer, this::newConnection);
+  }
+
+  private PeerConnection newConnection(InetSocketAddress peer) {
+    WaitingMessages waiting = counters.open(peer);
+    return new PeerConnection(
         peer,
-        address ->
-            new PeerConnection(
-                address,
-                clientBootstrap(address),
-                envelopeTemplate,
-                pendingCallsOf(address),
-                configuration.maximumPendingBytes(),
-                clock.nowNanos()));
+        clientBootstrap(peer, waiting),
+        envelopeTemplate,
+        pendingCallsOf(peer),
+        waiting,
+        configuration.maximumPendingBytes(),
+        clock.nowNanos());
+  }
+
+  private WaitingMessages accountOfAccepted(Channel channel) {
+    WaitingMessages waiting = counters.open(channel.remoteAddress());
+    channel.closeFuture().addListener(closed -> waiting.close());
+    return waiting;
   }
 
   private PendingCalls pendingCallsOf(InetSocketAddress peer) {
     return pendingCalls.computeIfAbsent(peer, address -> new PendingCalls());
   }
 
-  private Bootstrap clientBootstrap(InetSocketAddress peer) {
+  private Bootstrap clientBootstrap(InetSocketAddress peer, WaitingMessages waiting) {
     return new Bootstrap()
         .group(group)
         .channel(NioSocketChannel.class)
@@ -178,11 +202,16 @@
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             new WriteBufferWaterMark(
                 configuration.maximumPendingBytes() / 2, configuration.maximumPendingBytes()))
-        .handler(channelInitializer(clientTls, pendingCallsOf(peer), PROBE_INTERVAL_MILLISECONDS));
+        .handler(
+            channelInitializer(
+                clientTls, pendingCallsOf(peer), channel -> waiting, PROBE_INTERVAL_MILLISECONDS));
   }
 
   private ChannelInitializer<SocketChannel> channelInitializer(
-      @Nullable SslContext tls, PendingCalls calls, int probeIntervalMilliseconds) {
+      @Nullable SslContext tls,
+      PendingCalls calls,
+      Function<Channel, WaitingMessages> accounts,
+      int probeIntervalMilliseconds) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
@@ -198,12 +227,13 @@
                 new LengthFieldBasedFrameDecoder(
                     configuration.maximumFrameBytes(),
                     0,
-                    LENGTH_PREFIX_BYTES,
+                    TransportCounters.LENGTH_PREFIX_BYTES,
                     0,
-                    LENGTH_PREFIX_BYTES),
-                new LengthFieldPrepender(LENGTH_PREFIX_BYTES),
+                    TransportCounters.LENGTH_PREFIX_BYTES),
+                new LengthFieldPrepender(TransportCounters.LENGTH_PREFIX_BYTES),
                 new EnvelopeCodec(),
-                new PeerChannelHandler(handlers, calls, envelopeTemplate));
+                new PeerChannelHandler(
+                    handlers, calls, envelopeTemplate, counters, accounts.apply(channel)));
       }
     };
   }
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -34,19 +34,28 @@
   private final Map<String, MessageHandler> handlers;
   private final PendingCalls pendingCalls;
   private final Envelope envelopeTemplate;
+  private final TransportCounters counters;
+  private final WaitingMessages waiting;
   private int idleIntervals;
   private @Nullable String certifiedInstance;
 
   PeerChannelHandler(
-      Map<String, MessageHandler> handlers, PendingCalls pendingCalls, Envelope envelopeTemplate) {
+      Map<String, MessageHandler> handlers,
+      PendingCalls pendingCalls,
+      Envelope envelopeTemplate,
+      TransportCounters counters,
+      WaitingMessages waiting) {
     this.handlers = handlers;
     this.pendingCalls = pendingCalls;
     this.envelopeTemplate = envelopeTemplate;
+    this.counters = counters;
+    this.waiting = waiting;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
     idleIntervals = 0;
+    counters.countReceived(envelope);
     if (certifiedInstance != null && !certifiedInstance.equals(envelope.getSenderInstance())) {
       LOG.warn(
           TransportEvent.PEER_REJECTED,
@@ -60,7 +69,7 @@
     if (envelope.getAnswer()) {
       pendingCalls.complete(envelope.getCorrelation(), envelope.getBody().toByteArray());
     } else if (envelope.getService().equals(PROBE_SERVICE)) {
-      context.writeAndFlush(envelopeTemplate.toBuilder().setAnswer(true).build());
+      write(context, envelopeTemplate.toBuilder().setAnswer(true).build());
     } else {
       dispatch(context, envelope);
     }
@@ -114,7 +123,8 @@
     if (correlation == 0) {
       return;
     }
-    context.writeAndFlush(
+    write(
+        context,
         envelopeTemplate.toBuilder()
             .setAnswer(true)
             .setCorrelation(correlation)
@@ -122,6 +132,10 @@
             .build());
   }
 
+  private void write(ChannelHandlerContext context, Envelope envelope) {
+    waiting.accept(envelope).writeAndFlush(context);
+  }
+
   private void onReadIdle(ChannelHandlerContext context) {
     SslHandler ssl = context.pipeline().get(SslHandler.class);
     if (ssl != null && !ssl.handshakeFuture().isDone()) {
@@ -132,7 +146,7 @@
     if (idleIntervals > MAXIMUM_IDLE_INTERVALS) {
       context.close();
     } else {
-      context.writeAndFlush(envelopeTemplate.toBuilder().setService(PROBE_SERVICE).build());
+      write(context, envelopeTemplate.toBuilder().setService(PROBE_SERVICE).build());
     }
   }
 
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
@@ -27,10 +27,11 @@
   private final Envelope envelopeTemplate;
   private final PendingCalls pendingCalls;
   private final int maximumQueuedBytes;
-  private final Deque<Envelope> queuedMessages = new ArrayDeque<>();
-  private long queuedBytes;
+  private final WaitingMessages waiting;
+  private final Deque<WaitingMessages.Message> queuedMessages = new ArrayDeque<>();
   private @Nullable Channel channel;
   private boolean connecting;
+  private boolean closed;
   private long nextAttemptNanos;
 
   PeerConnection(
@@ -38,9 +39,11 @@
       Bootstrap bootstrap,
       Envelope envelopeTemplate,
       PendingCalls pendingCalls,
+      WaitingMessages waiting,
       int maximumQueuedBytes,
       long nowNanos) {
     this.peer = peer;
+    this.waiting = waiting;
     this.maximumQueuedBytes = maximumQueuedBytes;
     this.pendingCalls = pendingCalls;
     this.bootstrap = bootstrap;
@@ -63,7 +66,8 @@
   }
 
   synchronized void close() {
-    clearQueue();
+    closed = true;
+    discardQueue();
     if (channel != null) {
       channel.close();
     }
@@ -79,27 +83,44 @@
   }
 
   private synchronized boolean write(Envelope envelope, long nowNanos) {
-    if (channel != null && channel.isActive()) {
-      if (!channel.isWritable()) {
-        return false;
-      }
-      channel.writeAndFlush(envelope);
-      return true;
+    @Nullable DropReason refusal = refusalOf(envelope, nowNanos);
+    if (refusal != null) {
+      waiting.refuse(envelope, refusal);
+      return false;
     }
-    if (!connecting) {
-      if (nowNanos - nextAttemptNanos < 0) {
-        return false;
-      }
+    WaitingMessages.Message message = waiting.accept(envelope);
+    if (connecting || channel == null) {
+      queuedMessages.add(message);
+    } else {
+      message.writeAndFlush(channel);
+    }
+    return true;
+  }
+
+  private @Nullable DropReason refusalOf(Envelope envelope, long nowNanos) {
+    if (!isConnected() && !connecting && !closed && nowNanos - nextAttemptNanos >= 0) {
       connect(nowNanos);
     }
-    int bytes = envelope.getBody().size();
-    boolean tooManyBytes = queuedBytes > 0 && queuedBytes + bytes > maximumQueuedBytes;
-    if (tooManyBytes || queuedMessages.size() >= MAXIMUM_QUEUED_MESSAGES) {
-      return false;
+    if (isConnected()) {
+      return isWritable() ? null : DropReason.CONNECTION_FULL;
     }
-    queuedMessages.add(envelope);
-    queuedBytes += bytes;
-    return true;
+    if (!connecting) {
+      return DropReason.NO_CONNECTION;
+    }
+    long bytes = waiting.bytes();
+    boolean tooManyBytes =
+        bytes > 0 && bytes + TransportCounters.bytes(envelope) > maximumQueuedBytes;
+    return tooManyBytes || queuedMessages.size() >= MAXIMUM_QUEUED_MESSAGES
+        ? DropReason.QUEUE_FULL
+        : null;
+  }
+
+  private boolean isConnected() {
+    return channel != null && channel.isActive();
+  }
+
+  private boolean isWritable() {
+    return channel != null && channel.isWritable();
   }
 
   private void connect(long nowNanos) {
@@ -113,22 +134,23 @@
 
   private synchronized void connectCompleted(boolean success, Channel connectedChannel) {
     connecting = false;
-    if (!success) {
-      clearQueue();
+    if (!success || closed) {
+      discardQueue();
+      connectedChannel.close();
       pendingCalls.failAll("no connection to " + peer);
       return;
     }
     channel = connectedChannel;
     LOG.info(TransportEvent.PEER_CONNECTED, "peer", peer);
     while (!queuedMessages.isEmpty()) {
-      connectedChannel.write(queuedMessages.poll());
+      queuedMessages.remove().write(connectedChannel);
     }
-    clearQueue();
     connectedChannel.flush();
   }
 
-  private void clearQueue() {
-    queuedMessages.clear();
-    queuedBytes = 0;
+  private void discardQueue() {
+    while (!queuedMessages.isEmpty()) {
+      queuedMessages.remove().discard();
+    }
   }
 }
--- a/transport/src/main/java/org/teaseltrestle/transport/TransportEvent.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/TransportEvent.java
@@ -12,7 +12,9 @@
   HANDSHAKE_FAILED(2005, "TLS handshake with peer failed"),
   CONNECTION_FAILED(2006, "connection closed after an I/O error or a malformed frame"),
   HANDLER_FAILED(2007, "message handler failed"),
-  UNKNOWN_SERVICE(2008, "message for a service that is not registered");
+  UNKNOWN_SERVICE(2008, "message for a service that is not registered"),
+  MESSAGES_DROPPED(2009, "messages to peer are dropped"),
+  MESSAGES_NO_LONGER_DROPPED(2010, "no message to peer was dropped for a second");
 
   private final int number;
   private final String text;
