Do not repeat entries that are on their way to a follower

That this place had a part in it is not shown; it is of the same class.

A read cost a feed, and the slower a follower was, the more copies it was sent.

The response to a later request without theirs shows that they are lost, as messages of a connection arrive in order, and they are sent again at once. New entries no longer wait for the response to a heartbeat, since reads would hold them up. Acknowledgements, and so reads, the lease, check-quorum and commitment, use the same responses as before. Followers are unchanged: one of an earlier version accepts both requests.

Conclusion: the bytes to a slow follower no longer grow with the number of heartbeats and reads. After a connection is lost, entries are sent one round trip later than before, with the first response.

--- a/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/Leadership.java
@@ -106,10 +106,10 @@
     commitReplicated();
   }
 
-  /** Sends new entries to the members that have no request in flight. */
+  /** Sends new entries, or the commit index, to the members that wait for no response. */
   void replicate() {
     for (ReplicaId member : context.configuration().members()) {
-      if (!member.equals(context.self) && !progress(member).requestInFlight) {
+      if (!member.equals(context.self) && mayAdvance(progress(member))) {
         sendNext(member);
       }
     }
@@ -217,12 +217,21 @@
       // Otherwise the other members would apply the entries only after the next heartbeat.
       replicate();
     }
-    boolean more = mustSend || peer.nextIndex <= context.log.lastIndex();
-    if (context.leadership == this && more && !peer.requestInFlight) {
+    boolean more = mustSend || lacksContent(peer);
+    if (context.leadership == this && more && mayAdvance(peer)) {
       sendNext(from);
     }
   }
 
+  private boolean lacksContent(PeerProgress peer) {
+    return peer.snapshotInTransfer != null || peer.nextIndex <= context.log.lastIndex();
+  }
+
+  /** Returns whether the next request to a member would not repeat one that is on its way. */
+  private boolean mayAdvance(PeerProgress peer) {
+    return !peer.contentInFlight && (lacksContent(peer) || !peer.requestInFlight);
+  }
+
   private void broadcast() {
     nextHeartbeatNanos = context.nowNanos + context.settings.heartbeatNanos();
     for (ReplicaId member : context.configuration().members()) {
@@ -232,30 +241,32 @@
     }
   }
 
+  /**
+   * Sends a member what it lacks next. While that is on its way, the request has no content: its
+   * response confirms reads and the lease, and shows whether the content is lost.
+   */
   private void sendNext(ReplicaId member) {
     PeerProgress peer = progress(member);
     Snapshot snapshot = context.log.snapshot();
     if (peer.snapshotInTransfer == null
         && peer.nextIndex <= context.log.baseIndex()
         && snapshot != null) {
-      peer.snapshotInTransfer = snapshot;
-      peer.snapshotOffset = 0;
+      peer.startTransfer(snapshot);
     }
-    peer.recordSend(context.nowNanos);
+    boolean withContent = lacksContent(peer) && !peer.contentInFlight;
+    peer.recordSend(context.nowNanos, withContent);
     context.send(
         member,
         peer.snapshotInTransfer != null
-            ? nextChunk(peer, peer.snapshotInTransfer)
-            : appendRequest(peer));
+            ? nextChunk(peer, peer.snapshotInTransfer, withContent)
+            : appendRequest(peer, withContent));
   }
 
-  private AppendRequest appendRequest(PeerProgress peer) {
+  private AppendRequest appendRequest(PeerProgress peer, boolean withEntries) {
     RaftLog log = context.log;
     long previous = peer.nextIndex - 1;
     List<LogEntry> batch =
-        previous < log.lastIndex()
-            ? log.batch(peer.nextIndex, context.settings.maximumAppendBytes())
-            : List.of();
+        withEntries ? log.batch(peer.nextIndex, context.settings.maximumAppendBytes()) : List.of();
     return new AppendRequest(
         context.term,
         previous,
@@ -273,10 +284,11 @@
         : confirmed;
   }
 
-  private SnapshotChunk nextChunk(PeerProgress peer, Snapshot snapshot) {
+  private SnapshotChunk nextChunk(PeerProgress peer, Snapshot snapshot, boolean withData) {
     byte[] data = snapshot.data();
     int offset = Math.min(peer.snapshotOffset, data.length);
-    int end = Math.min(data.length, offset + context.settings.snapshotChunkBytes());
+    int length = withData ? context.settings.snapshotChunkBytes() : 0;
+    int end = Math.min(data.length, offset + length);
     return new SnapshotChunk(
         context.term,
         snapshot.index(),
--- a/consensus/src/main/java/org/teaseltrestle/consensus/PeerProgress.java
+++ b/consensus/src/main/java/org/teaseltrestle/consensus/PeerProgress.java
@@ -17,6 +17,16 @@
   /** Send time of the latest request; responses to earlier ones do not trigger another request. */
   long latestSendNanos;
 
+  /**
+   * Whether entries or a part of a snapshot are on their way: the request has no response yet, and
+   * no later one has. Messages arrive in order, so the response to a later request shows that they
+   * are lost.
+   */
+  boolean contentInFlight;
+
+  /** Send time of the latest request with entries or a part of a snapshot. */
+  private long contentSendNanos;
+
   /** Whether the member has responded in this term. */
   boolean acknowledged;
 
@@ -33,21 +43,35 @@
     this.nextIndex = nextIndex;
   }
 
-  void recordSend(long nowNanos) {
+  void recordSend(long nowNanos, boolean withContent) {
     requestInFlight = true;
     latestSendNanos = nowNanos;
+    if (withContent) {
+      contentInFlight = true;
+      contentSendNanos = nowNanos;
+    }
   }
 
   void recordAcknowledgement(long sentAtNanos) {
     if (sentAtNanos == latestSendNanos) {
       requestInFlight = false;
     }
+    if (sentAtNanos - contentSendNanos >= 0) {
+      contentInFlight = false;
+    }
     if (!acknowledged || sentAtNanos - acknowledgedSendNanos > 0) {
       acknowledged = true;
       acknowledgedSendNanos = sentAtNanos;
     }
   }
 
+  /** Begins to send a snapshot in place of entries. */
+  void startTransfer(Snapshot snapshot) {
+    snapshotInTransfer = snapshot;
+    snapshotOffset = 0;
+    contentInFlight = false;
+  }
+
   void recordMatch(long index) {
     matchIndex = Math.max(matchIndex, index);
     nextIndex = Math.max(nextIndex, matchIndex + 1);
