Bound the bytes that wait in a process for all its peers

Cause: a connection held up to 8 MB and one message of any size, responses were not limited at all, and nothing limited the sum: 88 nodes that read slowly may make 700 MB of a process with a heap of 144 MB. Change: what waits for all peers is limited to a sixth of the heap (TransportConfiguration.maximumWaitingBytes), for one peer to an eighth of that and at most 8 MB. Messages above 16 KB may take three quarters of the sum; a large one passes its connection's share when it is the only large one there. Queued messages, writes until their futures end, responses and probes count. What does not fit fails with send() == false and counts as PROCESS_FULL or CONNECTION_FULL. ByteBudget adds by compare and set, so that a refused large message never refuses a small one. Conclusion: the sum is bounded at the sender.

--- a/kernel/src/main/java/org/teaseltrestle/kernel/ByteBudget.java
+++ b/kernel/src/main/java/org/teaseltrestle/kernel/ByteBudget.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Bytes of the heap that requests in flight may hold together. What does not fit is refused before
- * it is read, because an exhausted heap would end all requests.
+ * Bytes of memory that many owners, such as requests in flight or peers, may hold together. What
+ * does not fit is refused, because an exhausted heap would end the process.
  */
 public final class ByteBudget {
 
@@ -14,15 +14,22 @@
   /** A large reservation leaves this fraction of the budget to small ones. */
   private static final int RESERVED_FOR_SMALL_DIVISOR = 4;
 
-  /** Reservations of up to this size may use the whole budget. */
+  /** Reservations of up to this size may use the whole budget, unless another one is set. */
   public static final int SMALL_BYTES = 64 * 1024;
 
   private final long capacity;
+  private final long smallBytes;
   private final AtomicLong used = new AtomicLong();
 
   /** Creates a budget of a number of bytes. */
   public ByteBudget(long capacity) {
+    this(capacity, SMALL_BYTES);
+  }
+
+  /** Creates a budget whose reservations of up to {@code smallBytes} may use all of it. */
+  public ByteBudget(long capacity, long smallBytes) {
     this.capacity = capacity;
+    this.smallBytes = smallBytes;
   }
 
   /** Returns a budget derived from the maximum size of the heap. */
@@ -56,12 +63,16 @@
      * Reserves more bytes; returns false, and reserves nothing, if the budget does not allow it.
      */
     public boolean tryAdd(long more) {
-      boolean small = bytes + more <= SMALL_BYTES;
+      boolean small = bytes + more <= smallBytes;
       long limit = small ? capacity : largeCapacity();
-      if (used.addAndGet(more) > limit) {
-        used.addAndGet(-more);
-        return false;
-      }
+      // Added only if it fits: a sum that is exceeded for a moment would refuse other owners.
+      long before;
+      do {
+        before = used.get();
+        if (before + more > limit) {
+          return false;
+        }
+      } while (!used.compareAndSet(before, before + more));
       bytes += more;
       return true;
     }
--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -78,7 +77,9 @@
   public NettyPeerTransport(TransportConfiguration configuration, MonotonicClock clock) {
     this.configuration = configuration;
     this.clock = clock;
-    this.counters = new TransportCounters(clock);
+    this.counters =
+        new TransportCounters(
+            clock, configuration.maximumWaitingBytes(), configuration.maximumPendingBytes());
     this.envelopeTemplate =
         Envelope.newBuilder()
             .setSenderInstance(configuration.instance().value())
@@ -178,7 +179,6 @@
         envelopeTemplate,
         pendingCallsOf(peer),
         waiting,
-        configuration.maximumPendingBytes(),
         clock.nowNanos());
   }
 
@@ -198,10 +198,6 @@
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
-        .option(
-            ChannelOption.WRITE_BUFFER_WATER_MARK,
-            new WriteBufferWaterMark(
-                configuration.maximumPendingBytes() / 2, configuration.maximumPendingBytes()))
         .handler(
             channelInitializer(
                 clientTls, pendingCallsOf(peer), channel -> waiting, PROBE_INTERVAL_MILLISECONDS));
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -133,7 +133,10 @@
   }
 
   private void write(ChannelHandlerContext context, Envelope envelope) {
-    waiting.accept(envelope).writeAndFlush(context);
+    WaitingMessages.Message message = waiting.accept(envelope);
+    if (message != null) {
+      message.writeAndFlush(context);
+    }
   }
 
   private void onReadIdle(ChannelHandlerContext context) {
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerConnection.java
@@ -26,7 +26,6 @@
   private final Bootstrap bootstrap;
   private final Envelope envelopeTemplate;
   private final PendingCalls pendingCalls;
-  private final int maximumQueuedBytes;
   private final WaitingMessages waiting;
   private final Deque<WaitingMessages.Message> queuedMessages = new ArrayDeque<>();
   private @Nullable Channel channel;
@@ -40,11 +39,9 @@
       Envelope envelopeTemplate,
       PendingCalls pendingCalls,
       WaitingMessages waiting,
-      int maximumQueuedBytes,
       long nowNanos) {
     this.peer = peer;
     this.waiting = waiting;
-    this.maximumQueuedBytes = maximumQueuedBytes;
     this.pendingCalls = pendingCalls;
     this.bootstrap = bootstrap;
     this.envelopeTemplate = envelopeTemplate;
@@ -83,46 +80,39 @@
   }
 
   private synchronized boolean write(Envelope envelope, long nowNanos) {
-    @Nullable DropReason refusal = refusalOf(envelope, nowNanos);
-    if (refusal != null) {
-      waiting.refuse(envelope, refusal);
-      return false;
-    }
-    WaitingMessages.Message message = waiting.accept(envelope);
-    if (connecting || channel == null) {
-      queuedMessages.add(message);
-    } else {
-      message.writeAndFlush(channel);
-    }
-    return true;
-  }
-
-  private @Nullable DropReason refusalOf(Envelope envelope, long nowNanos) {
     if (!isConnected() && !connecting && !closed && nowNanos - nextAttemptNanos >= 0) {
       connect(nowNanos);
     }
-    if (isConnected()) {
-      return isWritable() ? null : DropReason.CONNECTION_FULL;
+    Channel open = channel;
+    if (open != null && open.isActive()) {
+      WaitingMessages.Message message = waiting.accept(envelope);
+      if (message != null) {
+        message.writeAndFlush(open);
+      }
+      return message != null;
     }
+    return queue(envelope);
+  }
+
+  private boolean queue(Envelope envelope) {
+    WaitingMessages.@Nullable Message message;
     if (!connecting) {
-      return DropReason.NO_CONNECTION;
+      message = waiting.refuse(envelope, DropReason.NO_CONNECTION);
+    } else if (queuedMessages.size() >= MAXIMUM_QUEUED_MESSAGES) {
+      message = waiting.refuse(envelope, DropReason.QUEUE_FULL);
+    } else {
+      message = waiting.accept(envelope);
+    }
+    if (message != null) {
+      queuedMessages.add(message);
     }
-    long bytes = waiting.bytes();
-    boolean tooManyBytes =
-        bytes > 0 && bytes + TransportCounters.bytes(envelope) > maximumQueuedBytes;
-    return tooManyBytes || queuedMessages.size() >= MAXIMUM_QUEUED_MESSAGES
-        ? DropReason.QUEUE_FULL
-        : null;
+    return message != null;
   }
 
   private boolean isConnected() {
     return channel != null && channel.isActive();
   }
 
-  private boolean isWritable() {
-    return channel != null && channel.isWritable();
-  }
-
   private void connect(long nowNanos) {
     connecting = true;
     nextAttemptNanos = nowNanos + RECONNECT_INTERVAL_NANOS;
--- a/transport/src/main/java/org/teaseltrestle/transport/TransportConfiguration.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/TransportConfiguration.java
@@ -11,12 +11,16 @@
   private static final int DEFAULT_MAXIMUM_FRAME_BYTES = 64 << 20;
   private static final int DEFAULT_MAXIMUM_PENDING_BYTES = 8 << 20;
 
+  /** The rest of the heap is for state, messages that are being built and garbage. */
+  private static final int HEAP_PER_WAITING_BYTES = 6;
+
   private final InstanceId instance;
   private final long boot;
   private final InetSocketAddress listenAddress;
   private final @Nullable TlsMaterial tls;
   private final int maximumFrameBytes;
   private final int maximumPendingBytes;
+  private final long maximumWaitingBytes;
 
   private TransportConfiguration(Builder builder) {
     this.instance = Objects.requireNonNull(builder.instance, "instance");
@@ -25,6 +29,7 @@
     this.tls = builder.tls;
     this.maximumFrameBytes = builder.maximumFrameBytes;
     this.maximumPendingBytes = builder.maximumPendingBytes;
+    this.maximumWaitingBytes = builder.maximumWaitingBytes;
   }
 
   /** Returns a builder with default limits and without TLS. */
@@ -62,6 +67,11 @@
     return maximumPendingBytes;
   }
 
+  /** Returns the bytes that may wait for all peers together before messages are dropped. */
+  public long maximumWaitingBytes() {
+    return maximumWaitingBytes;
+  }
+
   /** Builds a {@link TransportConfiguration}. */
   public static final class Builder {
 
@@ -71,6 +81,7 @@
     private @Nullable TlsMaterial tls;
     private int maximumFrameBytes = DEFAULT_MAXIMUM_FRAME_BYTES;
     private int maximumPendingBytes = DEFAULT_MAXIMUM_PENDING_BYTES;
+    private long maximumWaitingBytes = Runtime.getRuntime().maxMemory() / HEAP_PER_WAITING_BYTES;
 
     private Builder() {}
 
@@ -110,6 +121,15 @@
       return this;
     }
 
+    /**
+     * Sets the bytes that may wait for all peers together before messages are dropped; a sixth of
+     * the maximum heap if not set.
+     */
+    public Builder maximumWaitingBytes(long value) {
+      this.maximumWaitingBytes = value;
+      return this;
+    }
+
     /** Builds the configuration; the instance and the address must be set. */
     public TransportConfiguration build() {
       return new TransportConfiguration(this);
--- a/transport/src/main/java/org/teaseltrestle/transport/TransportCounters.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/TransportCounters.java
@@ -8,9 +8,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.Consumer;
+import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.wire.Envelope;
 
@@ -22,6 +22,9 @@
   /** Names come from messages, so their number is bounded. */
   private static final int MAXIMUM_KINDS = 64;
 
+  /** Several peers that do not read must not take what the others need. */
+  private static final int PROCESS_PER_CONNECTION_BYTES = 8;
+
   private static final String ANSWER = "answer";
   private static final String PROBE = "probe";
 
@@ -32,10 +35,14 @@
   private final MessageCounters others = new MessageCounters("other");
   private final List<Consumer<MessageStatistics>> consumers = new CopyOnWriteArrayList<>();
   private final Map<DropReason, LongAdder> dropped = new EnumMap<>(DropReason.class);
-  private final AtomicLong waitingBytes = new AtomicLong();
+  private final ByteBudget waitingBytes;
+  private final long maximumConnectionBytes;
   private final Set<WaitingMessages> connections = ConcurrentHashMap.newKeySet();
 
-  TransportCounters(MonotonicClock clock) {
+  TransportCounters(MonotonicClock clock, long maximumWaitingBytes, long maximumPendingBytes) {
+    this.waitingBytes = new ByteBudget(maximumWaitingBytes, WaitingMessages.SMALL_BYTES);
+    this.maximumConnectionBytes =
+        Math.min(maximumPendingBytes, maximumWaitingBytes / PROCESS_PER_CONNECTION_BYTES);
     this.dropLog = new DropLog(clock);
     for (DropReason reason : DropReason.values()) {
       dropped.put(reason, new LongAdder());
@@ -44,7 +51,8 @@
 
   /** Opens the account of a connection, which must be closed. */
   WaitingMessages open(SocketAddress peer) {
-    WaitingMessages connection = new WaitingMessages(this, peer);
+    WaitingMessages connection =
+        new WaitingMessages(this, waitingBytes, peer, maximumConnectionBytes);
     connections.add(connection);
     return connection;
   }
@@ -74,17 +82,13 @@
     dropLog.writeDueLines();
   }
 
-  void addWaiting(long moreBytes) {
-    waitingBytes.addAndGet(moreBytes);
-  }
-
   void closed(WaitingMessages connection) {
     connections.remove(connection);
   }
 
   @Override
   public long waitingBytes() {
-    return waitingBytes.get();
+    return waitingBytes.used();
   }
 
   @Override
--- a/transport/src/main/java/org/teaseltrestle/transport/WaitingMessages.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/WaitingMessages.java
@@ -5,36 +5,65 @@
 import java.net.SocketAddress;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.wire.Envelope;
 
-/** Messages of one connection that were accepted and are not written to its socket yet. */
+/**
+ * Messages of one connection that were accepted and are not written to its socket yet. Large
+ * messages are limited by the connection, except for one that would be alone, and by the part of
+ * the process that small ones do not need. Small messages have a limit of their own, so that votes,
+ * heartbeats and probes pass beside large ones.
+ */
 final class WaitingMessages {
 
+  /** Largest size of a small message, in bytes. */
+  static final int SMALL_BYTES = 16 * 1024;
+
+  private static final int LARGE_PER_SMALL_BYTES = 4;
+
   private final TransportCounters counters;
+  private final ByteBudget process;
   private final SocketAddress peer;
-  private final AtomicLong bytes = new AtomicLong();
+  private final long maximumLargeBytes;
+  private final AtomicLong largeBytes = new AtomicLong();
+  private final AtomicLong smallBytes = new AtomicLong();
 
-  WaitingMessages(TransportCounters counters, SocketAddress peer) {
+  WaitingMessages(
+      TransportCounters counters, ByteBudget process, SocketAddress peer, long maximumLargeBytes) {
     this.counters = counters;
+    this.process = process;
     this.peer = peer;
+    this.maximumLargeBytes = maximumLargeBytes;
   }
 
   /** Returns the bytes that wait. */
   long bytes() {
-    return bytes.get();
+    return largeBytes.get() + smallBytes.get();
   }
 
-  /** Accepts a message, which must be written or discarded. */
-  Message accept(Envelope envelope) {
+  /**
+   * Accepts a message, which must then be written or discarded; returns null, and counts it as
+   * dropped, if too much waits.
+   */
+  synchronized @Nullable Message accept(Envelope envelope) {
     long size = TransportCounters.bytes(envelope);
+    AtomicLong bytes = size <= SMALL_BYTES ? smallBytes : largeBytes;
+    if (bytes.get() > 0 && bytes.get() + size > maximumBytes(size)) {
+      return refuse(envelope, DropReason.CONNECTION_FULL);
+    }
+    ByteBudget.Reservation reservation = process.open();
+    if (!reservation.tryAdd(size)) {
+      return refuse(envelope, DropReason.PROCESS_FULL);
+    }
     bytes.addAndGet(size);
-    counters.addWaiting(size);
-    return new Message(envelope, size);
+    return new Message(envelope, size, bytes, reservation);
   }
 
-  /** Counts a message that is not accepted. */
-  void refuse(Envelope envelope, DropReason reason) {
+  /** Counts a message that is not accepted, and returns null. */
+  @Nullable Message refuse(Envelope envelope, DropReason reason) {
     counters.countDropped(peer, envelope, reason);
+    return null;
   }
 
   /** Ends the account; messages that still wait are released when they end. */
@@ -42,16 +71,25 @@
     counters.closed(this);
   }
 
+  private long maximumBytes(long size) {
+    return size <= SMALL_BYTES ? maximumLargeBytes / LARGE_PER_SMALL_BYTES : maximumLargeBytes;
+  }
+
   /** A message that waits; it is released once, when it was written or can no longer be. */
   final class Message {
 
     private final Envelope envelope;
     private final long size;
+    private final AtomicLong bytes;
+    private final ByteBudget.Reservation reservation;
     private final AtomicBoolean released = new AtomicBoolean();
 
-    private Message(Envelope envelope, long size) {
+    private Message(
+        Envelope envelope, long size, AtomicLong bytes, ByteBudget.Reservation reservation) {
       this.envelope = envelope;
       this.size = size;
+      this.bytes = bytes;
+      this.reservation = reservation;
     }
 
     /** Writes the message without flushing it. */
@@ -87,7 +125,7 @@
         counters.countDropped(peer, envelope, DropReason.CONNECTION_LOST);
       }
       bytes.addAndGet(-size);
-      counters.addWaiting(-size);
+      reservation.close();
     }
   }
 }
