--- a/control/src/main/java/org/teaseltrestle/control/ControlState.java
+++ b/control/src/main/java/org/teaseltrestle/control/ControlState.java
@@ -102,6 +102,11 @@
     appliedIndex = index;
   }
 
+  /** Returns the serving configuration with the highest version. */
+  public ServingDocument servingDocument() {
+    return serving.document();
+  }
+
   /** Returns an immutable view of the current state, in constant time. */
   public ControlView view() {
     return new StateView(
