Bound what children are sent of the committed log

Cause: a question for news was a subscription, so each candidate sent a searching node all that it lacked; a renewal without progress had everything sent again; versions went whole; and only connections had a bound, not a child or the process. Change: questions are answered with news; configurations go as differences; a child may have 64 KB unacknowledged and all children 8 MB; states go compressed, in parts that resume; what a message says was sent shows a loss; entries are encoded once for all children; former parents are told to stop. Earlier versions are sent whole commands and states as before. Conclusion: the cost of a repair is bounded by the receiver's window and the sender's budget.

--- a/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
@@ -2,18 +2,22 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlState;
 import org.teaseltrestle.control.ControlView;
+import org.teaseltrestle.control.DocumentDifference;
+import org.teaseltrestle.control.ServingDocument;
 import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
+import org.teaseltrestle.wire.CommandDifference;
 import org.teaseltrestle.wire.LoggedCommand;
 
 /**
@@ -25,11 +29,15 @@
   private static final int RECENT_COMMANDS = 4_096;
   private static final long RECENT_BYTES = 4L * 1024 * 1024;
 
-  private final Deque<LoggedCommand> recentCommands = new ArrayDeque<>();
+  private final NavigableMap<Long, RecentCommand> recentCommands = new TreeMap<>();
   private ControlState state = new ControlState();
   private long appliedIndex;
   private long lastPromptIndex;
   private long recentBytes;
+
+  /** Index of the only configuration that is retained whole, beside its difference. */
+  private long wholeConfigurationIndex;
+
   private byte @Nullable [] snapshot;
   private volatile ControlView view = state.view();
 
@@ -53,6 +61,35 @@
    * @throws TrestleException with {@link ErrorCode#DATA_CORRUPTED} if the command cannot be decoded
    */
   CommandAnswer apply(long index, ByteString command) {
+    return apply(index, command, null);
+  }
+
+  /**
+   * Applies the log entry after the last applied one, as a parent sent it.
+   *
+   * @throws TrestleException with {@link ErrorCode#DATA_CORRUPTED} if the command cannot be decoded
+   *     or its difference does not fit the configuration before it; nothing has changed then
+   */
+  CommandAnswer apply(LoggedCommand entry) {
+    if (!entry.hasDifference()) {
+      return apply(entry.getIndex(), entry.getCommand());
+    }
+    CommandDifference difference = entry.getDifference();
+    ServingDocument base = state.servingDocument();
+    if (base.version() != difference.getBaseVersion()) {
+      throw new TrestleException(
+          ErrorCode.DATA_CORRUPTED,
+          "difference from configuration "
+              + difference.getBaseVersion()
+              + " at configuration "
+              + base.version());
+    }
+    ByteString command = DocumentDifference.apply(base.document(), difference.getDifference());
+    return apply(entry.getIndex(), command, difference);
+  }
+
+  private CommandAnswer apply(
+      long index, ByteString command, @Nullable CommandDifference received) {
     if (index != appliedIndex + 1) {
       throw new TrestleException(
           ErrorCode.INTERNAL,
@@ -60,10 +97,14 @@
     }
     CommandAnswer answer = CommandAnswer.getDefaultInstance();
     boolean onlyUsage = false;
+    CommandDifference difference = received;
     if (command.isEmpty()) {
       state.skipEntry(index);
     } else {
       Command decoded = decode(index, command);
+      if (difference == null && decoded.hasPublishConfiguration()) {
+        difference = differenceOf(command);
+      }
       answer = state.apply(index, decoded);
       onlyUsage = concernsUsage(decoded);
     }
@@ -72,10 +113,18 @@
       lastPromptIndex = index;
     }
     snapshot = null;
-    retain(LoggedCommand.newBuilder().setIndex(index).setCommand(command).build());
+    retain(index, new RecentCommand(command, difference));
     return answer;
   }
 
+  private CommandDifference differenceOf(ByteString command) {
+    ServingDocument base = state.servingDocument();
+    return CommandDifference.newBuilder()
+        .setBaseVersion(base.version())
+        .setDifference(DocumentDifference.between(base.document(), command))
+        .build();
+  }
+
   /** Replaces the state with a snapshot; ignored if the state has already applied the index. */
   void restore(long index, byte[] encoded) {
     if (index <= appliedIndex) {
@@ -87,6 +136,7 @@
     snapshot = encoded;
     recentCommands.clear();
     recentBytes = 0;
+    wholeConfigurationIndex = 0;
     publish();
   }
 
@@ -107,35 +157,72 @@
 
   /**
    * Returns the commands after an index, as many as the size allows but at least one; an empty list
-   * if there are none, and nothing if they are no longer retained.
+   * if there are none, and nothing if they are no longer retained in this form.
    */
-  Optional<List<LoggedCommand>> commandsAfter(long index, int maximumBytes) {
-    LoggedCommand oldest = recentCommands.peekFirst();
+  Optional<List<LoggedCommand>> commandsAfter(long index, FeedForm form, int maximumBytes) {
     if (index >= appliedIndex) {
       return Optional.of(List.of());
     }
-    if (oldest == null || oldest.getIndex() > index + 1) {
+    if (recentCommands.isEmpty() || recentCommands.firstKey() > index + 1) {
       return Optional.empty();
     }
     List<LoggedCommand> commands = new ArrayList<>();
     long bytes = 0;
-    for (LoggedCommand command : recentCommands) {
-      if (command.getIndex() > index) {
-        bytes += command.getCommand().size();
-        if (bytes > maximumBytes && !commands.isEmpty()) {
-          break;
-        }
-        commands.add(command);
+    for (Map.Entry<Long, RecentCommand> each : recentCommands.tailMap(index, false).entrySet()) {
+      LoggedCommand command = each.getValue().inForm(form, each.getKey()).orElse(null);
+      if (command == null) {
+        // What follows a configuration that is not retained whole goes with the state.
+        return Optional.empty();
       }
+      bytes += command.getSerializedSize();
+      if (bytes > maximumBytes && !commands.isEmpty()) {
+        break;
+      }
+      commands.add(command);
     }
     return Optional.of(commands);
   }
 
-  private void retain(LoggedCommand command) {
-    recentCommands.addLast(command);
-    recentBytes += command.getCommand().size();
+  private void retain(long index, RecentCommand command) {
+    recentCommands.put(index, command);
+    recentBytes += command.bytes();
+    if (command.difference() != null) {
+      RecentCommand earlier = recentCommands.get(wholeConfigurationIndex);
+      if (earlier != null) {
+        RecentCommand reduced = earlier.withoutWhole();
+        recentCommands.put(wholeConfigurationIndex, reduced);
+        recentBytes += reduced.bytes() - earlier.bytes();
+      }
+      wholeConfigurationIndex = index;
+    }
     while (recentCommands.size() > RECENT_COMMANDS || recentBytes > RECENT_BYTES) {
-      recentBytes -= recentCommands.removeFirst().getCommand().size();
+      recentBytes -= recentCommands.pollFirstEntry().getValue().bytes();
+    }
+  }
+
+  /**
+   * An applied command for children that are behind.
+   *
+   * @param whole encoded command, null if only the difference is retained
+   * @param difference the command as a difference, null unless it is a configuration
+   */
+  private record RecentCommand(@Nullable ByteString whole, @Nullable CommandDifference difference) {
+
+    RecentCommand withoutWhole() {
+      return new RecentCommand(null, difference);
+    }
+
+    long bytes() {
+      int wholeBytes = whole == null ? 0 : whole.size();
+      return wholeBytes + (difference == null ? 0 : difference.getSerializedSize());
+    }
+
+    Optional<LoggedCommand> inForm(FeedForm form, long index) {
+      LoggedCommand.Builder command = LoggedCommand.newBuilder().setIndex(index);
+      if (form == FeedForm.DIFFERENCES && difference != null) {
+        return Optional.of(command.setDifference(difference).build());
+      }
+      return whole == null ? Optional.empty() : Optional.of(command.setCommand(whole).build());
     }
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -1,16 +1,21 @@
 package org.teaseltrestle.node.replica;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.UnsafeByteOperations;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.lists.ServingLists;
 import org.teaseltrestle.transport.PeerTransport;
@@ -19,7 +24,6 @@
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
-import org.teaseltrestle.wire.LoggedCommand;
 import org.teaseltrestle.wire.PoolDemand;
 import org.teaseltrestle.wire.RenewalBundle;
 
@@ -29,10 +33,16 @@
  */
 final class ChildFeeds {
 
+  private static final EventLog LOG = EventLog.of(ChildFeeds.class);
+
   private static final long CHILD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
-  private static final int MAXIMUM_BATCH_BYTES = 1024 * 1024;
   private static final int MAXIMUM_CHILDREN = 256;
 
+  /** Bytes of the committed log that all children may be sent and not have acknowledged. */
+  private static final long MAXIMUM_UNACKNOWLEDGED_BYTES = 8L * 1024 * 1024;
+
+  private static final long BUDGET_LOG_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   /** Minimum time between two batches of commands to the children. */
   private static final long MINIMUM_FEED_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
 
@@ -51,24 +61,60 @@
   private final Map<String, Child> children = new HashMap<>();
   private final Map<String, LeaseRenewal> renewals = new LinkedHashMap<>();
   private final Map<String, String> childOfInstance = new HashMap<>();
+  private final FeedSource source = new FeedSource();
+  private final FeedBudget budget = new FeedBudget(MAXIMUM_UNACKNOWLEDGED_BYTES);
+
+  /** Children that wait for bytes of the budget, in the order in which they get them. */
+  private final Set<Child> waiting = new LinkedHashSet<>();
+
   private ServingLists lists = ServingLists.EMPTY;
   private long lastFedIndex;
   private long lastFeedNanos;
+  private long nextBudgetLogNanos;
 
   private static final class Child {
+    final FeedWindow window;
     InetSocketAddress address;
+    FeedForm form = FeedForm.WHOLE;
+
+    /** Whether the child follows the log here; otherwise it has only asked for news. */
+    boolean follows;
+
+    long boot;
     long sentIndex;
     long reportedIndex = -1;
     long lastMessageNanos;
 
+    /** State that the child receives before it can be sent commands. */
+    @Nullable StateTransfer transfer;
+
+    /** Part of a state that the child holds, from this parent or another one. */
+    long heldStateIndex;
+
+    long heldStateBytes;
+
     /** Time on the child's clock at which it sent its latest bundle. */
     long bundleSentAtNanos;
 
     Map<String, Double> demand = Map.of();
     List<PoolDemand> pools = List.of();
 
-    Child(InetSocketAddress address) {
+    Child(InetSocketAddress address, FeedBudget budget) {
       this.address = address;
+      this.window = new FeedWindow(budget);
+    }
+
+    void stopFeed() {
+      follows = false;
+      transfer = null;
+      window.clear();
+      demand = Map.of();
+      pools = List.of();
+    }
+
+    void restartFrom(long index) {
+      sentIndex = index;
+      window.clear();
     }
   }
 
@@ -90,42 +136,91 @@
     this.addresses = addresses;
     this.clock = clock;
     this.lastFeedNanos = clock.nowNanos();
+    this.nextBudgetLogNanos = lastFeedNanos;
   }
 
   /**
-   * Records a child's renewals and demand and sends it the committed log after its applied index.
-   * The first bundle subscribes the child; it is ignored if there are too many children.
+   * Records a child's renewals and demand and sends it the committed log after its applied index,
+   * as much as its window and the budget allow, or news. The first bundle subscribes the child; it
+   * is ignored if there are too many children. A node that only asks is sent news.
    */
   void onBundle(RenewalBundle bundle, AppliedState state) {
+    long now = clock.nowNanos();
+    removeSilentChildren(now);
     InetSocketAddress address =
         addresses.replyAddress(bundle.getInstance(), bundle.getReplyAddress()).orElse(null);
-    boolean subscribed = children.containsKey(bundle.getInstance());
-    if (address == null || (!subscribed && children.size() >= MAXIMUM_CHILDREN)) {
+    boolean isNew = !children.containsKey(bundle.getInstance());
+    if (address == null || (isNew && children.size() >= MAXIMUM_CHILDREN)) {
       return;
     }
-    Child child = children.computeIfAbsent(bundle.getInstance(), id -> new Child(address));
+    Child child = children.computeIfAbsent(bundle.getInstance(), id -> new Child(address, budget));
     child.address = address;
-    child.lastMessageNanos = clock.nowNanos();
+    child.lastMessageNanos = now;
     child.bundleSentAtNanos = bundle.getSentAtNanos();
+    for (LeaseRenewal renewal : bundle.getRenewalsList()) {
+      renewals.put(renewal.getInstance(), renewal);
+      childOfInstance.put(renewal.getInstance(), bundle.getInstance());
+    }
+    lists = state.view().lists();
+    if (bundle.getAsks()) {
+      child.stopFeed();
+      sendNews(child, state);
+      return;
+    }
     child.demand = AccountShares.toMap(bundle.getDemandList());
     child.pools = bundle.getPoolDemandList();
-    lists = state.view().lists();
-    // An index that has not advanced although more was sent means that a message was lost.
-    boolean stalled = bundle.getAppliedIndex() == child.reportedIndex;
-    boolean missing = stalled || bundle.getEntriesMissing();
-    if (!subscribed || missing || bundle.getAppliedIndex() > child.sentIndex) {
-      child.sentIndex = bundle.getAppliedIndex();
+    recordProgress(child, bundle, now);
+    feedWaiting(state);
+    boolean sent = feedChild(child, state);
+    if (!sent || child.transfer != null) {
+      sendNews(child, state);
     }
+  }
+
+  /** Records what a child has received, and what must be sent to it again. */
+  private void recordProgress(Child child, RenewalBundle bundle, long nowNanos) {
+    final boolean wasFed = child.follows && child.boot == bundle.getBoot();
+    final boolean stalled = bundle.getAppliedIndex() == child.reportedIndex;
+    final boolean wentBack = bundle.getAppliedIndex() < child.reportedIndex;
+    child.follows = true;
+    child.boot = bundle.getBoot();
+    child.form = bundle.getReadsDifferences() ? FeedForm.DIFFERENCES : FeedForm.WHOLE;
     child.reportedIndex = bundle.getAppliedIndex();
-    for (LeaseRenewal renewal : bundle.getRenewalsList()) {
-      renewals.put(renewal.getInstance(), renewal);
-      childOfInstance.put(renewal.getInstance(), bundle.getInstance());
+    child.heldStateIndex = bundle.getStateIndex();
+    child.heldStateBytes = bundle.getStateBytes();
+    StateTransfer transfer = child.transfer;
+    boolean progress =
+        child.window.acknowledged(
+            transfer == null ? bundle.getAppliedIndex() : heldBytesOf(child, transfer));
+    if (!wasFed || wentBack || bundle.getAppliedIndex() > child.sentIndex) {
+      child.transfer = null;
+      child.restartFrom(bundle.getAppliedIndex());
+    } else if (transfer != null) {
+      if (progress) {
+        transfer.progressed(nowNanos);
+      }
+      recordTransfer(child, transfer, bundle, nowNanos);
+    } else if (bundle.getEntriesMissing() || (stalled && child.form == FeedForm.WHOLE)) {
+      // An earlier version whose index has not advanced although more was sent has lost a message.
+      child.restartFrom(bundle.getAppliedIndex());
     }
-    if (!feedChild(child, state)) {
-      sendCommands(child, List.of(), state.appliedIndex());
+  }
+
+  private static void recordTransfer(
+      Child child, StateTransfer transfer, RenewalBundle bundle, long nowNanos) {
+    if (bundle.getAppliedIndex() >= transfer.index() || child.form == FeedForm.WHOLE) {
+      child.transfer = null;
+      child.restartFrom(bundle.getAppliedIndex());
+    } else if (bundle.getEntriesMissing() || transfer.isStalled(nowNanos)) {
+      child.window.clear();
+      transfer.resumeFrom(heldBytesOf(child, transfer), nowNanos);
     }
   }
 
+  private static long heldBytesOf(Child child, StateTransfer transfer) {
+    return child.heldStateIndex == transfer.index() ? child.heldStateBytes : 0;
+  }
+
   /**
    * Sends the children the commands they lack and removes children that timed out. Commands that
    * are applied within the interval wait for a later call, so each tick calls this too.
@@ -141,11 +236,25 @@
     }
     lastFedIndex = state.appliedIndex();
     lastFeedNanos = now;
-    children.values().removeIf(child -> now - child.lastMessageNanos > CHILD_TIMEOUT_NANOS);
-    childOfInstance.values().removeIf(child -> !children.containsKey(child));
+    removeSilentChildren(now);
+    feedWaiting(state);
     children.values().forEach(child -> feedChild(child, state));
   }
 
+  private void removeSilentChildren(long nowNanos) {
+    List<Child> silent =
+        children.values().stream()
+            .filter(child -> nowNanos - child.lastMessageNanos > CHILD_TIMEOUT_NANOS)
+            .toList();
+    if (silent.isEmpty()) {
+      return;
+    }
+    silent.forEach(Child::stopFeed);
+    silent.forEach(waiting::remove);
+    children.values().removeAll(silent);
+    childOfInstance.values().removeIf(child -> !children.containsKey(child));
+  }
+
   boolean hasChildren() {
     return !children.isEmpty();
   }
@@ -191,48 +300,140 @@
           if (child != null) {
             childGrants.addAllTotalDemand(
                 DemandFilter.forChild(bundle.getTotalDemandList(), child.demand.keySet(), lists));
-            send(child, FollowMessage.GRANTS, childGrants.build().toByteArray());
+            send(child, FollowMessage.GRANTS, childGrants.build().toByteString());
           }
         });
   }
 
+  /** Feeds the children that wait for bytes of the budget, until it is used up again. */
+  private void feedWaiting(AppliedState state) {
+    List<Child> inTurn = new ArrayList<>(waiting);
+    waiting.clear();
+    inTurn.forEach(child -> feedChild(child, state));
+  }
+
+  /** Sends a child what it lacks, as far as there is room; returns whether anything was sent. */
   private boolean feedChild(Child child, AppliedState state) {
-    if (child.sentIndex >= state.appliedIndex()) {
+    boolean sent = false;
+    while (child.follows && child.sentIndex < state.appliedIndex() && sendNext(child, state)) {
+      sent = true;
+    }
+    return sent;
+  }
+
+  private boolean sendNext(Child child, AppliedState state) {
+    StateTransfer transfer = child.transfer;
+    if (transfer != null) {
+      return sendPart(child, transfer);
+    }
+    Optional<FeedSource.Batch> next = source.batchAfter(state, child.sentIndex, child.form);
+    if (next.isPresent()) {
+      return sendBatch(child, next.get(), state);
+    }
+    if (child.form == FeedForm.WHOLE) {
+      return sendWholeState(child, state);
+    }
+    long now = clock.nowNanos();
+    StateTransfer started = new StateTransfer(source.encodedState(state), now);
+    started.resumeFrom(heldBytesOf(child, started), now);
+    child.window.clear();
+    child.transfer = started;
+    return sendPart(child, started);
+  }
+
+  private boolean sendBatch(Child child, FeedSource.Batch batch, AppliedState state) {
+    int bytes = batch.encoded().size();
+    if (!hasRoom(child, bytes)) {
       return false;
     }
-    Optional<List<LoggedCommand>> commands =
-        state.commandsAfter(child.sentIndex, MAXIMUM_BATCH_BYTES);
-    if (commands.isPresent()) {
-      List<LoggedCommand> batch = commands.get();
-      if (sendCommands(child, batch, state.appliedIndex())) {
-        child.sentIndex = batch.get(batch.size() - 1).getIndex();
-      }
-      return true;
+    // The fields of concatenated messages are merged, so the entries are encoded once for all.
+    ByteString fields = fields(child, batch.lastIndex(), state).build().toByteString();
+    if (!send(child, FollowMessage.COMMANDS, batch.encoded().concat(fields))) {
+      return false;
+    }
+    child.window.sent(batch.lastIndex(), bytes, clock.nowNanos());
+    child.sentIndex = batch.lastIndex();
+    return true;
+  }
+
+  private boolean sendPart(Child child, StateTransfer transfer) {
+    if (transfer.isSent() || !hasRoom(child, transfer.nextPartBytes())) {
+      return false;
+    }
+    if (!send(child, FollowMessage.STATE_PART, transfer.nextPart().toByteString())) {
+      return false;
+    }
+    child.window.sent(transfer.nextOffset(), transfer.nextPartBytes(), clock.nowNanos());
+    transfer.partSent();
+    return true;
+  }
+
+  private boolean sendWholeState(Child child, AppliedState state) {
+    byte[] snapshot = state.snapshot();
+    if (!hasRoom(child, snapshot.length)) {
+      return false;
     }
     CommittedState fullState =
         CommittedState.newBuilder()
             .setAppliedIndex(state.appliedIndex())
-            .setSnapshot(ByteString.copyFrom(state.snapshot()))
+            .setSnapshot(UnsafeByteOperations.unsafeWrap(snapshot))
             .build();
-    if (send(child, FollowMessage.STATE, fullState.toByteArray())) {
-      child.sentIndex = state.appliedIndex();
+    if (!send(child, FollowMessage.STATE, fullState.toByteString())) {
+      return false;
     }
+    child.window.sent(state.appliedIndex(), snapshot.length, clock.nowNanos());
+    child.sentIndex = state.appliedIndex();
     return true;
   }
 
-  private boolean sendCommands(Child child, List<LoggedCommand> commands, long appliedIndex) {
+  /** Returns whether a message may be sent now; a child that waits for the budget is noted. */
+  private boolean hasRoom(Child child, int bytes) {
+    if (!child.window.hasRoom(bytes, child.form.windowBytes())) {
+      return false;
+    }
+    if (budget.hasRoom(bytes)) {
+      return true;
+    }
+    long now = clock.nowNanos();
+    children.values().forEach(each -> each.window.releaseOverdue(now));
+    if (budget.hasRoom(bytes)) {
+      return true;
+    }
+    waiting.add(child);
+    if (now - nextBudgetLogNanos >= 0) {
+      nextBudgetLogNanos = now + BUDGET_LOG_INTERVAL_NANOS;
+      LOG.warn(
+          ReplicaEvent.FEED_BUDGET_USED,
+          "unacknowledgedBytes",
+          budget.used(),
+          "children",
+          children.size(),
+          "waiting",
+          waiting.size());
+    }
+    return false;
+  }
+
+  private void sendNews(Child child, AppliedState state) {
+    StateTransfer transfer = child.transfer;
+    long sentIndex = transfer != null && transfer.isSent() ? transfer.index() : child.sentIndex;
+    send(child, FollowMessage.COMMANDS, fields(child, sentIndex, state).build().toByteString());
+  }
+
+  /** Returns a message without commands. */
+  private CommittedCommands.Builder fields(Child child, long sentIndex, AppliedState state) {
     CommittedCommands.Builder message =
         CommittedCommands.newBuilder()
-            .addAllCommands(commands)
-            .setAppliedIndex(appliedIndex)
+            .setAppliedIndex(state.appliedIndex())
+            .setSentIndex(sentIndex)
             .setBundleSentAtNanos(child.bundleSentAtNanos);
     long now = clock.nowNanos();
     known.get().writeTo(message, now);
     leader.get().ifPresent(each -> message.setLeader(each.toNews(now)));
-    return send(child, FollowMessage.COMMANDS, message.build().toByteArray());
+    return message;
   }
 
-  private boolean send(Child child, FollowMessage message, byte[] body) {
+  private boolean send(Child child, FollowMessage message, ByteString body) {
     return transport.send(child.address, FollowMessage.SERVICE, message.kind(), body);
   }
 }
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowMessage.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowMessage.java
@@ -14,7 +14,9 @@
   /** CommittedState from parent to child. */
   STATE(3),
   /** GrantBundle from parent to child. */
-  GRANTS(4);
+  GRANTS(4),
+  /** CommittedStatePart from parent to child. */
+  STATE_PART(5);
 
   static final String SERVICE = "follow";
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -1,19 +1,24 @@
 package org.teaseltrestle.node.replica;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlView;
 import org.teaseltrestle.kernel.DutyThread;
 import org.teaseltrestle.kernel.EventLog;
+import org.teaseltrestle.model.ErrorCode;
+import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.settings.VoterSettings;
 import org.teaseltrestle.wire.Command;
 import org.teaseltrestle.wire.CommandAnswer;
 import org.teaseltrestle.wire.CommittedCommands;
 import org.teaseltrestle.wire.CommittedState;
+import org.teaseltrestle.wire.CommittedStatePart;
 import org.teaseltrestle.wire.Envelope;
 import org.teaseltrestle.wire.GrantBundle;
 import org.teaseltrestle.wire.LoggedCommand;
@@ -35,6 +40,9 @@
   /** Added to the time of a timeout, which must have passed at the tick. */
   private static final long TIMEOUT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
+  /** Bytes of the committed log after which they are acknowledged before the regular renewal. */
+  private static final int ACKNOWLEDGED_BYTES = 16 * 1024;
+
   private static final long CANDIDATES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final ControlPlaneSettings settings;
@@ -63,6 +71,11 @@
   private long reportedConfigurationIndex;
   private List<VoterSettings> namedVoters;
   private long nextCandidatesNanos;
+  private int unacknowledgedBytes;
+
+  /** Nodes that may still send the committed log although another one is the parent. */
+  private final Set<String> formerParents = new HashSet<>();
+
   private volatile ControlStatus status = new ControlStatus("following", 0, "", List.of(), 0, 0);
 
   /** Creates the service; {@link #start()} starts it. */
@@ -191,7 +204,7 @@
     updateCandidatesIfDue(nowNanos);
     updateParent(nowNanos);
     if (leaseRenewer.isDue(nowNanos) && !parentSelector.parent().isEmpty()) {
-      send(parentSelector.parent(), leaseRenewer.bundle(state, nowNanos));
+      sendBundle(nowNanos);
     }
     readiness.tick(state.appliedIndex());
     children.feed(state);
@@ -221,11 +234,37 @@
   }
 
   private void updateParent(long nowNanos) {
+    String earlierParent = parentSelector.parent();
     ParentSelector.Decision decision = parentSelector.update(state.appliedIndex(), nowNanos);
     if (decision.parentChanged()) {
       leaseRenewer.makeDueNow(nowNanos);
+      if (!earlierParent.isEmpty()) {
+        formerParents.add(earlierParent);
+      }
     }
-    decision.asked().forEach(each -> send(each, leaseRenewer.subscription(state, nowNanos)));
+    decision.asked().forEach(each -> send(each, leaseRenewer.question(state, nowNanos)));
+  }
+
+  /** Ends the feeds of former parents, now that the parent sends the committed log. */
+  private void leaveFormerParents(long nowNanos) {
+    formerParents.remove(parentSelector.parent());
+    formerParents.forEach(each -> send(each, leaseRenewer.question(state, nowNanos)));
+    formerParents.clear();
+  }
+
+  private void receivedFromParent(int bytes, long nowNanos) {
+    if (!formerParents.isEmpty()) {
+      leaveFormerParents(nowNanos);
+    }
+    unacknowledgedBytes += bytes;
+    if (unacknowledgedBytes >= ACKNOWLEDGED_BYTES) {
+      sendBundle(nowNanos);
+    }
+  }
+
+  private void sendBundle(long nowNanos) {
+    unacknowledgedBytes = 0;
+    send(parentSelector.parent(), leaseRenewer.bundle(state, nowNanos));
   }
 
   private void send(String instance, RenewalBundle bundle) {
@@ -261,6 +300,11 @@
         long arrivedAtNanos = context.clock().nowNanos();
         inbox.offer(bytes, () -> onCommands(sender, commands, arrivedAtNanos));
       }
+      case STATE_PART -> {
+        CommittedStatePart part =
+            MessageHandlerRegistry.parse(message, CommittedStatePart.parser());
+        inbox.offer(bytes, () -> onStatePart(sender, part));
+      }
       case STATE -> {
         CommittedState fullState = MessageHandlerRegistry.parse(message, CommittedState.parser());
         inbox.offer(bytes, () -> onState(sender, fullState));
@@ -285,22 +329,35 @@
     provenKnowledge.received(
         KnownState.proven(message, startNanos, arrivedAtNanos), state.appliedIndex());
     watchKnowledge(now);
-    if (gapDetector.requestsMissing(message, state.appliedIndex(), now)) {
+    if (sender.equals(parentSelector.parent())) {
+      receivedFromParent(message.getSerializedSize(), now);
+      requestMissing(message, now);
+    }
+    publishApplied();
+    updateParent(now);
+  }
+
+  private void requestMissing(CommittedCommands message, long nowNanos) {
+    if (gapDetector.requestsMissing(message, state.appliedIndex(), nowNanos)) {
       LOG.warn(
           ReplicaEvent.ENTRIES_MISSING,
           "appliedIndex",
           state.appliedIndex(),
           "announcedIndex",
           message.getAppliedIndex(),
+          "sentIndex",
+          message.getSentIndex(),
+          "stateIndex",
+          leaseRenewer.heldState().index(),
+          "stateBytes",
+          leaseRenewer.heldState().receivedBytes(),
           "parent",
-          sender);
-      leaseRenewer.requestMissingEntries(now);
+          parentSelector.parent());
+      leaseRenewer.requestMissingEntries(nowNanos);
     } else if (!message.getCommandsList().isEmpty()
         && state.appliedIndex() < message.getAppliedIndex()) {
-      leaseRenewer.makeDueNow(now);
+      leaseRenewer.makeDueNow(nowNanos);
     }
-    publishApplied();
-    updateParent(now);
   }
 
   private void onGrants(String sender, GrantBundle grants) {
@@ -346,8 +403,8 @@
   private void apply(List<LoggedCommand> commands) {
     try {
       for (LoggedCommand command : commands) {
-        if (command.getIndex() == state.appliedIndex() + 1) {
-          state.apply(command.getIndex(), command.getCommand());
+        if (command.getIndex() == state.appliedIndex() + 1 && !applyNext(command)) {
+          break;
         }
       }
     } finally {
@@ -355,12 +412,62 @@
     }
   }
 
+  /** Applies the next command; returns whether it could be read. */
+  private boolean applyNext(LoggedCommand command) {
+    try {
+      state.apply(command);
+      return true;
+    } catch (TrestleException e) {
+      if (!command.hasDifference() || e.code() != ErrorCode.DATA_CORRUPTED) {
+        throw e;
+      }
+      LOG.error(ReplicaEvent.DIFFERENCE_UNREADABLE, e, "appliedIndex", state.appliedIndex());
+      long now = context.clock().nowNanos();
+      if (gapDetector.takeRequest(now)) {
+        leaseRenewer.requestWhole(command.getIndex(), now);
+      }
+      return false;
+    }
+  }
+
   private void onState(String sender, CommittedState message) {
+    parentSelector.messageReceived(sender, context.clock().nowNanos());
+    restore(message.getAppliedIndex(), message.getSnapshot().toByteArray());
+  }
+
+  private void onStatePart(String sender, CommittedStatePart part) {
     long now = context.clock().nowNanos();
     parentSelector.messageReceived(sender, now);
-    if (message.getAppliedIndex() > state.appliedIndex()) {
-      state.restore(message.getAppliedIndex(), message.getSnapshot().toByteArray());
-      LOG.info(ReplicaEvent.STATE_RESTORED, "index", message.getAppliedIndex());
+    if (!sender.equals(parentSelector.parent()) || part.getAppliedIndex() <= state.appliedIndex()) {
+      return;
+    }
+    StateAssembly held = leaseRenewer.heldState();
+    switch (held.add(part)) {
+      case COMPLETE -> {
+        byte[] snapshot = held.take().orElse(null);
+        if (snapshot == null) {
+          LOG.warn(ReplicaEvent.MALFORMED_MESSAGE, "kind", FollowMessage.STATE_PART);
+          requestRestOfState(now);
+        } else {
+          restore(part.getAppliedIndex(), snapshot);
+        }
+      }
+      case GAP -> requestRestOfState(now);
+      default -> receivedFromParent(part.getContent().size(), now);
+    }
+  }
+
+  private void requestRestOfState(long nowNanos) {
+    if (gapDetector.takeRequest(nowNanos)) {
+      leaseRenewer.requestMissingEntries(nowNanos);
+    }
+  }
+
+  private void restore(long index, byte[] snapshot) {
+    long now = context.clock().nowNanos();
+    if (index > state.appliedIndex()) {
+      state.restore(index, snapshot);
+      LOG.info(ReplicaEvent.STATE_RESTORED, "index", index);
       leaseRenewer.makeDueNow(now);
     }
     knowledge.applied(state.appliedIndex());
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -43,7 +43,12 @@
   private final ChildFeeds children;
   private Map<String, Double> ownDemand = Map.of();
   private List<PoolDemand> ownPools = List.of();
+  private final StateAssembly heldState = new StateAssembly();
   private boolean entriesMissing;
+
+  /** Index of an entry whose difference could not be applied, 0 if there was none. */
+  private long unreadableIndex;
+
   private long nextOwnRenewalNanos;
   private long nextChildRenewalsNanos;
   private long promptUntilNanos;
@@ -102,12 +107,26 @@
     makeDueNow(nowNanos);
   }
 
+  /** Returns the state that arrives in parts; the bundles acknowledge them. */
+  StateAssembly heldState() {
+    return heldState;
+  }
+
+  /** Asks the parent, with the next bundle, for an entry whole and for those after it. */
+  void requestWhole(long index, long nowNanos) {
+    unreadableIndex = index;
+    requestMissingEntries(nowNanos);
+  }
+
   /**
-   * Returns a bundle for a node that may become the parent: it subscribes, and its renewal proves
-   * whether the node has a path to the leader. The demand goes to one parent only.
+   * Returns a question for the news of a node that is not the parent. Its renewal proves whether
+   * that node has a path to the leader.
    */
-  RenewalBundle subscription(AppliedState state, long nowNanos) {
-    return withoutRenewals(state, nowNanos).addRenewals(lease.renewal(state.view())).build();
+  RenewalBundle question(AppliedState state, long nowNanos) {
+    return withoutRenewals(state, nowNanos)
+        .setAsks(true)
+        .addRenewals(lease.renewal(state.view()))
+        .build();
   }
 
   private RenewalBundle.Builder withoutRenewals(AppliedState state, long nowNanos) {
@@ -117,7 +136,10 @@
         .setBoot(settings.boot())
         .setAppliedIndex(state.appliedIndex())
         .setReplyAddress(PeerAddresses.format(settings.peerAddress()))
-        .setFollows(subscription == Subscription.COMMITTED_LOG);
+        .setFollows(subscription == Subscription.COMMITTED_LOG)
+        .setReadsDifferences(state.appliedIndex() >= unreadableIndex)
+        .setStateIndex(heldState.index())
+        .setStateBytes(heldState.receivedBytes());
   }
 
   /** Returns the next bundle and schedules the one after it. */
--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaEvent.java
@@ -30,7 +30,11 @@
       3022, "change may be acknowledged: all instances but those that are passed over obey it"),
   PARENT_NOT_FOUND(3023, "no candidate for the parent has recent news; the search goes on"),
   PARENT_SEARCH_BEGINS(
-      3024, "parent has no recent news, or the leader does not answer renewals; others are asked");
+      3024, "parent has no recent news, or the leader does not answer renewals; others are asked"),
+  FEED_BUDGET_USED(
+      3025, "children have not acknowledged as many bytes as they may have; others wait for them"),
+  DIFFERENCE_UNREADABLE(
+      3026, "entry of the committed log does not fit the state before it; it is requested whole");
 
   private final int number;
   private final String text;
--- a/node/src/test/java/org/teaseltrestle/node/replica/FeedBytesTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/FeedBytesTest.java
@@ -217,7 +217,7 @@
   }
 
   private static void apply(AppliedState state, LoggedCommand command) {
-    state.apply(command.getIndex(), command.getCommand());
+    state.apply(command);
     state.publish();
   }
 
