Tell full links to backend servers from lost ones

Cause: a connection that is not made in time counted as evidence of lost links, also while responses arrived over the same links.

Change: a connection that is not made in time is evidence only if nothing has arrived from any server since it was begun, neither a connection that was made nor bytes of a response; a later arrival voids it, and ends a loss that was inferred from silence. Bytes count only if a read waited for them: a slow caller may read what arrived long before the links were lost. Refused and broken connections count as before, since full links only delay, and since streams may live on over links that refuse new connections. A node that cannot connect to half of its servers although something arrives refuses to carry attempts of others until it makes a connection. E5211 shows full links, E5212 a loss that ended because something arrived.

Conclusion: connect timeouts beside arriving responses no longer lead to offers.

--- a/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/AttemptProgress.java
@@ -2,10 +2,14 @@
 
 import java.io.IOException;
 import java.io.InterruptedIOException;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
+import java.net.SocketTimeoutException;
 import java.time.Duration;
 import okhttp3.Call;
 import okhttp3.Connection;
 import okhttp3.EventListener;
+import okhttp3.Protocol;
 import okhttp3.Response;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.node.port.AttemptFailure;
@@ -26,6 +30,7 @@
 
   private final AttemptHandle handle;
   private final Duration headTimeout;
+  private final @Nullable Runnable onArrival;
   private volatile @Nullable BoundedSocket socket;
   private volatile boolean requestMayHaveBeenSent;
   private volatile boolean responseStarted;
@@ -40,14 +45,39 @@
    * @param headTimeout time from the connection until the head of the response must be complete
    */
   AttemptProgress(AttemptHandle handle, Duration headTimeout) {
+    this(handle, headTimeout, null);
+  }
+
+  private AttemptProgress(
+      AttemptHandle handle, Duration headTimeout, @Nullable Runnable onArrival) {
     this.handle = handle;
     this.headTimeout = headTimeout;
+    this.onArrival = onArrival;
+  }
+
+  /**
+   * Returns the progress of an attempt.
+   *
+   * @param onArrival called when the connection is made and whenever bytes of the server arrive
+   */
+  static AttemptProgress reportingArrivals(AttemptHandle handle, Runnable onArrival) {
+    return new AttemptProgress(handle, DEFAULT_HEAD_TIMEOUT, onArrival);
+  }
+
+  @Override
+  public void connectEnd(
+      Call call, InetSocketAddress address, Proxy proxy, @Nullable Protocol protocol) {
+    Runnable listener = onArrival;
+    if (listener != null) {
+      listener.run();
+    }
   }
 
   @Override
   public void connectionAcquired(Call call, Connection connection) {
     if (connection.socket() instanceof BoundedSocket acquired) {
       acquired.startResponse(headTimeout);
+      acquired.setOnArrival(onArrival);
       socket = acquired;
     }
   }
@@ -77,6 +107,9 @@
   /** Converts an I/O error to the failure of the attempt. */
   AttemptFailure failure(IOException cause) {
     FailureKind kind = kindOf(cause);
+    if (kind == FailureKind.CONNECT_FAILED && cause instanceof SocketTimeoutException) {
+      return AttemptFailure.connectTimeout("attempt failed: " + cause);
+    }
     return new AttemptFailure(kind, "attempt failed: " + cause);
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/BoundedSocket.java
@@ -35,6 +35,7 @@
   private ChunkFraming framing = new ChunkFraming();
   private @Nullable InputStream input;
   private volatile @Nullable IOException writeFailure;
+  private volatile @Nullable Runnable onArrival;
 
   /** Creates an unconnected socket; the bounds apply from {@link #startResponse}. */
   BoundedSocket(MonotonicClock clock, int maximumUndeliveredBytes) {
@@ -58,6 +59,11 @@
     }
   }
 
+  /** Sets what is called whenever bytes arrive while they are waited for. */
+  void setOnArrival(@Nullable Runnable listener) {
+    onArrival = listener;
+  }
+
   /** Records that the head of the response is complete. */
   void headReceived() {
     synchronized (lock) {
@@ -150,6 +156,15 @@
     }
   }
 
+  /**
+   * Returns what to call if the next read returns bytes: nothing if they are there already, since a
+   * slow reader gets them long after they arrived.
+   */
+  private @Nullable Runnable arrivalListener(InputStream in) throws IOException {
+    Runnable listener = onArrival;
+    return listener == null || in.available() > 0 ? null : listener;
+  }
+
   private final class RequestOutputStream extends FilterOutputStream {
 
     RequestOutputStream(OutputStream output) {
@@ -189,7 +204,11 @@
     public int read() throws IOException {
       checkNoEarlyBytes();
       checkHeadDeadline();
+      Runnable listener = arrivalListener(in);
       int value = super.read();
+      if (listener != null && value >= 0) {
+        listener.run();
+      }
       checkEnd(value);
       count(value < 0 ? 0 : 1);
       if (value >= 0) {
@@ -202,7 +221,11 @@
     public int read(byte[] bytes, int offset, int length) throws IOException {
       checkNoEarlyBytes();
       checkHeadDeadline();
+      Runnable listener = arrivalListener(in);
       int count = super.read(bytes, offset, length);
+      if (listener != null && count > 0) {
+        listener.run();
+      }
       checkEnd(count);
       count(count);
       check(bytes, offset, count);
--- a/node/src/main/java/org/teaseltrestle/node/backend/HttpRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/backend/HttpRoutedClient.java
@@ -27,15 +27,27 @@
 public final class HttpRoutedClient implements RoutedClient {
 
   private final BackendHttp http;
+  private final Runnable onArrival;
 
   /** Creates a client that sends its requests with the given HTTP clients. */
   public HttpRoutedClient(BackendHttp http) {
+    this(http, () -> {});
+  }
+
+  /**
+   * Creates a client that reports what arrives.
+   *
+   * @param onArrival called when a connection is made and whenever bytes of a server arrive, not
+   *     when bytes are read that arrived before
+   */
+  public HttpRoutedClient(BackendHttp http, Runnable onArrival) {
     this.http = http;
+    this.onArrival = onArrival;
   }
 
   @Override
   public ServiceResponse call(RoutedCall call) {
-    AttemptProgress progress = new AttemptProgress(call.handle());
+    AttemptProgress progress = AttemptProgress.reportingArrivals(call.handle(), onArrival);
     Call httpCall = http.withoutReadTimeout().newCall(request(call, progress));
     call.handle().onCancel(httpCall::cancel);
     try {
--- a/node/src/main/java/org/teaseltrestle/node/carry/CarryEvent.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/CarryEvent.java
@@ -13,7 +13,10 @@
   CARRIED_FOR_OTHER(5207, "attempt at a backend server was carried for another instance"),
   RESERVATION_REFUSED(5208, "attempt of another instance was not accepted"),
   CARRIER_LOST(5209, "instance that carried an attempt was lost"),
-  MALFORMED_MESSAGE(5210, "message about a carried attempt could not be decoded and is ignored");
+  MALFORMED_MESSAGE(5210, "message about a carried attempt could not be decoded and is ignored"),
+  LINKS_FULL(
+      5211, "connections to backend servers time out, but something arrives; links are full"),
+  LINKS_ALIVE(5212, "something arrived over links that counted as lost; they are used again");
 
   private final int number;
   private final String text;
--- a/node/src/main/java/org/teaseltrestle/node/carry/CarryService.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/CarryService.java
@@ -193,7 +193,7 @@
     if (leaving) {
       return Outcome.LEAVING;
     }
-    if (links.areLost()) {
+    if (links.areLost() || links.areFull(clock.nowNanos())) {
       return Outcome.NO_LINKS;
     }
     if (calls.size() >= maximumCalls) {
--- a/node/src/main/java/org/teaseltrestle/node/carry/WatchedRoutedClient.java
+++ b/node/src/main/java/org/teaseltrestle/node/carry/WatchedRoutedClient.java
@@ -1,5 +1,6 @@
 package org.teaseltrestle.node.carry;
 
+import java.util.function.Function;
 import org.teaseltrestle.kernel.EventLog;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.node.port.AttemptFailure;
@@ -25,8 +26,25 @@
     this.clock = clock;
   }
 
+  /**
+   * Returns a client that also records when anything arrives from a server.
+   *
+   * @param client creates the client that sends, from what it calls when something arrives
+   */
+  public static WatchedRoutedClient withArrivals(
+      Function<Runnable, RoutedClient> client, ServerLinks links, MonotonicClock clock) {
+    Runnable onArrival =
+        () -> {
+          if (links.arrived(clock.nowNanos())) {
+            LOG.info(CarryEvent.LINKS_ALIVE);
+          }
+        };
+    return new WatchedRoutedClient(client.apply(onArrival), links, clock);
+  }
+
   @Override
   public ServiceResponse call(RoutedCall call) {
+    long begunAtNanos = clock.nowNanos();
     try {
       ServiceResponse response = client.call(call);
       if (links.connected(call.address(), clock.nowNanos())) {
@@ -34,24 +52,33 @@
       }
       return response;
     } catch (AttemptFailure failure) {
-      boolean connectionFailed =
-          failure.kind() == FailureKind.CONNECT_FAILED
-              || failure.kind() == FailureKind.LOST_BEFORE_ANSWER;
-      if (connectionFailed
-          && !call.handle().isCancelled()
-          && links.failed(call.address(), clock.nowNanos())) {
-        LOG.warn(
-            CarryEvent.LINKS_LOST,
-            "request",
-            call.request(),
-            "server",
-            call.address(),
-            "kind",
-            failure.kind(),
-            "reason",
-            String.valueOf(failure.getMessage()));
+      if (!call.handle().isCancelled()) {
+        record(call, failure, begunAtNanos);
       }
       throw failure;
     }
   }
+
+  private void record(RoutedCall call, AttemptFailure failure, long begunAtNanos) {
+    ServerLinks.Finding finding = ServerLinks.Finding.NOTHING;
+    if (failure.isConnectTimeout()) {
+      finding = links.timedOut(call.address(), begunAtNanos, clock.nowNanos());
+    } else if ((failure.kind() == FailureKind.CONNECT_FAILED
+            || failure.kind() == FailureKind.LOST_BEFORE_ANSWER)
+        && links.failed(call.address(), clock.nowNanos())) {
+      finding = ServerLinks.Finding.LOST;
+    }
+    if (finding != ServerLinks.Finding.NOTHING) {
+      LOG.warn(
+          finding == ServerLinks.Finding.LOST ? CarryEvent.LINKS_LOST : CarryEvent.LINKS_FULL,
+          "request",
+          call.request(),
+          "server",
+          call.address(),
+          "kind",
+          failure.kind(),
+          "reason",
+          String.valueOf(failure.getMessage()));
+    }
+  }
 }
--- a/node/src/main/java/org/teaseltrestle/node/port/AttemptFailure.java
+++ b/node/src/main/java/org/teaseltrestle/node/port/AttemptFailure.java
@@ -15,6 +15,7 @@
   private final FailureKind kind;
   private final int httpStatus;
   private final boolean foreignResponse;
+  private final boolean connectTimeout;
 
   /** Creates a failure of an attempt that received no HTTP response. */
   public AttemptFailure(FailureKind kind, String message) {
@@ -27,15 +28,25 @@
    * @param httpStatus status of the backend server's response, 0 if there was none
    */
   public AttemptFailure(FailureKind kind, String message, int httpStatus) {
-    this(kind, message, httpStatus, false);
+    this(kind, message, httpStatus, false, false);
   }
 
   private AttemptFailure(
-      FailureKind kind, String message, int httpStatus, boolean foreignResponse) {
+      FailureKind kind,
+      String message,
+      int httpStatus,
+      boolean foreignResponse,
+      boolean connectTimeout) {
     super(ErrorCode.UNREACHABLE, message);
     this.kind = kind;
     this.httpStatus = httpStatus;
     this.foreignResponse = foreignResponse;
+    this.connectTimeout = connectTimeout;
+  }
+
+  /** Returns the failure of an attempt whose connection was neither made nor refused in time. */
+  public static AttemptFailure connectTimeout(String message) {
+    return new AttemptFailure(FailureKind.CONNECT_FAILED, message, 0, false, true);
   }
 
   /**
@@ -51,7 +62,7 @@
             + received.stream().limit(MAXIMUM_LOGGED_IDS).map(Identifiers::forLog).toList()
             + " status="
             + statusOfOther;
-    return new AttemptFailure(FailureKind.ANSWER_MISMATCH, message, 0, true);
+    return new AttemptFailure(FailureKind.ANSWER_MISMATCH, message, 0, true, false);
   }
 
   /** Returns whether the attempt received the response to another request. */
@@ -59,6 +70,11 @@
     return foreignResponse;
   }
 
+  /** Returns whether the connection was neither made nor refused in time. */
+  public boolean isConnectTimeout() {
+    return connectTimeout;
+  }
+
   /** Returns how the attempt ended. */
   public FailureKind kind() {
     return kind;
--- a/node/src/test/java/org/teaseltrestle/node/relay/CarriedAttemptsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/CarriedAttemptsTest.java
@@ -1,6 +1,7 @@
 package org.teaseltrestle.node.relay;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
@@ -358,6 +359,27 @@
       }
     }
 
+    /** Guards against attempts that are carried over links which have no room for their own. */
+    @Test
+    public void nodeWithFullLinksRefusesAndTheNextOneIsAsked() throws Exception {
+      try (FakeServer server = new FakeServer(ANSWERS);
+          Network network = new Network().withCarrier("full", 8).withCarrier("sound", 8)) {
+        final RoutedHarness relay = network.relayTo(server);
+        network.strand();
+        Carrier full = network.carrier("full");
+        long now = System.nanoTime();
+        full.links.arrived(now);
+        full.links.timedOut("http://other-1", now - 1, now);
+        full.links.timedOut("http://other-2", now - 1, now);
+        assertFalse(full.links.areLost());
+        for (int i = 0; i < 10; i++) {
+          assertEquals(relay.post(SAFE).statusCode(), 200);
+        }
+        assertEquals(full.accepted(), 0);
+        assertEquals(network.carrier("sound").accepted(), 10);
+      }
+    }
+
     /** Guards against a node that is overrun by the callers of others. */
     @Test
     public void fullCarrierRefusesAtOnceAsNotRun() throws Exception {
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerLinks.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerLinks.java
@@ -11,6 +11,10 @@
  * of these servers either: then the servers are gone. One lost or busy server is no lost link, and
  * neither is a failure domain that is cut off, as long as servers of others are called.
  *
+ * <p>Full links are not lost ones: a connection that is not made in time is evidence only if
+ * nothing has arrived from any server since it was begun. A connection that was refused or broke is
+ * evidence in any case, since full links only delay.
+ *
  * <p>Lost links are tried in the background. Once a trial succeeds, a growing part of the attempts
  * uses them. Thread-safe; all times are monotonic.
  */
@@ -30,10 +34,14 @@
   /** Steps from the first attempts over links that have healed to all of them. */
   private static final int STEPS = 3;
 
-  private final Map<String, Long> failedAtNanos = new HashMap<>();
+  private final Map<String, Failure> failures = new HashMap<>();
   private final Map<String, Long> calledAtNanos = new HashMap<>();
   private final Map<String, Long> unreachableForOthersAtNanos = new HashMap<>();
   private State state = State.SOUND;
+  private boolean full;
+  private boolean lostInSilence;
+  private boolean anyArrived;
+  private long arrivedAtNanos;
   private long nextTrialNanos;
   private int step;
   private int connectionsInStep;
@@ -47,12 +55,25 @@
     CARRIED
   }
 
+  /** What a connection that was not made in time says about the links. */
+  public enum Finding {
+    /** Nothing, or what is known already. */
+    NOTHING,
+    /** Connections fail as if the links were lost, but something arrives: they are full. */
+    FULL,
+    /** The links count as lost. */
+    LOST
+  }
+
   private enum State {
     SOUND,
     LOST,
     HEALING
   }
 
+  /** Latest failed connection to a server. */
+  private record Failure(long failedAtNanos, long begunAtNanos, boolean timedOut) {}
+
   /** Returns the path for the next attempt. */
   public synchronized Path nextPath() {
     return switch (state) {
@@ -67,6 +88,15 @@
     return state == State.LOST;
   }
 
+  /**
+   * Returns whether half of the servers cannot be connected to although something arrives. Such
+   * links are used, but have no room for the attempts of others.
+   */
+  public synchronized boolean areFull(long nowNanos) {
+    forgetBefore(nowNanos - MEMORY_NANOS);
+    return state != State.LOST && !failures.isEmpty() && failures.size() >= neededFailures();
+  }
+
   /** Returns whether a connection should be tried now; the trial must be reported. */
   public synchronized boolean takeTrial(long nowNanos) {
     if (state != State.LOST || nowNanos - nextTrialNanos < 0) {
@@ -83,8 +113,25 @@
       step = 0;
       connectionsInStep = 0;
       attemptsInStep = 0;
-      failedAtNanos.clear();
+      forgetFailures();
+    }
+  }
+
+  /**
+   * Records that a connection to a server was made or that bytes of a response arrived, not that
+   * bytes were read which had arrived before.
+   *
+   * @return whether the links no longer count as lost because of it
+   */
+  public synchronized boolean arrived(long nowNanos) {
+    anyArrived = true;
+    arrivedAtNanos = nowNanos;
+    // Links that refuse connections may still carry the responses of earlier ones.
+    if (state != State.LOST || !lostInSilence) {
+      return false;
     }
+    trialSucceeded();
+    return true;
   }
 
   /**
@@ -94,7 +141,9 @@
    */
   public synchronized boolean connected(String server, long nowNanos) {
     calledAtNanos.put(server, nowNanos);
-    failedAtNanos.clear();
+    anyArrived = true;
+    arrivedAtNanos = nowNanos;
+    forgetFailures();
     trialSucceeded();
     if (state != State.HEALING || ++connectionsInStep < CONNECTIONS_PER_STEP) {
       return false;
@@ -110,22 +159,53 @@
   }
 
   /**
-   * Records that a connection to a server failed before anything was sent, or broke before anything
-   * was received.
+   * Records that a connection to a server was refused or failed before anything was sent, or broke
+   * before anything was received.
    *
    * @return whether the links count as lost because of it
    */
   public synchronized boolean failed(String server, long nowNanos) {
+    return add(server, new Failure(nowNanos, nowNanos, false), nowNanos) == Finding.LOST;
+  }
+
+  /**
+   * Records that a connection to a server was not made in time.
+   *
+   * @param begunAtNanos time at which the connection was begun
+   */
+  public synchronized Finding timedOut(String server, long begunAtNanos, long nowNanos) {
+    return add(server, new Failure(nowNanos, begunAtNanos, true), nowNanos);
+  }
+
+  private Finding add(String server, Failure failure, long nowNanos) {
     forgetBefore(nowNanos - MEMORY_NANOS);
     calledAtNanos.put(server, nowNanos);
-    failedAtNanos.put(server, nowNanos);
-    if (state == State.LOST || failedAtNanos.size() < neededFailures()) {
-      return false;
+    failures.put(server, failure);
+    if (state == State.LOST) {
+      return Finding.NOTHING;
+    }
+    int needed = neededFailures();
+    if (failures.values().stream().filter(this::isEvidence).count() < needed) {
+      boolean wasFull = full;
+      full = failures.size() >= needed;
+      return full && !wasFull ? Finding.FULL : Finding.NOTHING;
     }
     state = State.LOST;
+    full = false;
+    lostInSilence = failures.values().stream().filter(each -> !each.timedOut).count() < needed;
     unreachableForOthersAtNanos.clear();
     nextTrialNanos = nowNanos + TRIAL_INTERVAL_NANOS;
-    return true;
+    return Finding.LOST;
+  }
+
+  private boolean isEvidence(Failure failure) {
+    boolean silent = !anyArrived || arrivedAtNanos - failure.begunAtNanos < 0;
+    return silent || !failure.timedOut;
+  }
+
+  private void forgetFailures() {
+    failures.clear();
+    full = false;
   }
 
   /** Records that another instance has reached a server. */
@@ -146,7 +226,7 @@
       return false;
     }
     state = State.SOUND;
-    failedAtNanos.clear();
+    forgetFailures();
     return true;
   }
 
@@ -156,7 +236,7 @@
   }
 
   private void forgetBefore(long nanos) {
-    failedAtNanos.values().removeIf(each -> each - nanos < 0);
+    failures.values().removeIf(each -> each.failedAtNanos - nanos < 0);
     calledAtNanos.values().removeIf(each -> each - nanos < 0);
     unreachableForOthersAtNanos.values().removeIf(each -> each - nanos < 0);
   }
--- a/policy/src/test/java/org/teaseltrestle/policy/ServerLinksTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/ServerLinksTest.java
@@ -2,9 +2,11 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
 import java.util.concurrent.TimeUnit;
+import org.teaseltrestle.policy.ServerLinks.Finding;
 import org.teaseltrestle.policy.ServerLinks.Path;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -162,4 +164,116 @@
     }
     assertTrue(links.failed("server-5", START + 5));
   }
+
+  /** Links on which connections are not made in time although something arrives. */
+  public static final class FullLinks {
+
+    private static final long TIMEOUT = 300 * MILLISECOND;
+
+    private ServerLinks links = new ServerLinks();
+
+    /** Starts with sound links to three servers that were called a moment ago. */
+    @BeforeMethod
+    public void start() {
+      links = new ServerLinks();
+      for (String server : new String[] {"server-1", "server-2", "server-3"}) {
+        links.connected(server, START);
+      }
+    }
+
+    private Finding timeOut(String server, long nowNanos) {
+      return links.timedOut(server, nowNanos - TIMEOUT, nowNanos);
+    }
+
+    /** Guards against full links that are taken for lost, so that neighbours are asked in vain. */
+    @Test
+    public void timeoutsWhileResponsesArriveKeepTheLinks() {
+      for (int i = 0; i < 50; i++) {
+        long now = START + SECOND + 50L * i * MILLISECOND;
+        links.arrived(now - TIMEOUT + 1);
+        assertNotEquals(timeOut("server-" + (1 + i % 3), now), Finding.LOST);
+        assertEquals(links.nextPath(), Path.OWN);
+      }
+      assertFalse(links.areLost());
+    }
+
+    /** Guards against links that hang and are taken for full ones. */
+    @Test
+    public void timeoutsInSilenceLoseTheLinks() {
+      long now = START + SECOND;
+      links.arrived(now - TIMEOUT - 1);
+      assertEquals(timeOut("server-1", now), Finding.NOTHING);
+      assertEquals(timeOut("server-2", now), Finding.LOST);
+      assertEquals(links.nextPath(), Path.CARRIED);
+    }
+
+    /** Guards against timeouts before and after an arrival that add up. */
+    @Test
+    public void arrivalVoidsEarlierTimeouts() {
+      long now = START + SECOND;
+      assertEquals(timeOut("server-1", now), Finding.NOTHING);
+      links.arrived(now + 1);
+      assertNotEquals(timeOut("server-2", now + TIMEOUT + 2), Finding.LOST);
+      assertEquals(timeOut("server-3", now + TIMEOUT + 3), Finding.LOST);
+    }
+
+    /** Guards against a connection that is made during others' timeouts and proves nothing. */
+    @Test
+    public void connectionDuringTheTimeoutsKeepsTheLinks() {
+      long now = START + SECOND;
+      links.connected("server-3", now - TIMEOUT / 2);
+      assertNotEquals(timeOut("server-1", now), Finding.LOST);
+      assertNotEquals(timeOut("server-2", now), Finding.LOST);
+      assertEquals(links.nextPath(), Path.OWN);
+    }
+
+    /** Guards against a node that goes on without links because earlier streams live on. */
+    @Test
+    public void refusedConnectionsLoseTheLinksAlthoughStreamsLiveOn() {
+      links.arrived(START + 1);
+      links.failed("server-1", START + 2);
+      links.arrived(START + 3);
+      assertTrue(links.failed("server-2", START + 4));
+      assertFalse(links.arrived(START + 5));
+      assertEquals(links.nextPath(), Path.CARRIED);
+    }
+
+    /** Guards against links that were full for a moment and count as lost while they carry. */
+    @Test
+    public void arrivalEndsTheLossThatSilenceShowed() {
+      long now = START + SECOND;
+      timeOut("server-1", now);
+      timeOut("server-2", now);
+      assertTrue(links.areLost());
+      assertTrue(links.arrived(now + 1));
+      assertFalse(links.areLost());
+      assertEquals(links.nextPath(), Path.OWN);
+      assertEquals(links.nextPath(), Path.CARRIED);
+    }
+
+    /** Guards against full links that are asked to carry the attempts of others. */
+    @Test
+    public void fullLinksAreKnownUntilConnectionIsMade() {
+      long now = START + SECOND;
+      links.arrived(now);
+      assertEquals(timeOut("server-1", now), Finding.NOTHING);
+      assertFalse(links.areFull(now));
+      assertEquals(timeOut("server-2", now), Finding.FULL);
+      assertEquals(timeOut("server-3", now), Finding.NOTHING);
+      assertTrue(links.areFull(now));
+      links.connected("server-3", now + 1);
+      assertFalse(links.areFull(now + 1));
+    }
+
+    /** Guards against links that count as full long after they were. */
+    @Test
+    public void fullLinksAreForgotten() {
+      long now = START + SECOND;
+      links.arrived(now);
+      timeOut("server-1", now);
+      timeOut("server-2", now);
+      assertTrue(links.areFull(now + SECOND));
+      assertFalse(links.areFull(now + 3 * SECOND));
+    }
+  }
 }
