Run the routed tests with the limits of open routes that the product has

No attempt failed there; the harness left open routes at 100 requests a second, and the test posts in a loop until links have healed. The product and RelaySite set no limit there. Change: the harness sets what the product sets. No assertion changes. Conclusion: a fault of the harness.

--- a/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RoutedHarness.java
@@ -52,7 +52,9 @@
 import org.teaseltrestle.policy.AdmissionEvent;
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.EngineRole;
+import org.teaseltrestle.policy.PlanLimits;
 import org.teaseltrestle.policy.PolicyConfiguration;
+import org.teaseltrestle.policy.WorkRequest;
 
 /** Relay with several routes in front of fake servers that are called round robin. */
 final class RoutedHarness implements AutoCloseable, ServerDirectory {
@@ -173,6 +175,7 @@
         PolicyConfiguration.builder()
             .replicaChoice(PolicyConfiguration.ReplicaChoice.ROUND_ROBIN)
             .accountsWithoutPlan(PolicyConfiguration.AccountsWithoutPlan.UNLIMITED)
+            .openRouteLimits(PlanLimits.unlimited(WorkRequest.OPEN_ROUTE_ACCOUNT))
             .build();
     core = new AdmissionCore(policy);
     admission =
