Keep connections whose peer still takes bytes

Cause: a connection that receives nothing for three intervals of 500 ms is closed. The keepalive probe waits behind what is being sent, so each message, or queue of them, that a slow link carries for longer than 1.5 s closes its own connection; what was not written is lost and begun again. Change: an interval in which the peer took bytes that waited before does not count. The send buffer of the sockets is limited to 256 KB, because bytes in it look written: the system let it grow to some megabytes, seconds of a link of 10 Mbit/s, in which a probe waits unseen. A response for a connection that is closed counts as dropped and is not written; its future logged an error when the event loops had ended. Failed before, on: SlowLinkTest, a message of 8 MB over a link of 2 MB/s; E2002 at 05.528, E2003 at 07.066, the message never arrived (TimeoutException after 20 s). Now: it arrives on its first connection; a peer that reads nothing is still given up (WaitingBytesTest). The 22 tests of transport pass. Conclusion: a slow link is no lost link for the transport.

--- a/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/NettyPeerTransport.java
@@ -51,6 +51,12 @@
   /** Time limit of a TLS handshake, which takes processor time at both ends. */
   private static final int HANDSHAKE_TIMEOUT_MILLISECONDS = 5_000;
 
+  /**
+   * What the operating system takes is not seen to be read by the peer, so it is limited to what a
+   * slow link carries in less than a probe interval.
+   */
+  private static final int SEND_BUFFER_BYTES = 256 * 1024;
+
   private static final int EXPIRY_INTERVAL_MILLISECONDS = 250;
 
   private final TransportConfiguration configuration;
@@ -152,6 +158,7 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
             .childHandler(
                 channelInitializer(
                     serverTls,
@@ -197,6 +204,7 @@
         .group(group)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLISECONDS)
         .handler(
             channelInitializer(
--- a/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/PeerChannelHandler.java
@@ -1,7 +1,9 @@
 package org.teaseltrestle.transport;
 
 import com.google.protobuf.ByteString;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.ssl.SslHandshakeCompletionEvent;
@@ -27,7 +29,8 @@
 
   /**
    * Read idle intervals after which a connection is closed; a keepalive probe is sent in each. A
-   * dead connection is thus replaced within two seconds, before an election ends.
+   * dead connection is thus replaced within two seconds, before an election ends. Intervals in
+   * which the peer takes waiting bytes do not count, as the probe is behind these bytes.
    */
   private static final int MAXIMUM_IDLE_INTERVALS = 2;
 
@@ -37,6 +40,8 @@
   private final TransportCounters counters;
   private final WaitingMessages waiting;
   private int idleIntervals;
+  private boolean waitedBefore;
+  private long writtenBefore;
   private @Nullable String certifiedInstance;
 
   PeerChannelHandler(
@@ -133,7 +138,10 @@
   }
 
   private void write(ChannelHandlerContext context, Envelope envelope) {
-    WaitingMessages.Message message = waiting.accept(envelope);
+    WaitingMessages.Message message =
+        context.channel().isActive()
+            ? waiting.accept(envelope)
+            : waiting.refuse(envelope, DropReason.CONNECTION_LOST);
     if (message != null) {
       message.writeAndFlush(context);
     }
@@ -145,7 +153,7 @@
       // The handshake has a time limit of its own; a busy peer reads nothing meanwhile.
       return;
     }
-    idleIntervals++;
+    idleIntervals = peerTookBytes(context.channel()) ? 0 : idleIntervals + 1;
     if (idleIntervals > MAXIMUM_IDLE_INTERVALS) {
       context.close();
     } else {
@@ -153,6 +161,15 @@
     }
   }
 
+  private boolean peerTookBytes(Channel channel) {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    long written = waiting.sentBytes() + (buffer == null ? 0 : buffer.currentProgress());
+    boolean took = waitedBefore && written != writtenBefore;
+    waitedBefore = waiting.bytes() > 0;
+    writtenBefore = written;
+    return took;
+  }
+
   private void onHandshakeCompleted(
       ChannelHandlerContext context, SslHandshakeCompletionEvent handshake) {
     if (!handshake.isSuccess()) {
--- a/transport/src/main/java/org/teaseltrestle/transport/WaitingMessages.java
+++ b/transport/src/main/java/org/teaseltrestle/transport/WaitingMessages.java
@@ -28,6 +28,7 @@
   private final long maximumLargeBytes;
   private final AtomicLong largeBytes = new AtomicLong();
   private final AtomicLong smallBytes = new AtomicLong();
+  private final AtomicLong sentBytes = new AtomicLong();
 
   WaitingMessages(
       TransportCounters counters, ByteBudget process, SocketAddress peer, long maximumLargeBytes) {
@@ -42,6 +43,11 @@
     return largeBytes.get() + smallBytes.get();
   }
 
+  /** Returns the bytes of the messages that were written to the socket. */
+  long sentBytes() {
+    return sentBytes.get();
+  }
+
   /**
    * Accepts a message, which must then be written or discarded; returns null, and counts it as
    * dropped, if too much waits.
@@ -121,6 +127,7 @@
       }
       if (sent) {
         counters.countSent(envelope);
+        sentBytes.addAndGet(size);
       } else {
         counters.countDropped(peer, envelope, DropReason.CONNECTION_LOST);
       }
