Bound the encoded entries that are kept for other children

Cause: entries are encoded once for all children and kept until the next commit. Change: 2 MB are kept, the latest used ones. Conclusion: the sum has a bound in bytes.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FeedSource.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FeedSource.java
@@ -1,7 +1,8 @@
 package org.teaseltrestle.node.replica;
 
 import com.google.protobuf.ByteString;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +17,16 @@
  */
 final class FeedSource {
 
-  private final Map<Place, Optional<Batch>> batches = new HashMap<>();
+  /**
+   * Bytes of encoded batches that are kept for other children. Children that begin at different
+   * places share none of them, and a log at rest replaces none.
+   */
+  static final long MAXIMUM_BATCHES_BYTES = 2L * 1024 * 1024;
+
+  /** Encoded batches, the one that was used longest ago first. */
+  private final Map<Place, Optional<Batch>> batches = new LinkedHashMap<>(16, 0.75f, true);
+
+  private long batchesBytes;
   private long batchesUpToIndex;
   private @Nullable EncodedState encodedState;
 
@@ -42,10 +52,36 @@
     if (batchesUpToIndex != state.appliedIndex()) {
       batchesUpToIndex = state.appliedIndex();
       batches.clear();
+      batchesBytes = 0;
+    }
+    Place place = new Place(index, form);
+    Optional<Batch> known = batches.get(place);
+    if (known != null) {
+      return known;
+    }
+    Optional<Batch> encoded =
+        state.commandsAfter(index, form, form.batchBytes()).map(FeedSource::encode);
+    batches.put(place, encoded);
+    batchesBytes += bytesOf(encoded);
+    removeOldBatches();
+    return encoded;
+  }
+
+  /** Returns the bytes of the batches that are kept. */
+  long keptBytes() {
+    return batchesBytes;
+  }
+
+  private void removeOldBatches() {
+    Iterator<Optional<Batch>> oldest = batches.values().iterator();
+    while (batchesBytes > MAXIMUM_BATCHES_BYTES && batches.size() > 1) {
+      batchesBytes -= bytesOf(oldest.next());
+      oldest.remove();
     }
-    return batches.computeIfAbsent(
-        new Place(index, form),
-        place -> state.commandsAfter(index, form, form.batchBytes()).map(FeedSource::encode));
+  }
+
+  private static int bytesOf(Optional<Batch> batch) {
+    return batch.map(each -> each.encoded().size()).orElse(0);
   }
 
   /**
