Let a new leader wait for a change that it has not applied yet

Callers could see: a version that is acknowledged and not in force, after a change of the leader. Cause: a change that is sent again waits for the index at which the configuration in force came into force. A new leader that had not applied the change yet took the configuration before it for that, which all instances obey, so that nothing was left to wait for. Change: the index of the change counts until the leader has applied it. Figures: LeaderOperationsTest; the decision stood in the method before, so the test was not run on the old code; min(40, 12) is 12 there.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -251,7 +251,21 @@
    */
   private long indexOfConfiguration(long index) {
     long changedIndex = state.view().servingDocument().changedIndex();
-    return changedIndex > 0 ? Math.min(index, changedIndex) : index;
+    return awaitedIndex(index, state.appliedIndex(), changedIndex);
+  }
+
+  /**
+   * Returns the index that instances must have applied.
+   *
+   * @param index log index of a change, which may have been sent again
+   * @param appliedIndex index up to which this leader has applied the log
+   * @param changedIndex index at which the configuration of that state came into force, 0 if
+   *     unknown
+   */
+  static long awaitedIndex(long index, long appliedIndex, long changedIndex) {
+    // A new leader that has not applied the change yet knows the configuration before it.
+    boolean knowsConfiguration = appliedIndex >= index && changedIndex > 0;
+    return knowsConfiguration ? Math.min(index, changedIndex) : index;
   }
 
   private static long parseChangeIndex(byte[] body) {
--- /dev/null
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LeaderOperationsTest.java
@@ -0,0 +1,31 @@
+package org.teaseltrestle.node.replica;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.Test;
+
+/** Tests of decisions of the leader. */
+public final class LeaderOperationsTest {
+
+  /**
+   * Guards against a new leader that has not applied a change yet and acknowledges it because all
+   * instances obey the configuration before it.
+   */
+  @Test
+  public void changeThatLeaderHasNotAppliedIsAwaited() {
+    assertEquals(LeaderOperations.awaitedIndex(40, 39, 12), 40);
+  }
+
+  /** Guards against a change that is sent again and waits for nothing new, but anew. */
+  @Test
+  public void changeSentAgainWaitsForTheConfigurationInForce() {
+    assertEquals(LeaderOperations.awaitedIndex(40, 40, 12), 12);
+    assertEquals(LeaderOperations.awaitedIndex(40, 41, 40), 40);
+  }
+
+  /** Guards against a configuration whose index an earlier version did not record. */
+  @Test
+  public void changeOfUnknownIndexIsAwaitedItself() {
+    assertEquals(LeaderOperations.awaitedIndex(40, 41, 0), 40);
+  }
+}
