Test that overdue messages count for their child only

Cause: the windows of the feeds got a time after which unacknowledged bytes return to the budget of the process, and their tests did not know it. Conclusion: children that receive nothing do not keep the log from others.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -255,6 +255,11 @@
     childOfInstance.values().removeIf(child -> !children.containsKey(child));
   }
 
+  /** Returns the bytes that count for the budget of this process. */
+  long unacknowledgedBytes() {
+    return budget.used();
+  }
+
   boolean hasChildren() {
     return !children.isEmpty();
   }
--- a/node/src/test/java/org/teaseltrestle/node/replica/FeedWindowTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/FeedWindowTest.java
@@ -18,7 +18,7 @@
   @Test
   public void windowIsFullUntilMessagesAreAcknowledged() {
     FeedWindow window = new FeedWindow(new FeedBudget(1_000));
-    window.sent(10, 60);
+    window.sent(10, 60, 0);
     assertTrue(window.hasRoom(40, WINDOW_BYTES));
     assertFalse(window.hasRoom(41, WINDOW_BYTES));
     assertFalse(window.acknowledged(9));
@@ -34,7 +34,7 @@
     FeedWindow window = new FeedWindow(small);
     assertTrue(window.hasRoom(5_000, WINDOW_BYTES));
     assertTrue(small.hasRoom(5_000));
-    window.sent(1, 5_000);
+    window.sent(1, 5_000, 0);
     assertFalse(window.hasRoom(1, WINDOW_BYTES));
     assertFalse(small.hasRoom(1));
     window.acknowledged(1);
@@ -47,9 +47,9 @@
   public void acknowledgementCoversAllEarlierMessages() {
     FeedBudget budget = new FeedBudget(250);
     FeedWindow window = new FeedWindow(budget);
-    window.sent(3, 10);
-    window.sent(5, 20);
-    window.sent(9, 30);
+    window.sent(3, 10, 0);
+    window.sent(5, 20, 0);
+    window.sent(9, 30, 0);
     assertTrue(window.acknowledged(7));
     assertEquals(budget.used(), 30);
     assertFalse(window.acknowledged(7));
@@ -62,7 +62,7 @@
   public void budgetBoundsAllChildrenTogether() {
     FeedBudget budget = new FeedBudget(250);
     List<FeedWindow> windows = Stream.generate(() -> new FeedWindow(budget)).limit(3).toList();
-    windows.forEach(window -> window.sent(1, 80));
+    windows.forEach(window -> window.sent(1, 80, 0));
     assertTrue(windows.stream().allMatch(window -> window.hasRoom(20, WINDOW_BYTES)));
     assertFalse(budget.hasRoom(20));
     windows.get(1).clear();
@@ -85,7 +85,7 @@
       switch (random.nextInt(8)) {
         case 0 -> window.clear();
         case 1, 2 -> window.acknowledged(sentPositions[child] - random.nextInt(4));
-        default -> window.sent(++sentPositions[child], random.nextInt(1_000));
+        default -> window.sent(++sentPositions[child], random.nextInt(1_000), 0);
       }
       assertTrue(shared.used() >= 0, shared.used() + " bytes");
     }
@@ -96,4 +96,24 @@
     windows.forEach(FeedWindow::clear);
     assertEquals(shared.used(), 0);
   }
+
+  /**
+   * Guards against children that receive nothing and go on renewing: their messages must not keep
+   * the log from others for good.
+   */
+  @Test
+  public void overdueMessagesCountForTheirChildOnly() {
+    FeedBudget budget = new FeedBudget(250);
+    FeedWindow window = new FeedWindow(budget);
+    long second = 1_000_000_000L;
+    window.sent(1, 60, 0);
+    window.sent(2, 40, second);
+    window.releaseOverdue(2 * second);
+    assertEquals(budget.used(), 40);
+    window.releaseOverdue(2 * second);
+    assertEquals(budget.used(), 40);
+    assertFalse(window.hasRoom(1, WINDOW_BYTES));
+    window.clear();
+    assertEquals(budget.used(), 0);
+  }
 }
