Make a difference unreadable for earlier versions

Callers could see: a version that is acknowledged and not in force at one node, during a rolling update or a return to the earlier version. Cause: an entry with a difference had no command. An earlier version takes that for an entry of the consensus, skips it and reports it as applied; it can receive one if its instance ran this version a moment before, below the same parent. Found by review; the reader was shown in a scratch class (parent at version 5, reader at 0), the schedule was only read. Change: a byte that is no command stands beside the difference, so that an earlier version fails to decode it before anything changes, and asks again. Conclusion: what a version cannot read it must not be able to skip.

--- a/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/AppliedState.java
@@ -26,6 +26,12 @@
  */
 final class AppliedState {
 
+  /**
+   * Stands beside a difference in place of the command. An earlier version, which does not know
+   * differences, would take no command for an entry of Raft and skip it; this one it cannot decode.
+   */
+  private static final ByteString UNREADABLE_COMMAND = ByteString.copyFrom(new byte[] {7});
+
   private static final int RECENT_COMMANDS = 4_096;
   private static final long RECENT_BYTES = 4L * 1024 * 1024;
 
@@ -220,7 +226,8 @@
     Optional<LoggedCommand> inForm(FeedForm form, long index) {
       LoggedCommand.Builder command = LoggedCommand.newBuilder().setIndex(index);
       if (form == FeedForm.DIFFERENCES && difference != null) {
-        return Optional.of(command.setDifference(difference).build());
+        return Optional.of(
+            command.setCommand(UNREADABLE_COMMAND).setDifference(difference).build());
       }
       return whole == null ? Optional.empty() : Optional.of(command.setCommand(whole).build());
     }
