Do not take late messages for a lost request

Cause: a request for missing entries counted as lost after a second, also while messages arrived that the parent had sent before it had the request. Each repetition had up to 64 KB sent again over a link that is late. Change: only a message that the parent sent after the request shows another gap. If the request was lost, the answer to the next renewal is one. Conclusion: lost is what is known to be lost.

--- a/node/src/main/java/org/teaseltrestle/node/replica/GapDetector.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/GapDetector.java
@@ -11,35 +11,24 @@
   /** Time between two requests to a parent whose messages do not show which of them it has. */
   private static final long REQUEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
-  /** Time after which a request that no message follows may be lost. */
-  private static final long REQUEST_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
-
   private long requestedAtNanos;
   private long nextRequestNanos;
-  private long repeatRequestNanos;
 
   GapDetector(long nowNanos) {
     this.requestedAtNanos = nowNanos;
     this.nextRequestNanos = nowNanos;
-    this.repeatRequestNanos = nowNanos;
   }
 
   /**
    * Returns whether missing entries are to be requested, after the commands of a message of the
    * parent have been applied: the parent had sent more by then than has arrived. While entries that
-   * were requested are on their way, only a message that was sent after them shows another gap.
+   * were requested are on their way, only a message that was sent after them shows another gap; if
+   * the request was lost, the answer to the next renewal does.
    */
   boolean requestsMissing(CommittedCommands message, long appliedIndex, long nowNanos) {
-    if (appliedIndex >= sentIndex(message) || nowNanos - nextRequestNanos < 0) {
-      return false;
-    }
     long bundleSentAtNanos = message.getBundleSentAtNanos();
     boolean sentBeforeRequest = bundleSentAtNanos != 0 && bundleSentAtNanos - requestedAtNanos < 0;
-    if (sentBeforeRequest && nowNanos - repeatRequestNanos < 0) {
-      return false;
-    }
-    requestMade(nowNanos);
-    return true;
+    return appliedIndex < sentIndex(message) && !sentBeforeRequest && takeRequest(nowNanos);
   }
 
   /** Records a request unless one has just been made; returns whether it is to be sent. */
@@ -47,15 +36,9 @@
     if (nowNanos - nextRequestNanos < 0) {
       return false;
     }
-    requestMade(nowNanos);
-    return true;
-  }
-
-  /** Records a request for entries that are missing. */
-  private void requestMade(long nowNanos) {
     requestedAtNanos = nowNanos;
     nextRequestNanos = nowNanos + REQUEST_INTERVAL_NANOS;
-    repeatRequestNanos = nowNanos + REQUEST_TIMEOUT_NANOS;
+    return true;
   }
 
   /** Returns the index up to which the parent had sent entries, with this message. */
