Always read an entry whole whose difference does not fit

Beside it: a child acknowledged early to a parent of an earlier version, which takes a second bundle without progress for a loss and sends its batch again (read by review). Change: the form is noted at once, only the request is limited; bytes of earlier versions are acknowledged with the renewals, as before. Conclusion: both are on the child's side of the feed.

--- a/node/src/main/java/org/teaseltrestle/node/replica/FeedForm.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FeedForm.java
@@ -7,6 +7,9 @@
   /** Configurations as differences and states in parts, which the child acknowledges. */
   DIFFERENCES(32 * 1024, 64 * 1024);
 
+  /** Bytes after which a child acknowledges them before its regular renewal. */
+  static final int ACKNOWLEDGED_BYTES = 16 * 1024;
+
   private final int batchBytes;
   private final int windowBytes;
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FollowService.java
@@ -40,9 +40,6 @@
   /** Added to the time of a timeout, which must have passed at the tick. */
   private static final long TIMEOUT_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-  /** Bytes of the committed log after which they are acknowledged before the regular renewal. */
-  private static final int ACKNOWLEDGED_BYTES = 16 * 1024;
-
   private static final long CANDIDATES_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
   private final ControlPlaneSettings settings;
@@ -257,7 +254,7 @@
       leaveFormerParents(nowNanos);
     }
     unacknowledgedBytes += bytes;
-    if (unacknowledgedBytes >= ACKNOWLEDGED_BYTES) {
+    if (unacknowledgedBytes >= FeedForm.ACKNOWLEDGED_BYTES) {
       sendBundle(nowNanos);
     }
   }
@@ -330,7 +327,8 @@
         KnownState.proven(message, startNanos, arrivedAtNanos), state.appliedIndex());
     watchKnowledge(now);
     if (sender.equals(parentSelector.parent())) {
-      receivedFromParent(message.getSerializedSize(), now);
+      // An earlier version takes a bundle without progress for a loss.
+      receivedFromParent(message.hasSentIndex() ? message.getSerializedSize() : 0, now);
       requestMissing(message, now);
     }
     publishApplied();
@@ -423,8 +421,9 @@
       }
       LOG.error(ReplicaEvent.DIFFERENCE_UNREADABLE, e, "appliedIndex", state.appliedIndex());
       long now = context.clock().nowNanos();
+      leaseRenewer.readWhole(command.getIndex());
       if (gapDetector.takeRequest(now)) {
-        leaseRenewer.requestWhole(command.getIndex(), now);
+        leaseRenewer.requestMissingEntries(now);
       }
       return false;
     }
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaseRenewer.java
@@ -112,10 +112,9 @@
     return heldState;
   }
 
-  /** Asks the parent, with the next bundle, for an entry whole and for those after it. */
-  void requestWhole(long index, long nowNanos) {
+  /** Lets the parent send no differences until an entry is applied. */
+  void readWhole(long index) {
     unreadableIndex = index;
-    requestMissingEntries(nowNanos);
   }
 
   /**
