Leave room for large entries and for children beside nodes that ask

Cause: a child acknowledges 16 KB by itself; below that, small entries took the room of a large one, which waited up to a second for the next renewal. Nodes that only ask took the 256 places of children for five seconds. Both found by review, the first with a scratch class (no room for 50 KB beside 15). Change: less than what a child acknowledges by itself keeps nothing from it; 256 counts children only, with a bound of 1,024 for all nodes.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ChildFeeds.java
@@ -38,6 +38,9 @@
   private static final long CHILD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(5);
   private static final int MAXIMUM_CHILDREN = 256;
 
+  /** Children and nodes that only ask. */
+  private static final int MAXIMUM_KNOWN_NODES = 1_024;
+
   /** Bytes of the committed log that all children may be sent and not have acknowledged. */
   private static final long MAXIMUM_UNACKNOWLEDGED_BYTES = 8L * 1024 * 1024;
 
@@ -149,8 +152,7 @@
     removeSilentChildren(now);
     InetSocketAddress address =
         addresses.replyAddress(bundle.getInstance(), bundle.getReplyAddress()).orElse(null);
-    boolean isNew = !children.containsKey(bundle.getInstance());
-    if (address == null || (isNew && children.size() >= MAXIMUM_CHILDREN)) {
+    if (address == null || !mayTake(bundle)) {
       return;
     }
     Child child = children.computeIfAbsent(bundle.getInstance(), id -> new Child(address, budget));
@@ -177,6 +179,17 @@
     }
   }
 
+  private boolean mayTake(RenewalBundle bundle) {
+    Child known = children.get(bundle.getInstance());
+    if (known == null && children.size() >= MAXIMUM_KNOWN_NODES) {
+      return false;
+    }
+    boolean follows = known != null && known.follows;
+    return follows
+        || bundle.getAsks()
+        || children.values().stream().filter(each -> each.follows).count() < MAXIMUM_CHILDREN;
+  }
+
   /** Records what a child has received, and what must be sent to it again. */
   private void recordProgress(Child child, RenewalBundle bundle, long nowNanos) {
     final boolean wasFed = child.follows && child.boot == bundle.getBoot();
@@ -393,7 +406,9 @@
 
   /** Returns whether a message may be sent now; a child that waits for the budget is noted. */
   private boolean hasRoom(Child child, int bytes) {
-    if (!child.window.hasRoom(bytes, child.form.windowBytes())) {
+    // What a child does not acknowledge by itself must not keep a larger message from it.
+    boolean waitsForChild = child.window.bytes() >= FeedForm.ACKNOWLEDGED_BYTES;
+    if (waitsForChild && !child.window.hasRoom(bytes, child.form.windowBytes())) {
       return false;
     }
     if (budget.hasRoom(bytes)) {
--- a/node/src/main/java/org/teaseltrestle/node/replica/FeedWindow.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/FeedWindow.java
@@ -36,6 +36,11 @@
     this.budget = budget;
   }
 
+  /** Returns the bytes that are not acknowledged. */
+  long bytes() {
+    return bytes;
+  }
+
   /** Returns whether a message fits into the window; a single one always does. */
   boolean hasRoom(int messageBytes, int windowBytes) {
     return bytes == 0 || bytes + messageBytes <= windowBytes;
--- a/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/ChildFeedsTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import com.google.protobuf.ByteString;
@@ -27,6 +28,7 @@
 import org.teaseltrestle.wire.LeaseGrant;
 import org.teaseltrestle.wire.LeaseRenewal;
 import org.teaseltrestle.wire.LoggedCommand;
+import org.teaseltrestle.wire.PublishConfiguration;
 import org.teaseltrestle.wire.RenewalBundle;
 import org.teaseltrestle.wire.ReplaceLists;
 import org.teaseltrestle.wire.UsageBatch;
@@ -212,6 +214,90 @@
     assertTrue(new GapDetector(0).requestsMissing(part, 3, 0));
   }
 
+  /**
+   * Guards against entries that are requested each second, and sent again over a link that is late,
+   * while messages arrive that the parent sent before it had the request.
+   */
+  @Test
+  public void lateMessagesDoNotRepeatRequest() {
+    GapDetector child = new GapDetector(0);
+    CommittedCommands.Builder message =
+        CommittedCommands.newBuilder().setAppliedIndex(9).setSentIndex(9).setBundleSentAtNanos(1);
+    assertTrue(child.requestsMissing(message.build(), 8, 2 * SECOND_NANOS));
+    for (int second = 3; second < 10; second++) {
+      assertFalse(child.requestsMissing(message.build(), 8, second * SECOND_NANOS));
+    }
+    CommittedCommands afterRequest = message.setBundleSentAtNanos(2 * SECOND_NANOS).build();
+    assertTrue(child.requestsMissing(afterRequest, 8, 10 * SECOND_NANOS));
+  }
+
+  /**
+   * Guards against an entry that waits up to a second for the next renewal, because small ones that
+   * the child does not acknowledge by itself take the room in its window.
+   */
+  @Test
+  public void largeEntryDoesNotWaitForSmallOnes() {
+    long[] now = {0};
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> now[0]);
+    feeds.onBundle(renewal(0).setReadsDifferences(true).build(), log);
+    log.apply(1, usageOf("a".repeat(FeedForm.ACKNOWLEDGED_BYTES - 1_000)));
+    now[0] += SECOND_NANOS / 2;
+    feeds.feed(log);
+    assertEquals(lastSentIndexes(), List.of(1L));
+    log.apply(2, usageOf("b".repeat(FeedForm.DIFFERENCES.windowBytes() - 1_000)));
+    now[0] += SECOND_NANOS / 4;
+    feeds.feed(log);
+    assertEquals(lastSentIndexes(), List.of(2L));
+  }
+
+  /** Guards against nodes that only ask and take the places of a parent's children. */
+  @Test
+  public void nodesThatAskTakeNoPlaceOfChildren() {
+    AppliedState log = new AppliedState();
+    ChildFeeds feeds = feeds(() -> 0);
+    log.apply(1, ByteString.EMPTY);
+    final int before = sentCommands.size();
+    for (int i = 0; i < 400; i++) {
+      feeds.onBundle(renewal(0).setInstance("asks-" + i).setAsks(true).build(), log);
+    }
+    assertEquals(sentCommands.size() - before, 400);
+    feeds.onBundle(renewal(0).build(), log);
+    assertEquals(lastSentIndexes(), List.of(1L));
+  }
+
+  /**
+   * Guards against an earlier version that takes an entry without a command for one of the
+   * consensus, skips the difference beside it and reports the version as applied.
+   */
+  @Test
+  public void differenceIsUnreadableForEarlierVersions() {
+    AppliedState log = new AppliedState();
+    Command command =
+        Command.newBuilder()
+            .setPublishConfiguration(
+                PublishConfiguration.newBuilder()
+                    .setVersion(1)
+                    .setDocument(ByteString.copyFromUtf8("{}")))
+            .build();
+    log.apply(1, command.toByteString());
+    LoggedCommand entry = log.commandsAfter(0, FeedForm.DIFFERENCES, 1).orElseThrow().get(0);
+    assertTrue(entry.hasDifference());
+    assertThrows(InvalidProtocolBufferException.class, () -> Command.parseFrom(entry.getCommand()));
+  }
+
+  private static ByteString usageOf(String instance) {
+    return Command.newBuilder()
+        .setUsageBatch(
+            UsageBatch.newBuilder()
+                .setInstance(instance)
+                .setBoot(1)
+                .setFirstSequence(1)
+                .setLastSequence(1))
+        .build()
+        .toByteString();
+  }
+
   private static RenewalBundle.Builder renewal(long appliedIndex) {
     return RenewalBundle.newBuilder()
         .setInstance("child")
