Do not ask the barrier for a change that the leader has not applied

Found by review, read only. Change: the leader names itself as awaited until it has applied the change. Conclusion: the wait begins when instances can receive the change.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderOperations.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -223,7 +224,16 @@
       reply.accept(LeaderAnswers.refused(Refusal.NOT_LEADER, driver.core().leader()));
       return;
     }
-    long index = indexOfConfiguration(parseChangeIndex(body));
+    OptionalLong awaited =
+        awaitedIndex(
+            parseChangeIndex(body),
+            state.appliedIndex(),
+            state.view().servingDocument().changedIndex());
+    if (awaited.isEmpty()) {
+      reply.accept(LeaderAnswers.awaited(List.of(settings.instance().value())));
+      return;
+    }
+    long index = awaited.getAsLong();
     Set<String> voters =
         driver.core().configuration().voters().stream()
             .map(ReplicaId::instance)
@@ -246,26 +256,21 @@
   }
 
   /**
-   * Returns the index at which the configuration came into force that is in force at an index: a
-   * change that is sent again is a new entry, but waits for nothing new.
-   */
-  private long indexOfConfiguration(long index) {
-    long changedIndex = state.view().servingDocument().changedIndex();
-    return awaitedIndex(index, state.appliedIndex(), changedIndex);
-  }
-
-  /**
-   * Returns the index that instances must have applied.
+   * Returns the index that instances must have applied: the one at which the configuration came
+   * into force that is in force at an index, since a change that is sent again is a new entry, but
+   * waits for nothing new. Empty while this leader has not applied the index, as a new one may not:
+   * no instance can have it, and the configuration that it knows is the one before.
    *
-   * @param index log index of a change, which may have been sent again
+   * @param index log index of a change
    * @param appliedIndex index up to which this leader has applied the log
    * @param changedIndex index at which the configuration of that state came into force, 0 if
    *     unknown
    */
-  static long awaitedIndex(long index, long appliedIndex, long changedIndex) {
-    // A new leader that has not applied the change yet knows the configuration before it.
-    boolean knowsConfiguration = appliedIndex >= index && changedIndex > 0;
-    return knowsConfiguration ? Math.min(index, changedIndex) : index;
+  static OptionalLong awaitedIndex(long index, long appliedIndex, long changedIndex) {
+    if (index > appliedIndex) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(changedIndex > 0 ? Math.min(index, changedIndex) : index);
   }
 
   private static long parseChangeIndex(byte[] body) {
