Use ejected servers for requests that no other server may run

What callers saw: 503 no_backend_server, said as not run, for about a second or more after engines had crashed, although these engines were back at once.

Cause: after a lost connection a server is ejected for at least a second. An ejection was ignored only if it emptied the pool. A pool that still had a server which the request may not use (preemptible, of another model, or one that only prefills) counted as usable, and the ejected ones were announced as leaving.

Ruled out: a restarted node without a fleet.

Change: an ejected server keeps a state of its own (EJECTED), and the policy prefers others request by request, as it does with open breakers.

--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetStates.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetStates.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Set;
 import org.teaseltrestle.model.BackendServerId;
-import org.teaseltrestle.model.PoolId;
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.policy.BackendServer;
 import org.teaseltrestle.policy.BackendServer.State;
@@ -17,10 +16,7 @@
 
   private FleetStates() {}
 
-  /**
-   * Returns the servers with their states. Ejections never empty a pool: they are ignored in a pool
-   * whose live servers are all ejected.
-   */
+  /** Returns the servers with their states. */
   static List<BackendServer> of(
       List<ListedServer> subset,
       ServerObservations observations,
@@ -28,26 +24,14 @@
       long nowNanos) {
     Set<BackendServerId> draining = draining(plannedChanges);
     List<BackendServer> servers = new ArrayList<>();
-    Set<PoolId> usablePools = new HashSet<>();
     for (ListedServer entry : subset) {
       BackendServer server = entry.server();
-      State state = stateWithoutEjection(server, observations, draining, nowNanos);
-      servers.add(server.withState(state));
-      if (state == State.LIVE && !observations.isEjected(server.id(), nowNanos)) {
-        usablePools.add(server.pool());
-      }
+      servers.add(server.withState(state(server, observations, draining, nowNanos)));
     }
-    servers.replaceAll(
-        server ->
-            server.state() == State.LIVE
-                    && observations.isEjected(server.id(), nowNanos)
-                    && usablePools.contains(server.pool())
-                ? server.withState(State.LEAVING)
-                : server);
     return servers;
   }
 
-  private static State stateWithoutEjection(
+  private static State state(
       BackendServer server,
       ServerObservations observations,
       Set<BackendServerId> draining,
@@ -55,7 +39,12 @@
     if (server.state() == State.LEAVING || observations.isLeaving(server.id(), nowNanos)) {
       return State.LEAVING;
     }
-    return draining.contains(server.id()) ? State.DRAINING : server.state();
+    if (draining.contains(server.id())) {
+      return State.DRAINING;
+    }
+    return server.state() == State.LIVE && observations.isEjected(server.id(), nowNanos)
+        ? State.EJECTED
+        : server.state();
   }
 
   private static Set<BackendServerId> draining(Collection<PlanChange> plannedChanges) {
--- a/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/BackendServer.java
@@ -77,6 +77,8 @@
   /** Lifecycle state, as far as routing depends on it. */
   public enum State {
     LIVE,
+    /** Live, but this instance lost a connection to it: work only goes there as a last resort. */
+    EJECTED,
     DRAINING,
     LEAVING
   }
--- a/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/Fleet.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.model.BackendServerId;
 import org.teaseltrestle.policy.WorkRequest.WorkKind;
@@ -140,18 +141,30 @@
   }
 
   /**
-   * Returns the servers that may run a request if they have capacity. Servers with an open breaker
-   * are excluded only if another server accepts work.
+   * Returns the servers that may run a request if they have capacity. Ejected servers are excluded
+   * only if another server may run the request, then those with an open breaker likewise.
    */
   List<ServerState> usable(RequestState request, long nowNanos) {
-    List<ServerState> healthy = new ArrayList<>();
-    List<ServerState> ejected = new ArrayList<>(0);
+    List<ServerState> able = new ArrayList<>();
     for (ServerState state : serving(request)) {
       if (state.acceptsWork(nowNanos) && state.allows(request)) {
-        (isHealthy(state, request, nowNanos) ? healthy : ejected).add(state);
+        able.add(state);
       }
     }
-    return healthy.isEmpty() ? ejected : healthy;
+    return preferred(
+        preferred(able, state -> !state.isEjected()), state -> isHealthy(state, request, nowNanos));
+  }
+
+  /** Returns the servers that fulfil a condition, or all if none does. */
+  private static List<ServerState> preferred(
+      List<ServerState> servers, Predicate<ServerState> condition) {
+    List<ServerState> fulfilling = new ArrayList<>(servers.size());
+    for (ServerState state : servers) {
+      if (condition.test(state)) {
+        fulfilling.add(state);
+      }
+    }
+    return fulfilling.isEmpty() ? servers : fulfilling;
   }
 
   PrefixIndex prefixes() {
--- a/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/ServerState.java
@@ -65,6 +65,7 @@
   /** Returns whether the server may prefill prompts for other engines. */
   boolean acceptsRemotePrefill(long nowNanos) {
     return isStaying(nowNanos)
+        && !isEjected()
         && server.role() == EngineRole.PREFILL_ONLY
         && nowNanos >= pausedUntilNanos
         && nowNanos >= busyUntilNanos
@@ -72,9 +73,14 @@
         && health.state(nowNanos) == ServerHealth.State.CLOSED;
   }
 
+  /** Returns whether the server gets work only if no other server may run it. */
+  boolean isEjected() {
+    return server.state() == BackendServer.State.EJECTED;
+  }
+
   private boolean isStaying(long nowNanos) {
     return listed
-        && server.state() == BackendServer.State.LIVE
+        && (server.state() == BackendServer.State.LIVE || isEjected())
         && !announcedLeaving
         && nowNanos >= leavingUntilNanos;
   }
