Choose a subset of servers of each kind, not of each pool

What callers would see: 503 no_backend_server (or stream_version_gone) at one instance while servers that may run the request are listed.

Change: the subset is chosen for each kind of server: pool, models, price class, whether it only prefills, software version.

Test, before: FleetTest.Subsets.subsetHasServersForEachRequest failed in all four rows ("without the only one that may run it"). After: passes.

--- a/node/src/main/java/org/teaseltrestle/node/fleet/FleetSettings.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/FleetSettings.java
@@ -10,7 +10,8 @@
  *
  * @param instance this instance, whose name determines its subset of the backend servers
  * @param failureDomain own failure domain, whose backend servers are preferred
- * @param subsetSize maximum number of backend servers of one pool that this instance uses
+ * @param subsetSize maximum number of backend servers of one kind (by what decides which requests
+ *     they may run) in a pool that this instance uses
  * @param listInterval time between two reads of the platform's instance list
  * @param loadInterval time between two load reports of one backend server
  * @param cacheInterval time between two reads of one engine's cache events
--- a/node/src/main/java/org/teaseltrestle/node/fleet/Subset.java
+++ b/node/src/main/java/org/teaseltrestle/node/fleet/Subset.java
@@ -6,13 +6,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.zip.CRC32C;
+import org.teaseltrestle.model.ItemName;
 import org.teaseltrestle.model.PoolId;
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.EngineRole;
 
 /**
- * Selects the backend servers that one instance uses: in each pool those with the highest
+ * Selects the backend servers that one instance uses: of each kind in a pool those with the highest
  * rendezvous hash, own failure domain first. Each instance computes its subset independently, the
  * subsets are distributed evenly, and a change of the list replaces few members.
  */
@@ -21,14 +24,14 @@
   private Subset() {}
 
   static List<ListedServer> choose(List<ListedServer> listed, FleetSettings settings) {
-    Map<PoolId, List<ListedServer>> pools = new LinkedHashMap<>();
+    Map<ServerKind, List<ListedServer>> kinds = new LinkedHashMap<>();
     for (ListedServer entry : listed) {
-      pools.computeIfAbsent(entry.server().pool(), pool -> new ArrayList<>()).add(entry);
+      kinds.computeIfAbsent(ServerKind.of(entry.server()), kind -> new ArrayList<>()).add(entry);
     }
     List<ListedServer> chosen = new ArrayList<>();
-    for (List<ListedServer> pool : pools.values()) {
-      pool.sort(preference(settings));
-      chosen.addAll(pool.subList(0, Math.min(settings.subsetSize(), pool.size())));
+    for (List<ListedServer> servers : kinds.values()) {
+      servers.sort(preference(settings));
+      chosen.addAll(servers.subList(0, Math.min(settings.subsetSize(), servers.size())));
     }
     return chosen;
   }
@@ -52,4 +55,22 @@
     mixed = (mixed ^ (mixed >>> 32)) * 0xD6E8FEB86659FD93L;
     return (mixed ^ (mixed >>> 32)) >>> 1;
   }
+
+  /** What decides which requests a server may run; servers of one kind can replace each other. */
+  private record ServerKind(
+      PoolId pool,
+      Set<ItemName> models,
+      BackendServer.Capacity capacity,
+      boolean prefillOnly,
+      String softwareVersion) {
+
+    static ServerKind of(BackendServer server) {
+      return new ServerKind(
+          server.pool(),
+          server.models(),
+          server.capacity(),
+          server.role() == EngineRole.PREFILL_ONLY,
+          server.softwareVersion());
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/fleet/FleetTest.java
@@ -22,8 +22,11 @@
 import org.teaseltrestle.node.port.ListedServer;
 import org.teaseltrestle.policy.AdmissionEvent.CacheChanged;
 import org.teaseltrestle.policy.BackendServer;
+import org.teaseltrestle.policy.BackendServer.Capacity;
 import org.teaseltrestle.policy.BackendServer.State;
+import org.teaseltrestle.policy.EngineRole;
 import org.teaseltrestle.wire.PlanChange;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /** Tests of the subsets, server states and cache views of the fleet duty. */
@@ -32,15 +35,28 @@
   private static final long SECOND_NANOS = 1_000_000_000L;
 
   private static ListedServer engine(String id, String domain, State state) {
+    return engine(id, domain, state, "pren-7b", Capacity.REGULAR, EngineRole.MIXED, "v1");
+  }
+
+  private static ListedServer engine(
+      String id,
+      String domain,
+      State state,
+      String model,
+      Capacity capacity,
+      EngineRole role,
+      String softwareVersion) {
     BackendServer server =
         new BackendServer(
             new BackendServerId(id),
             new PoolId("models"),
             new FailureDomain(domain),
             "http://127.0.0.1:1",
-            Set.of(new ItemName("pren-7b")),
-            BackendServer.Capacity.REGULAR,
-            state);
+            Set.of(new ItemName(model)),
+            capacity,
+            state,
+            role,
+            softwareVersion);
     return new ListedServer(server, ListedServer.Kind.ENGINE);
   }
 
@@ -88,6 +104,33 @@
       List<ListedServer> after = Subset.choose(listed, settings("entry-0", 8));
       assertEquals(after.subList(0, 7), first.subList(1, 8));
     }
+
+    /** Kinds of servers that take different requests from those of the standard kind. */
+    @DataProvider
+    public Object[][] otherKinds() {
+      return new Object[][] {
+        {"pren-70b", Capacity.REGULAR, EngineRole.MIXED, "v1"},
+        {"pren-7b", Capacity.CHEAP, EngineRole.MIXED, "v1"},
+        {"pren-7b", Capacity.REGULAR, EngineRole.PREFILL_ONLY, "v1"},
+        {"pren-7b", Capacity.REGULAR, EngineRole.MIXED, "v2"},
+      };
+    }
+
+    /** Guards against requests that no server of the subset may run, though listed ones may. */
+    @Test(dataProvider = "otherKinds")
+    public void subsetHasServersForEachRequest(
+        String model, Capacity capacity, EngineRole role, String softwareVersion) {
+      List<ListedServer> listed = new ArrayList<>();
+      for (int i = 0; i < 100; i++) {
+        String id = "near-" + i;
+        listed.add(engine(id, "caerdydd", State.LIVE, model, capacity, role, softwareVersion));
+      }
+      ListedServer only = engine("far", "wrecsam", State.LIVE);
+      listed.add(only);
+      List<ListedServer> chosen = Subset.choose(listed, settings("entry-0", 8));
+      assertTrue(chosen.contains(only), "without the only one that may run it: " + chosen);
+      assertEquals(chosen.size(), 9);
+    }
   }
 
   /** States that the instance list does not show yet. */
