Append a command once that is sent again while it is undecided

A proposal that is not answered within 800 ms is sent again with its whole document, and the leader appended it again: 0.39 MB more in the log, on each voter's link and on each feed, just when these are late. It also took a second place among the commands in flight.

Cause: the leader knew only that a command was a repetition when it was applied.

Change: PendingCommands keeps the undecided commands of a leader; an equal one (its request ID makes it unique) waits for the same decision. It lasts until the command is answered or refused, so nothing is kept after that.

Test, before: ReplicaDriverTest.commandThatIsSentAgainIsAppendedOnce, two entries in place of one. After: one, and both callers have the same answer.

Conclusion: the log no longer grows with retries. The request itself still crosses the network again.

--- a/node/src/main/java/org/teaseltrestle/node/replica/ReplicaDriver.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/ReplicaDriver.java
@@ -37,7 +37,8 @@
   private final MonotonicClock clock;
   private final Consumer<RaftEnvelope> sender;
   private final Consumer<RaftAction.RoleChanged> roleListener;
-  private final Map<Long, Consumer<LeaderAnswer>> pendingReplies = new HashMap<>();
+  private final PendingCommands pendingCommands = new PendingCommands();
+  private final Map<Long, Consumer<LeaderAnswer>> pendingReads = new HashMap<>();
   private final Map<Long, CommandAnswer> proposalAnswers = new HashMap<>();
   private List<RaftAction> pending = new ArrayList<>();
   private long nextRequestId = 1;
@@ -77,15 +78,19 @@
     return pending.size();
   }
 
+  /** Proposes a command; one that is undecided already is not appended once more. */
   void propose(byte[] command, Consumer<LeaderAnswer> reply) {
+    if (pendingCommands.join(command, reply)) {
+      return;
+    }
     long id = nextRequestId++;
-    pendingReplies.put(id, reply);
+    pendingCommands.add(id, command, reply);
     handle(new RaftEvent.Propose(id, command));
   }
 
   void confirm(Consumer<LeaderAnswer> reply) {
     long id = nextRequestId++;
-    pendingReplies.put(id, reply);
+    pendingReads.put(id, reply);
     handle(new RaftEvent.ReadIndex(id));
   }
 
@@ -111,10 +116,9 @@
 
   /** Replies to all pending requests that their outcome is unknown. */
   void failPendingRequests() {
-    List<Consumer<LeaderAnswer>> abandoned = new ArrayList<>(pendingReplies.values());
-    pendingReplies.clear();
-    abandoned.forEach(
-        reply -> reply.accept(LeaderAnswers.refused(RaftAction.Refusal.OUTCOME_UNKNOWN, null)));
+    LeaderAnswer unknown = LeaderAnswers.refused(RaftAction.Refusal.OUTCOME_UNKNOWN, null);
+    pendingCommands.decideAll(unknown);
+    List.copyOf(pendingReads.keySet()).forEach(id -> replyToRead(id, unknown));
   }
 
   private void execute(RaftAction action) {
@@ -129,13 +133,14 @@
       CommandAnswer answer =
           proposalAnswers.getOrDefault(committed.index(), CommandAnswer.getDefaultInstance());
       proposalAnswers.remove(committed.index());
-      reply(committed.proposalId(), LeaderAnswers.answered(answer));
+      pendingCommands.decide(committed.proposalId(), LeaderAnswers.answered(answer));
     } else if (action instanceof RaftAction.ProposalFailed failed) {
-      reply(failed.proposalId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
+      pendingCommands.decide(
+          failed.proposalId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
     } else if (action instanceof RaftAction.ReadConfirmed read) {
-      reply(read.readId(), LeaderAnswers.confirmed(read.index()));
+      replyToRead(read.readId(), LeaderAnswers.confirmed(read.index()));
     } else if (action instanceof RaftAction.ReadFailed failed) {
-      reply(failed.readId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
+      replyToRead(failed.readId(), LeaderAnswers.refused(failed.refusal(), failed.leader()));
     } else if (action instanceof RaftAction.RestoreState restoreState) {
       restore(restoreState.snapshot());
     } else if (action instanceof RaftAction.RoleChanged changed) {
@@ -156,8 +161,8 @@
     bytesSinceSnapshot += entry.payload().length;
   }
 
-  private void reply(long requestId, LeaderAnswer answer) {
-    Consumer<LeaderAnswer> reply = pendingReplies.remove(requestId);
+  private void replyToRead(long readId, LeaderAnswer answer) {
+    Consumer<LeaderAnswer> reply = pendingReads.remove(readId);
     if (reply != null) {
       reply.accept(answer);
     }
