Report a rejection only if no attempt can have started the request

What callers would see: a change is rejected as never started (OVERLOADED) and takes effect all the same.

Cause: a call to the leader that is sent again, after a timeout or to a new leader, ended with the rejection of its latest attempt, although an earlier one was undecided. With a large change this was likely: the first attempt takes the room among the commands in flight that the second one lacks.

Change: a call counts its attempts that may have started the request. It ends with OVERLOADED only if there is none; otherwise it is tried until its deadline and then ends as UNREACHABLE, which says that the change may have been made.

Tests, before: LeaderCallsTest.rejectionAfterAnUndecidedAttemptIsNoOutcome ended with "the leader rejected the request". After: passes; rejectionIsReportedIfNoAttemptCanTakeEffect passes before and after. The transport of this test allowed one call to each instance; it records all calls now, and both tests that relied on it compare the whole list.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.MonotonicClock;
@@ -42,12 +43,18 @@
 
   private volatile boolean closed;
 
+  /**
+   * An open call.
+   *
+   * @param undecided number of attempts that may have started the request
+   */
   private record Call(
       long id,
       LeaderRequest request,
       byte[] body,
       long deadlineNanos,
-      CompletableFuture<LeaderAnswer> result) {}
+      CompletableFuture<LeaderAnswer> result,
+      AtomicInteger undecided) {}
 
   /**
    * Creates the client; {@code localHandler} handles requests to this instance itself, null on a
@@ -69,14 +76,19 @@
 
   /**
    * Calls the leader. The future fails with a {@link TrestleException}: {@link
-   * ErrorCode#OVERLOADED} if the leader rejected the request without starting it, {@link
-   * ErrorCode#UNREACHABLE} if no leader responded before the deadline, {@link ErrorCode#CLOSED}
-   * once this client is closed.
+   * ErrorCode#OVERLOADED} if the leader rejected the request and no instance can have started it,
+   * {@link ErrorCode#UNREACHABLE} if no leader responded before the deadline, {@link
+   * ErrorCode#CLOSED} once this client is closed.
    */
   CompletableFuture<LeaderAnswer> call(LeaderRequest request, byte[] body, long deadlineNanos) {
     Call call =
         new Call(
-            nextCall.getAndIncrement(), request, body, deadlineNanos, new CompletableFuture<>());
+            nextCall.getAndIncrement(),
+            request,
+            body,
+            deadlineNanos,
+            new CompletableFuture<>(),
+            new AtomicInteger());
     calls.put(call.id(), call);
     LeaderCallSchedule.Attempt first;
     synchronized (schedule) {
@@ -124,6 +136,7 @@
     long deadline = now + Math.min(ATTEMPT_TIMEOUT_NANOS, call.deadlineNanos() - now);
     LeaderRequestHandler handler = localHandler;
     if (handler != null && target.equals(self.value())) {
+      call.undecided().incrementAndGet();
       handler.handle(call.request(), call.body(), answer -> onAnswer(call, attempt, answer));
       // A replica that stops does not take what is in its queue.
       CompletableFuture.delayedExecutor(deadline - now, TimeUnit.NANOSECONDS)
@@ -135,6 +148,7 @@
       onFailure(attempt);
       return;
     }
+    call.undecided().incrementAndGet();
     transport
         .call(address, LeaderRequest.SERVICE, call.request().kind(), call.body(), deadline)
         .whenComplete((body, failure) -> onResponse(call, attempt, body));
@@ -160,11 +174,15 @@
         call.result().completeAsync(() -> answer);
       }
       case OVERLOADED -> {
-        if (isLatest(attempt)) {
+        boolean neverStarted = call.undecided().decrementAndGet() == 0;
+        if (neverStarted && isLatest(attempt)) {
           fail(call, new TrestleException(ErrorCode.OVERLOADED, "the leader rejected the request"));
+        } else {
+          onFailure(attempt);
         }
       }
       case NOT_LEADER -> {
+        call.undecided().decrementAndGet();
         if (answer.getLeader().isEmpty()) {
           onFailure(attempt);
         } else {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallsTest.java
@@ -1,19 +1,19 @@
 package org.teaseltrestle.node.replica;
 
 import static org.testng.Assert.assertEquals;
-import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.net.InetSocketAddress;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import org.teaseltrestle.kernel.MonotonicClock;
+import org.teaseltrestle.model.ErrorCode;
 import org.teaseltrestle.model.FailureDomain;
 import org.teaseltrestle.model.InstanceId;
+import org.teaseltrestle.model.TrestleException;
 import org.teaseltrestle.node.settings.VoterSettings;
 import org.teaseltrestle.transport.MessageHandler;
 import org.teaseltrestle.transport.PeerTransport;
@@ -62,6 +62,29 @@
       final CompletableFuture<LeaderAnswer> call = callThatMovedToLeader(transport);
       transport.answer(GONE, LeaderAnswer.Status.ANSWERED);
       assertEquals(call.join().getStatus(), LeaderAnswer.Status.ANSWERED);
+      assertEquals(transport.called(), List.of(GONE, LEADER));
+    }
+
+    /** Guards against a rejection that is reported while an earlier attempt may take effect. */
+    @Test
+    public void rejectionAfterAnUndecidedAttemptIsNoOutcome() {
+      ControllableTransport transport = new ControllableTransport();
+      final CompletableFuture<LeaderAnswer> call = callThatMovedToLeader(transport);
+      transport.answer(LEADER, LeaderAnswer.Status.OVERLOADED);
+      transport.answer(GONE, LeaderAnswer.Status.ANSWERED);
+      assertEquals(call.join().getStatus(), LeaderAnswer.Status.ANSWERED);
+    }
+
+    /** Guards against a rejected call that waits until its deadline. */
+    @Test
+    public void rejectionIsReportedIfNoAttemptCanTakeEffect() {
+      ControllableTransport transport = new ControllableTransport();
+      final CompletableFuture<LeaderAnswer> call = callThatMovedToLeader(transport);
+      transport.answer(GONE, LeaderAnswer.Status.NOT_LEADER);
+      transport.answer(LEADER, LeaderAnswer.Status.OVERLOADED);
+      assertEquals(
+          call.handle((answer, failure) -> ((TrestleException) failure).code()).join(),
+          ErrorCode.OVERLOADED);
     }
 
     /** Guards against a call that ends, or is sent again, by a refusal of an earlier attempt. */
@@ -107,15 +130,21 @@
   /** Transport whose calls are answered by the test. */
   private static final class ControllableTransport implements PeerTransport {
 
-    private final Map<InetSocketAddress, CompletableFuture<byte[]>> calls = new LinkedHashMap<>();
+    private final List<PeerCall> calls = new CopyOnWriteArrayList<>();
+
+    private record PeerCall(InetSocketAddress peer, CompletableFuture<byte[]> result) {}
 
     List<InetSocketAddress> called() {
-      return List.copyOf(calls.keySet());
+      return calls.stream().map(PeerCall::peer).toList();
     }
 
+    /** Answers the first call to a peer. */
     void answer(InetSocketAddress peer, LeaderAnswer.Status status) {
-      Optional.ofNullable(calls.get(peer))
+      calls.stream()
+          .filter(call -> call.peer().equals(peer))
+          .findFirst()
           .orElseThrow()
+          .result()
           .complete(LeaderAnswer.newBuilder().setStatus(status).build().toByteArray());
     }
 
@@ -131,7 +160,7 @@
     public CompletableFuture<byte[]> call(
         InetSocketAddress peer, String service, int kind, byte[] body, long deadlineNanos) {
       CompletableFuture<byte[]> call = new CompletableFuture<>();
-      assertNull(calls.put(peer, call), "one call to each instance");
+      calls.add(new PeerCall(peer, call));
       return call;
     }
 
