Send the partner each usage record once

While no leader commits usage, each answer to a caller sent the partner all records since the outage began, over the link that callers share: the sum grew with the square of the outage, and a partner that did not answer within 100 ms made the next one receive the same.

Cause: a copy was defined as all that is uncommitted.

A partner that lacks earlier ones says so by what it holds, and is sent them. Parts stand in fields of their own, with first_sequence as before: a partner of an earlier version reads a copy without records, which is true, and since its answer does not say that it reads parts, it is sent whole copies.

Conclusion: one more path without a bound has one. Not played: an outage of minutes on 96 machines.

--- a/control/src/main/java/org/teaseltrestle/control/usage/UsageCopies.java
+++ b/control/src/main/java/org/teaseltrestle/control/usage/UsageCopies.java
@@ -22,7 +22,7 @@
   private final Map<Origin, HeldRecords> recordsByOrigin = new HashMap<>();
 
   /**
-   * Adds a copy of records of an origin.
+   * Adds a copy of records of an origin. A part that does not follow what is held is ignored.
    *
    * @return sequence number up to which the records of the origin are held or committed
    */
@@ -39,7 +39,10 @@
     if (records.journal.isEmpty()) {
       records.takeoverDueAtNanos = nowNanos + TAKEOVER_NANOS;
     }
-    return records.journal.appendCopy(copy.getFirstSequence(), copy.getEntriesList());
+    long heldThrough = records.journal.appendCopy(copy.getFirstSequence(), copy.getEntriesList());
+    return copy.getPartEntriesCount() == 0
+        ? heldThrough
+        : records.journal.appendCopy(copy.getPartFirstSequence(), copy.getPartEntriesList());
   }
 
   /**
--- a/control/src/main/java/org/teaseltrestle/control/usage/UsageJournal.java
+++ b/control/src/main/java/org/teaseltrestle/control/usage/UsageJournal.java
@@ -39,16 +39,13 @@
   }
 
   /**
-   * Adds a copy of records and ignores records that are already held.
+   * Adds a copy of records and ignores records that are already held, and all of them if records
+   * before them are missing.
    *
    * @param firstSequence sequence number of the first record of the copy
    * @return sequence number up to which all records are held or committed
    */
   public long appendCopy(long firstSequence, List<UsageEntry> copy) {
-    if (entries.isEmpty() && firstSequence > committedThrough + 1) {
-      // The origin copies all uncommitted records, so the earlier ones are committed.
-      committedThrough = firstSequence - 1;
-    }
     long skip = lastSequence() + 1 - firstSequence;
     if (skip >= 0 && skip < copy.size()) {
       entries.addAll(copy.subList((int) skip, copy.size()));
@@ -80,9 +77,14 @@
     return entries.isEmpty();
   }
 
-  /** Returns all records that are not committed, to be copied to the partner. */
-  public List<UsageEntry> uncommitted() {
-    return List.copyOf(entries);
+  /**
+   * Returns the records that are not committed, to be copied to the partner.
+   *
+   * @param firstSequence sequence number of the first record, not below the first uncommitted one
+   * @param maximum maximum number of records
+   */
+  public List<UsageEntry> uncommitted(long firstSequence, int maximum) {
+    return entries.stream().skip(firstSequence - firstUncommitted()).limit(maximum).toList();
   }
 
   /**
--- a/control/src/test/java/org/teaseltrestle/control/usage/UsageCopiesTest.java
+++ b/control/src/test/java/org/teaseltrestle/control/usage/UsageCopiesTest.java
@@ -29,7 +29,7 @@
         .setInstance("entry-1")
         .setBoot(7)
         .setFirstSequence(journal.firstUncommitted())
-        .addAllEntries(journal.uncommitted())
+        .addAllEntries(journal.uncommitted(journal.firstUncommitted(), Integer.MAX_VALUE))
         .build();
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -14,6 +14,7 @@
 import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.control.ControlGateway;
+import org.teaseltrestle.control.usage.CopyProgress;
 import org.teaseltrestle.control.usage.UsageCopies;
 import org.teaseltrestle.control.usage.UsageJournal;
 import org.teaseltrestle.kernel.DutyThread;
@@ -67,6 +68,7 @@
   private final WallClock wallClock;
   private final PartnerSelector partners;
   private final UsageJournal journal;
+  private final CopyProgress copyProgress;
   private final UsageCopies copies = new UsageCopies();
   private final Deque<PendingRelease> pendingReleases = new ArrayDeque<>();
   private final CompletableFuture<Void> flushed = new CompletableFuture<>();
@@ -106,6 +108,7 @@
     this.wallClock = wallClock;
     this.partners = new PartnerSelector(instance, failureDomain, holdsCopies);
     this.journal = new UsageJournal(instance.value(), boot);
+    this.copyProgress = new CopyProgress(instance.value(), boot);
     this.nextCommitNanos = clock.nowNanos();
     this.duty =
         new DutyThread<>(
@@ -210,13 +213,7 @@
     }
     copyRunning = true;
     partner = chosen.get();
-    UsageCopy copy =
-        UsageCopy.newBuilder()
-            .setInstance(instance.value())
-            .setBoot(boot)
-            .setFirstSequence(journal.firstUncommitted())
-            .addAllEntries(journal.uncommitted())
-            .build();
+    UsageCopy copy = copyProgress.next(partner.value(), journal);
     transport
         .call(address.get(), NAME, COPY_KIND, copy.toByteArray(), now + COPY_TIMEOUT_NANOS)
         .whenComplete((body, failure) -> duty.offer(() -> onCopyResponse(body, failure)));
@@ -231,7 +228,9 @@
       }
     } else {
       try {
-        copiedThrough = Math.max(copiedThrough, UsageCopyAnswer.parseFrom(body).getHeldThrough());
+        UsageCopyAnswer answer = UsageCopyAnswer.parseFrom(body);
+        copyProgress.answered(answer);
+        copiedThrough = Math.max(copiedThrough, answer.getHeldThrough());
         release(copiedThrough);
       } catch (InvalidProtocolBufferException e) {
         throw new TrestleException(
@@ -317,7 +316,12 @@
       duty.offer(
           () -> {
             long held = copies.add(copy, clock.nowNanos());
-            reply.accept(UsageCopyAnswer.newBuilder().setHeldThrough(held).build().toByteArray());
+            reply.accept(
+                UsageCopyAnswer.newBuilder()
+                    .setHeldThrough(held)
+                    .setReadsParts(true)
+                    .build()
+                    .toByteArray());
           });
     } catch (InvalidProtocolBufferException e) {
       throw new TrestleException(ErrorCode.MALFORMED_MESSAGE, "malformed usage copy", e);
--- a/wire/src/main/java/org/teaseltrestle/wire/Usage.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/Usage.java
@@ -53,11 +53,14 @@
       "\n\013usage.proto\022\007trestle\"i\n\nUsageEntry\022\017\n\007" +
       "account\030\001 \001(\t\022\014\n\004item\030\002 \001(\t\022\025\n\rprompt_to" +
       "kens\030\003 \001(\004\022\025\n\routput_tokens\030\004 \001(\004\022\016\n\006win" +
-      "dow\030\005 \001(\004\"i\n\tUsageCopy\022\020\n\010instance\030\001 \001(\t" +
-      "\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 \001(\004\022$" +
-      "\n\007entries\030\004 \003(\0132\023.trestle.UsageEntry\"\'\n\017" +
-      "UsageCopyAnswer\022\024\n\014held_through\030\001 \001(\004B\032\n" +
-      "\026org.teaseltrestle.wireP\001b\006proto3"
+      "dow\030\005 \001(\004\"\261\001\n\tUsageCopy\022\020\n\010instance\030\001 \001(" +
+      "\t\022\014\n\004boot\030\002 \001(\006\022\026\n\016first_sequence\030\003 \001(\004\022" +
+      "$\n\007entries\030\004 \003(\0132\023.trestle.UsageEntry\022\033\n" +
+      "\023part_first_sequence\030\005 \001(\004\022)\n\014part_entri" +
+      "es\030\006 \003(\0132\023.trestle.UsageEntry\"<\n\017UsageCo" +
+      "pyAnswer\022\024\n\014held_through\030\001 \001(\004\022\023\n\013reads_" +
+      "parts\030\002 \001(\010B\032\n\026org.teaseltrestle.wireP\001b" +
+      "\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -74,13 +77,13 @@
     internal_static_trestle_UsageCopy_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageCopy_descriptor,
-        new java.lang.String[] { "Instance", "Boot", "FirstSequence", "Entries", });
+        new java.lang.String[] { "Instance", "Boot", "FirstSequence", "Entries", "PartFirstSequence", "PartEntries", });
     internal_static_trestle_UsageCopyAnswer_descriptor =
       getDescriptor().getMessageTypes().get(2);
     internal_static_trestle_UsageCopyAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_trestle_UsageCopyAnswer_descriptor,
-        new java.lang.String[] { "HeldThrough", });
+        new java.lang.String[] { "HeldThrough", "ReadsParts", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/UsageCopy.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/UsageCopy.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Copy of the uncommitted records of one process start, kept by a partner instance.
+ * Copy of uncommitted records of one process start, kept by a partner instance.
  * </pre>
  *
  * Protobuf type {@code trestle.UsageCopy}
@@ -34,6 +34,7 @@
   private UsageCopy() {
     instance_ = "";
     entries_ = java.util.Collections.emptyList();
+    partEntries_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -103,7 +104,8 @@
   private long firstSequence_ = 0L;
   /**
    * <pre>
-   * Sequence number of the first entry; the others follow without a gap.
+   * Sequence number of the first uncommitted record, and the records that follow from it without a
+   * gap. Instances of earlier versions are sent all of them.
    * </pre>
    *
    * <code>uint64 first_sequence = 3;</code>
@@ -155,6 +157,62 @@
     return entries_.get(index);
   }
 
+  public static final int PART_FIRST_SEQUENCE_FIELD_NUMBER = 5;
+  private long partFirstSequence_ = 0L;
+  /**
+   * <pre>
+   * Records that follow those which the partner is known to hold; only for partners that read parts.
+   * </pre>
+   *
+   * <code>uint64 part_first_sequence = 5;</code>
+   * @return The partFirstSequence.
+   */
+  @java.lang.Override
+  public long getPartFirstSequence() {
+    return partFirstSequence_;
+  }
+
+  public static final int PART_ENTRIES_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<org.teaseltrestle.wire.UsageEntry> partEntries_;
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.teaseltrestle.wire.UsageEntry> getPartEntriesList() {
+    return partEntries_;
+  }
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.teaseltrestle.wire.UsageEntryOrBuilder> 
+      getPartEntriesOrBuilderList() {
+    return partEntries_;
+  }
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  @java.lang.Override
+  public int getPartEntriesCount() {
+    return partEntries_.size();
+  }
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.UsageEntry getPartEntries(int index) {
+    return partEntries_.get(index);
+  }
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  @java.lang.Override
+  public org.teaseltrestle.wire.UsageEntryOrBuilder getPartEntriesOrBuilder(
+      int index) {
+    return partEntries_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -181,6 +239,12 @@
     for (int i = 0; i < entries_.size(); i++) {
       output.writeMessage(4, entries_.get(i));
     }
+    if (partFirstSequence_ != 0L) {
+      output.writeUInt64(5, partFirstSequence_);
+    }
+    for (int i = 0; i < partEntries_.size(); i++) {
+      output.writeMessage(6, partEntries_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -205,6 +269,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, entries_.get(i));
     }
+    if (partFirstSequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, partFirstSequence_);
+    }
+    for (int i = 0; i < partEntries_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, partEntries_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -228,6 +300,10 @@
         != other.getFirstSequence()) return false;
     if (!getEntriesList()
         .equals(other.getEntriesList())) return false;
+    if (getPartFirstSequence()
+        != other.getPartFirstSequence()) return false;
+    if (!getPartEntriesList()
+        .equals(other.getPartEntriesList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -251,6 +327,13 @@
       hash = (37 * hash) + ENTRIES_FIELD_NUMBER;
       hash = (53 * hash) + getEntriesList().hashCode();
     }
+    hash = (37 * hash) + PART_FIRST_SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPartFirstSequence());
+    if (getPartEntriesCount() > 0) {
+      hash = (37 * hash) + PART_ENTRIES_FIELD_NUMBER;
+      hash = (53 * hash) + getPartEntriesList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -350,7 +433,7 @@
   }
   /**
    * <pre>
-   * Copy of the uncommitted records of one process start, kept by a partner instance.
+   * Copy of uncommitted records of one process start, kept by a partner instance.
    * </pre>
    *
    * Protobuf type {@code trestle.UsageCopy}
@@ -396,6 +479,14 @@
         entriesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      partFirstSequence_ = 0L;
+      if (partEntriesBuilder_ == null) {
+        partEntries_ = java.util.Collections.emptyList();
+      } else {
+        partEntries_ = null;
+        partEntriesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -438,6 +529,15 @@
       } else {
         result.entries_ = entriesBuilder_.build();
       }
+      if (partEntriesBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          partEntries_ = java.util.Collections.unmodifiableList(partEntries_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.partEntries_ = partEntries_;
+      } else {
+        result.partEntries_ = partEntriesBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.teaseltrestle.wire.UsageCopy result) {
@@ -451,6 +551,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.firstSequence_ = firstSequence_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.partFirstSequence_ = partFirstSequence_;
+      }
     }
 
     @java.lang.Override
@@ -502,6 +605,35 @@
           }
         }
       }
+      if (other.getPartFirstSequence() != 0L) {
+        setPartFirstSequence(other.getPartFirstSequence());
+      }
+      if (partEntriesBuilder_ == null) {
+        if (!other.partEntries_.isEmpty()) {
+          if (partEntries_.isEmpty()) {
+            partEntries_ = other.partEntries_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensurePartEntriesIsMutable();
+            partEntries_.addAll(other.partEntries_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.partEntries_.isEmpty()) {
+          if (partEntriesBuilder_.isEmpty()) {
+            partEntriesBuilder_.dispose();
+            partEntriesBuilder_ = null;
+            partEntries_ = other.partEntries_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            partEntriesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetPartEntriesFieldBuilder() : null;
+          } else {
+            partEntriesBuilder_.addAllMessages(other.partEntries_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -556,6 +688,24 @@
               }
               break;
             } // case 34
+            case 40: {
+              partFirstSequence_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              org.teaseltrestle.wire.UsageEntry m =
+                  input.readMessage(
+                      org.teaseltrestle.wire.UsageEntry.parser(),
+                      extensionRegistry);
+              if (partEntriesBuilder_ == null) {
+                ensurePartEntriesIsMutable();
+                partEntries_.add(m);
+              } else {
+                partEntriesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -680,7 +830,8 @@
     private long firstSequence_ ;
     /**
      * <pre>
-     * Sequence number of the first entry; the others follow without a gap.
+     * Sequence number of the first uncommitted record, and the records that follow from it without a
+     * gap. Instances of earlier versions are sent all of them.
      * </pre>
      *
      * <code>uint64 first_sequence = 3;</code>
@@ -692,7 +843,8 @@
     }
     /**
      * <pre>
-     * Sequence number of the first entry; the others follow without a gap.
+     * Sequence number of the first uncommitted record, and the records that follow from it without a
+     * gap. Instances of earlier versions are sent all of them.
      * </pre>
      *
      * <code>uint64 first_sequence = 3;</code>
@@ -708,7 +860,8 @@
     }
     /**
      * <pre>
-     * Sequence number of the first entry; the others follow without a gap.
+     * Sequence number of the first uncommitted record, and the records that follow from it without a
+     * gap. Instances of earlier versions are sent all of them.
      * </pre>
      *
      * <code>uint64 first_sequence = 3;</code>
@@ -961,6 +1114,290 @@
       return entriesBuilder_;
     }
 
+    private long partFirstSequence_ ;
+    /**
+     * <pre>
+     * Records that follow those which the partner is known to hold; only for partners that read parts.
+     * </pre>
+     *
+     * <code>uint64 part_first_sequence = 5;</code>
+     * @return The partFirstSequence.
+     */
+    @java.lang.Override
+    public long getPartFirstSequence() {
+      return partFirstSequence_;
+    }
+    /**
+     * <pre>
+     * Records that follow those which the partner is known to hold; only for partners that read parts.
+     * </pre>
+     *
+     * <code>uint64 part_first_sequence = 5;</code>
+     * @param value The partFirstSequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPartFirstSequence(long value) {
+
+      partFirstSequence_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Records that follow those which the partner is known to hold; only for partners that read parts.
+     * </pre>
+     *
+     * <code>uint64 part_first_sequence = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPartFirstSequence() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      partFirstSequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.teaseltrestle.wire.UsageEntry> partEntries_ =
+      java.util.Collections.emptyList();
+    private void ensurePartEntriesIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        partEntries_ = new java.util.ArrayList<org.teaseltrestle.wire.UsageEntry>(partEntries_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.UsageEntry, org.teaseltrestle.wire.UsageEntry.Builder, org.teaseltrestle.wire.UsageEntryOrBuilder> partEntriesBuilder_;
+
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.UsageEntry> getPartEntriesList() {
+      if (partEntriesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(partEntries_);
+      } else {
+        return partEntriesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public int getPartEntriesCount() {
+      if (partEntriesBuilder_ == null) {
+        return partEntries_.size();
+      } else {
+        return partEntriesBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public org.teaseltrestle.wire.UsageEntry getPartEntries(int index) {
+      if (partEntriesBuilder_ == null) {
+        return partEntries_.get(index);
+      } else {
+        return partEntriesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder setPartEntries(
+        int index, org.teaseltrestle.wire.UsageEntry value) {
+      if (partEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartEntriesIsMutable();
+        partEntries_.set(index, value);
+        onChanged();
+      } else {
+        partEntriesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder setPartEntries(
+        int index, org.teaseltrestle.wire.UsageEntry.Builder builderForValue) {
+      if (partEntriesBuilder_ == null) {
+        ensurePartEntriesIsMutable();
+        partEntries_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        partEntriesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder addPartEntries(org.teaseltrestle.wire.UsageEntry value) {
+      if (partEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartEntriesIsMutable();
+        partEntries_.add(value);
+        onChanged();
+      } else {
+        partEntriesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder addPartEntries(
+        int index, org.teaseltrestle.wire.UsageEntry value) {
+      if (partEntriesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensurePartEntriesIsMutable();
+        partEntries_.add(index, value);
+        onChanged();
+      } else {
+        partEntriesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder addPartEntries(
+        org.teaseltrestle.wire.UsageEntry.Builder builderForValue) {
+      if (partEntriesBuilder_ == null) {
+        ensurePartEntriesIsMutable();
+        partEntries_.add(builderForValue.build());
+        onChanged();
+      } else {
+        partEntriesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder addPartEntries(
+        int index, org.teaseltrestle.wire.UsageEntry.Builder builderForValue) {
+      if (partEntriesBuilder_ == null) {
+        ensurePartEntriesIsMutable();
+        partEntries_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        partEntriesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder addAllPartEntries(
+        java.lang.Iterable<? extends org.teaseltrestle.wire.UsageEntry> values) {
+      if (partEntriesBuilder_ == null) {
+        ensurePartEntriesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, partEntries_);
+        onChanged();
+      } else {
+        partEntriesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder clearPartEntries() {
+      if (partEntriesBuilder_ == null) {
+        partEntries_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        partEntriesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public Builder removePartEntries(int index) {
+      if (partEntriesBuilder_ == null) {
+        ensurePartEntriesIsMutable();
+        partEntries_.remove(index);
+        onChanged();
+      } else {
+        partEntriesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public org.teaseltrestle.wire.UsageEntry.Builder getPartEntriesBuilder(
+        int index) {
+      return internalGetPartEntriesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public org.teaseltrestle.wire.UsageEntryOrBuilder getPartEntriesOrBuilder(
+        int index) {
+      if (partEntriesBuilder_ == null) {
+        return partEntries_.get(index);  } else {
+        return partEntriesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public java.util.List<? extends org.teaseltrestle.wire.UsageEntryOrBuilder> 
+         getPartEntriesOrBuilderList() {
+      if (partEntriesBuilder_ != null) {
+        return partEntriesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(partEntries_);
+      }
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public org.teaseltrestle.wire.UsageEntry.Builder addPartEntriesBuilder() {
+      return internalGetPartEntriesFieldBuilder().addBuilder(
+          org.teaseltrestle.wire.UsageEntry.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public org.teaseltrestle.wire.UsageEntry.Builder addPartEntriesBuilder(
+        int index) {
+      return internalGetPartEntriesFieldBuilder().addBuilder(
+          index, org.teaseltrestle.wire.UsageEntry.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+     */
+    public java.util.List<org.teaseltrestle.wire.UsageEntry.Builder> 
+         getPartEntriesBuilderList() {
+      return internalGetPartEntriesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.teaseltrestle.wire.UsageEntry, org.teaseltrestle.wire.UsageEntry.Builder, org.teaseltrestle.wire.UsageEntryOrBuilder> 
+        internalGetPartEntriesFieldBuilder() {
+      if (partEntriesBuilder_ == null) {
+        partEntriesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.teaseltrestle.wire.UsageEntry, org.teaseltrestle.wire.UsageEntry.Builder, org.teaseltrestle.wire.UsageEntryOrBuilder>(
+                partEntries_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        partEntries_ = null;
+      }
+      return partEntriesBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.UsageCopy)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/UsageCopyAnswer.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/UsageCopyAnswer.java
@@ -58,6 +58,21 @@
     return heldThrough_;
   }
 
+  public static final int READS_PARTS_FIELD_NUMBER = 2;
+  private boolean readsParts_ = false;
+  /**
+   * <pre>
+   * Whether this instance reads part_entries.
+   * </pre>
+   *
+   * <code>bool reads_parts = 2;</code>
+   * @return The readsParts.
+   */
+  @java.lang.Override
+  public boolean getReadsParts() {
+    return readsParts_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -75,6 +90,9 @@
     if (heldThrough_ != 0L) {
       output.writeUInt64(1, heldThrough_);
     }
+    if (readsParts_ != false) {
+      output.writeBool(2, readsParts_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -88,6 +106,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(1, heldThrough_);
     }
+    if (readsParts_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, readsParts_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -105,6 +127,8 @@
 
     if (getHeldThrough()
         != other.getHeldThrough()) return false;
+    if (getReadsParts()
+        != other.getReadsParts()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -119,6 +143,9 @@
     hash = (37 * hash) + HELD_THROUGH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getHeldThrough());
+    hash = (37 * hash) + READS_PARTS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getReadsParts());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -251,6 +278,7 @@
       super.clear();
       bitField0_ = 0;
       heldThrough_ = 0L;
+      readsParts_ = false;
       return this;
     }
 
@@ -287,6 +315,9 @@
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.heldThrough_ = heldThrough_;
       }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.readsParts_ = readsParts_;
+      }
     }
 
     @java.lang.Override
@@ -304,6 +335,9 @@
       if (other.getHeldThrough() != 0L) {
         setHeldThrough(other.getHeldThrough());
       }
+      if (other.getReadsParts() != false) {
+        setReadsParts(other.getReadsParts());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -335,6 +369,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 8
+            case 16: {
+              readsParts_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -396,6 +435,50 @@
       return this;
     }
 
+    private boolean readsParts_ ;
+    /**
+     * <pre>
+     * Whether this instance reads part_entries.
+     * </pre>
+     *
+     * <code>bool reads_parts = 2;</code>
+     * @return The readsParts.
+     */
+    @java.lang.Override
+    public boolean getReadsParts() {
+      return readsParts_;
+    }
+    /**
+     * <pre>
+     * Whether this instance reads part_entries.
+     * </pre>
+     *
+     * <code>bool reads_parts = 2;</code>
+     * @param value The readsParts to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReadsParts(boolean value) {
+
+      readsParts_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether this instance reads part_entries.
+     * </pre>
+     *
+     * <code>bool reads_parts = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReadsParts() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      readsParts_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:trestle.UsageCopyAnswer)
   }
 
--- a/wire/src/main/java/org/teaseltrestle/wire/UsageCopyAnswerOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/UsageCopyAnswerOrBuilder.java
@@ -19,4 +19,14 @@
    * @return The heldThrough.
    */
   long getHeldThrough();
+
+  /**
+   * <pre>
+   * Whether this instance reads part_entries.
+   * </pre>
+   *
+   * <code>bool reads_parts = 2;</code>
+   * @return The readsParts.
+   */
+  boolean getReadsParts();
 }
--- a/wire/src/main/java/org/teaseltrestle/wire/UsageCopyOrBuilder.java
+++ b/wire/src/main/java/org/teaseltrestle/wire/UsageCopyOrBuilder.java
@@ -30,7 +30,8 @@
 
   /**
    * <pre>
-   * Sequence number of the first entry; the others follow without a gap.
+   * Sequence number of the first uncommitted record, and the records that follow from it without a
+   * gap. Instances of earlier versions are sent all of them.
    * </pre>
    *
    * <code>uint64 first_sequence = 3;</code>
@@ -61,4 +62,38 @@
    */
   org.teaseltrestle.wire.UsageEntryOrBuilder getEntriesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Records that follow those which the partner is known to hold; only for partners that read parts.
+   * </pre>
+   *
+   * <code>uint64 part_first_sequence = 5;</code>
+   * @return The partFirstSequence.
+   */
+  long getPartFirstSequence();
+
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  java.util.List<org.teaseltrestle.wire.UsageEntry> 
+      getPartEntriesList();
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  org.teaseltrestle.wire.UsageEntry getPartEntries(int index);
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  int getPartEntriesCount();
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  java.util.List<? extends org.teaseltrestle.wire.UsageEntryOrBuilder> 
+      getPartEntriesOrBuilderList();
+  /**
+   * <code>repeated .trestle.UsageEntry part_entries = 6;</code>
+   */
+  org.teaseltrestle.wire.UsageEntryOrBuilder getPartEntriesOrBuilder(
+      int index);
 }
