Discard the rest of a refused body without the process's file channel

What callers saw: "HTTP/1.1 header parser received no bytes". A request was refused before its body had arrived, the connection was closed although nothing had announced it, and the next request on it was lost.

Cause, by a stack trace at the close: Undertow discards such a body by transferTo into one file channel for the whole process. A thread that is interrupted in it, as relay threads are when a relay stops, closes that channel for good; from then on each discard fails and closes its connection. In a node that happens at its end only; in tests, one relay poisons all later ones.

Ruled out: the limit of two seconds for the rest of a body, the watch for callers that leave, the client's pool (the first socket that failed was a plain one).

Change: RequestBodyChannel reads the rest into a buffer, on the I/O thread, which nobody interrupts, within the same two seconds; for refusals on relay threads and on I/O threads.

Tests: RefusedBodyTest, whose file channel fails: before, closed before the first response was read; after, three requests on one connection.

Other servers of this repository (operators, readiness, fakes) still use Undertow's way.

--- a/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
@@ -70,7 +70,7 @@
               ? new ExactBody((int) length)
               : new GrowingBody(exchange, memory, !fits);
       try (body) {
-        readAll(exchange, exchange.getRequestChannel(), body, maximumBytes);
+        readAll(exchange, RequestBodyChannel.of(exchange), body, maximumBytes);
         return body.toByteArray();
       }
     } catch (RequestTooBigException e) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -30,8 +30,6 @@
 
   private static final EventLog LOG = EventLog.of(CallerResponse.class);
 
-  private static final long DISCARD_BODY_SECONDS = 2;
-
   /** How far the response is. Its connection may carry the next request once it is finished. */
   private enum State {
     NOT_STARTED,
@@ -172,13 +170,7 @@
     }
     flush();
     state = State.FINISHED;
-    exchange.endExchange();
-    if (!exchange.isRequestComplete()) {
-      // The rest of a refused body is discarded, but only for a limited time.
-      exchange
-          .getIoThread()
-          .executeAfter(this::closeIfOpen, DISCARD_BODY_SECONDS, TimeUnit.SECONDS);
-    }
+    RequestBodyChannel.endExchange(exchange);
   }
 
   /**
@@ -223,12 +215,6 @@
         : ResponseFraming.CONNECTION;
   }
 
-  private void closeIfOpen() {
-    if (!exchange.isComplete()) {
-      IoUtils.safeClose(exchange.getConnection());
-    }
-  }
-
   private void requireNotStarted() {
     if (isStarted()) {
       throw new IllegalStateException("response has already been started");
