--- a/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/BodyReader.java
@@ -70,7 +70,7 @@
               ? new ExactBody((int) length)
               : new GrowingBody(exchange, memory, !fits);
       try (body) {
-        readAll(exchange, RequestBodyChannel.of(exchange), body, maximumBytes);
+        readAll(exchange, RequestBody.channel(exchange), body, maximumBytes);
         return body.toByteArray();
       }
     } catch (RequestTooBigException e) {
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerResponse.java
@@ -170,7 +170,7 @@
     }
     flush();
     state = State.FINISHED;
-    RequestBodyChannel.endExchange(exchange);
+    RequestBody.discardAndEnd(exchange);
   }
 
   /**
--- a/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
+++ b/node/src/main/java/org/teaseltrestle/node/relay/CallerRouter.java
@@ -1,7 +1,5 @@
 package org.teaseltrestle.node.relay;
 
-import io.undertow.io.DefaultIoCallback;
-import io.undertow.io.Sender;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -100,16 +98,7 @@
     exchange.setPersistent(false);
     exchange.setStatusCode(callerInterface.status(refusal));
     exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
-    exchange
-        .getResponseSender()
-        .send(
-            ByteBuffer.wrap(RefusalResponse.body(refusal, request)),
-            new DefaultIoCallback() {
-              @Override
-              public void onComplete(HttpServerExchange sent, Sender sender) {
-                RequestBodyChannel.endExchange(sent);
-              }
-            });
+    exchange.getResponseSender().send(ByteBuffer.wrap(RefusalResponse.body(refusal, request)));
   }
 
   /**
--- a/node/src/test/java/org/teaseltrestle/node/relay/RefusedBodyTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/relay/RefusedBodyTest.java
@@ -12,11 +12,13 @@
 import java.nio.channels.ClosedChannelException;
 import java.nio.channels.FileChannel;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.teaseltrestle.kernel.ByteBudget;
 import org.teaseltrestle.kernel.MonotonicClock;
 import org.teaseltrestle.model.RequestId;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
@@ -61,12 +63,49 @@
     return text.substring(0, "HTTP/1.1 403".length());
   }
 
+  private static byte[] concat(byte[] first, byte[] second) {
+    byte[] all = Arrays.copyOf(first, first.length + second.length);
+    System.arraycopy(second, 0, all, first.length, second.length);
+    return all;
+  }
+
+  /** Returns the ways in which a body is framed, each with a body. */
+  @DataProvider
+  public Object[][] framings() {
+    String chunk =
+        Integer.toHexString(BODY_BYTES) + "\r\n" + "x".repeat(BODY_BYTES) + "\r\n0\r\n\r\n";
+    return new Object[][] {
+      {"Content-Length: " + BODY_BYTES, new byte[BODY_BYTES]},
+      {"Transfer-Encoding: chunked", chunk.getBytes(US_ASCII)},
+    };
+  }
+
+  /** Guards against the rest of a body that keeps a connection for longer than two seconds. */
+  @Test
+  public void connectionEndsIfTheBodyDoesNotArrive() throws IOException {
+    ExecutorService relay = Executors.newSingleThreadExecutor();
+    Undertow server = server(relay);
+    server.start();
+    try (Socket socket = new Socket()) {
+      socket.connect((InetSocketAddress) server.getListenerInfo().get(0).getAddress());
+      socket.setSoTimeout(TIMEOUT_MILLISECONDS);
+      String head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(US_ASCII));
+      assertEquals(response(socket.getInputStream()), "HTTP/1.1 403");
+      assertEquals(socket.getInputStream().read(), -1);
+    } finally {
+      server.stop();
+      relay.shutdown();
+    }
+  }
+
   /**
    * Guards against a connection that is closed, though its caller was not told, as the rest of a
    * body is discarded through a file channel that another thread's interruption has closed.
    */
-  @Test
-  public void connectionServesAfterTheBodyOfRefusedRequest() throws IOException {
+  @Test(dataProvider = "framings")
+  public void connectionServesAfterTheBodyOfRefusedRequest(String framing, byte[] body)
+      throws IOException {
     ExecutorService relay = Executors.newSingleThreadExecutor();
     Undertow server = server(relay);
     server.start();
@@ -74,10 +113,10 @@
       socket.connect((InetSocketAddress) server.getListenerInfo().get(0).getAddress());
       socket.setSoTimeout(TIMEOUT_MILLISECONDS);
       for (int i = 0; i < 3; i++) {
-        String head = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " + BODY_BYTES + "\r\n\r\n";
-        socket.getOutputStream().write(head.getBytes(US_ASCII));
+        byte[] head = ("POST /x HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n").getBytes(US_ASCII);
+        // The rest of a body and the next request arrive together.
+        socket.getOutputStream().write(i == 0 ? head : concat(body, head));
         assertEquals(response(socket.getInputStream()), "HTTP/1.1 403");
-        socket.getOutputStream().write(new byte[BODY_BYTES]);
       }
     } finally {
       server.stop();
