Let no ejected engine be the preferred one of a shared prefix

What callers would see: for a second after an engine was lost, each instance sent prompts with the engine's prefix wherever its own sample fell, and several engines prefilled the same documents.

Cause: an ejected engine accepts work, as a last resort, and so it stayed the preferred holder, although others were chosen.

Test, before: PromptLoadTest.instancesAgreeOnTheEngineWhileOneIsEjected, eight instances chose three engines for one prefix. After: one engine each, for 100 prefixes.

--- a/policy/src/main/java/org/teaseltrestle/policy/PrefixAffinity.java
+++ b/policy/src/main/java/org/teaseltrestle/policy/PrefixAffinity.java
@@ -50,7 +50,11 @@
    */
   Holders holders(
       RequestState request, List<ServerState> serving, ReplicaChoice choice, long nowNanos) {
-    return holdersAmong(request, serving, choice, ServerState::acceptsWork, nowNanos);
+    return holdersAmong(request, serving, choice, PrefixAffinity::mayBePreferred, nowNanos);
+  }
+
+  private static boolean mayBePreferred(ServerState server, long nowNanos) {
+    return server.acceptsWork(nowNanos) && !server.isEjected();
   }
 
   /** Returns the prefill-only engines that are expected to hold the shared prefix of a request. */
--- a/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
+++ b/policy/src/test/java/org/teaseltrestle/policy/PromptLoadTest.java
@@ -105,6 +105,27 @@
       assertEquals(servers.size(), 1);
     }
 
+    /** Guards against prefixes whose engine is ejected and that each instance sends elsewhere. */
+    @Test
+    public void instancesAgreeOnTheEngineWhileOneIsEjected() {
+      for (int affinity = 1; affinity <= 100; affinity++) {
+        Set<BackendServerId> servers = new HashSet<>();
+        for (int instance = 0; instance < 8; instance++) {
+          List<BackendServer> engines =
+              List.of(
+                  Samples.engine("e1", "a").withState(BackendServer.State.EJECTED),
+                  Samples.engine("e2", "a"),
+                  Samples.engine("e3", "a"),
+                  Samples.engine("e4", "a"));
+          Harness harness =
+              new Harness(configuration().build(), engines, Samples.highLimits("north", 1, 0));
+          WorkRequest work = prompt(harness, instance, affinity, Repeatability.IDEMPOTENT);
+          servers.add(Harness.dispatch(harness.arrive(work)).server());
+        }
+        assertEquals(servers.size(), 1, "engines for prefix " + affinity + ": " + servers);
+      }
+    }
+
     /** Guards against requests that queue at one engine while another one is idle. */
     @Test
     public void busyEngineIsAvoidedWhenRepeatedPrefillIsFaster() {
