Decide a rejection and a new attempt under one lock, and keep the leader

- A rejection could be reported while another thread, which had heard of a new leader, sent the next attempt: "never started" was false.
Attempts are counted where they are made, and a rejected call ends, under the schedule's lock.
- A rejection that is no outcome was taken for the loss of its leader, so that other calls asked other voters first, and the document was sent again after 50 ms.
The leader stays known, and the retry waits for the longest delay.
- Reads, which change nothing, end with their rejection as before.

Tests: LeaderCallScheduleTest.Rejections (three). The race was read, not run; the schedule has the state that it needs in one step now. lateFailureIsIgnored asked isLatest, which is gone; it asks closeIfNeverStarted of a read, true for the latest attempt only.

--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCallSchedule.java
@@ -47,9 +47,15 @@
     boolean waiting;
     int failures;
     int redirections;
+    final boolean hasEffect;
 
-    OpenCall(Attempt first) {
+    /** Number of attempts that have started the request or may yet; without an effect, 0. */
+    int undecided;
+
+    OpenCall(Attempt first, boolean hasEffect) {
       latest = first;
+      this.hasEffect = hasEffect;
+      undecided = hasEffect ? 1 : 0;
     }
   }
 
@@ -62,10 +68,14 @@
     this.voters = voters;
   }
 
-  /** Opens a call and returns its first attempt. */
-  Attempt open(long call) {
+  /**
+   * Opens a call and returns its first attempt.
+   *
+   * @param hasEffect whether an attempt may change something, even if its answer is lost
+   */
+  Attempt open(long call, boolean hasEffect) {
     Attempt first = new Attempt(call, 1, target());
-    calls.put(call, new OpenCall(first));
+    calls.put(call, new OpenCall(first, hasEffect));
     return first;
   }
 
@@ -74,9 +84,37 @@
     calls.remove(call);
   }
 
-  /** Returns whether no later attempt of an open call has superseded an attempt. */
-  boolean isLatest(Attempt attempt) {
-    return find(attempt).isPresent();
+  /** Records that an attempt has not started the request and never will. */
+  void neverStarted(Attempt attempt) {
+    OpenCall call = calls.get(attempt.call());
+    if (call != null && call.hasEffect) {
+      call.undecided--;
+    }
+  }
+
+  /**
+   * Ends a call whose latest attempt was rejected, if no attempt can have started the request;
+   * returns whether it ended.
+   */
+  boolean closeIfNeverStarted(Attempt rejected) {
+    boolean ended = find(rejected).filter(call -> call.undecided == 0).isPresent();
+    if (ended) {
+      calls.remove(rejected.call());
+    }
+    return ended;
+  }
+
+  /**
+   * Records that a leader rejected an attempt of a call that goes on, since an earlier one may have
+   * started the request. The leader stays known.
+   *
+   * @return time of the retry, empty if a later attempt has superseded this one or its retry waits
+   */
+  OptionalLong rejected(Attempt attempt, long nowNanos) {
+    OpenCall call = find(attempt).orElse(null);
+    return call == null || call.waiting
+        ? OptionalLong.empty()
+        : retryAt(call, MAXIMUM_DOUBLINGS, nowNanos);
   }
 
   /**
@@ -174,6 +212,7 @@
   private Attempt next(OpenCall call) {
     call.waiting = false;
     call.latest = new Attempt(call.latest.call(), call.latest.number() + 1, target());
+    call.undecided += call.hasEffect ? 1 : 0;
     return call.latest;
   }
 
--- a/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
+++ b/node/src/main/java/org/teaseltrestle/node/replica/LeaderCalls.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 import org.teaseltrestle.kernel.MonotonicClock;
@@ -43,18 +42,12 @@
 
   private volatile boolean closed;
 
-  /**
-   * An open call.
-   *
-   * @param undecided number of attempts that may have started the request
-   */
   private record Call(
       long id,
       LeaderRequest request,
       byte[] body,
       long deadlineNanos,
-      CompletableFuture<LeaderAnswer> result,
-      AtomicInteger undecided) {}
+      CompletableFuture<LeaderAnswer> result) {}
 
   /**
    * Creates the client; {@code localHandler} handles requests to this instance itself, null on a
@@ -83,16 +76,11 @@
   CompletableFuture<LeaderAnswer> call(LeaderRequest request, byte[] body, long deadlineNanos) {
     Call call =
         new Call(
-            nextCall.getAndIncrement(),
-            request,
-            body,
-            deadlineNanos,
-            new CompletableFuture<>(),
-            new AtomicInteger());
+            nextCall.getAndIncrement(), request, body, deadlineNanos, new CompletableFuture<>());
     calls.put(call.id(), call);
     LeaderCallSchedule.Attempt first;
     synchronized (schedule) {
-      first = schedule.open(call.id());
+      first = schedule.open(call.id(), request == LeaderRequest.PROPOSE);
     }
     send(call, first);
     return call.result();
@@ -136,7 +124,6 @@
     long deadline = now + Math.min(ATTEMPT_TIMEOUT_NANOS, call.deadlineNanos() - now);
     LeaderRequestHandler handler = localHandler;
     if (handler != null && target.equals(self.value())) {
-      call.undecided().incrementAndGet();
       handler.handle(call.request(), call.body(), answer -> onAnswer(call, attempt, answer));
       // A replica that stops does not take what is in its queue.
       CompletableFuture.delayedExecutor(deadline - now, TimeUnit.NANOSECONDS)
@@ -145,10 +132,10 @@
     }
     InetSocketAddress address = addresses.find(target).orElse(null);
     if (address == null || target.equals(self.value())) {
+      neverStarted(attempt);
       onFailure(attempt);
       return;
     }
-    call.undecided().incrementAndGet();
     transport
         .call(address, LeaderRequest.SERVICE, call.request().kind(), call.body(), deadline)
         .whenComplete((body, failure) -> onResponse(call, attempt, body));
@@ -173,16 +160,9 @@
         forget(call);
         call.result().completeAsync(() -> answer);
       }
-      case OVERLOADED -> {
-        boolean neverStarted = call.undecided().decrementAndGet() == 0;
-        if (neverStarted && isLatest(attempt)) {
-          fail(call, new TrestleException(ErrorCode.OVERLOADED, "the leader rejected the request"));
-        } else {
-          onFailure(attempt);
-        }
-      }
+      case OVERLOADED -> onRejection(call, attempt);
       case NOT_LEADER -> {
-        call.undecided().decrementAndGet();
+        neverStarted(attempt);
         if (answer.getLeader().isEmpty()) {
           onFailure(attempt);
         } else {
@@ -193,6 +173,30 @@
     }
   }
 
+  private void onRejection(Call call, LeaderCallSchedule.Attempt attempt) {
+    long now = clock.nowNanos();
+    boolean ended;
+    OptionalLong retryAtNanos = OptionalLong.empty();
+    synchronized (schedule) {
+      schedule.neverStarted(attempt);
+      ended = schedule.closeIfNeverStarted(attempt);
+      if (!ended) {
+        retryAtNanos = schedule.rejected(attempt, now);
+      }
+    }
+    if (ended) {
+      fail(call, new TrestleException(ErrorCode.OVERLOADED, "the leader rejected the request"));
+    } else {
+      retryAtNanos.ifPresent(atNanos -> retryAfter(attempt, atNanos - now));
+    }
+  }
+
+  private void neverStarted(LeaderCallSchedule.Attempt attempt) {
+    synchronized (schedule) {
+      schedule.neverStarted(attempt);
+    }
+  }
+
   private void onFailure(LeaderCallSchedule.Attempt attempt) {
     long now = clock.nowNanos();
     OptionalLong retryAtNanos;
@@ -224,12 +228,6 @@
     next.ifPresent(this::send);
   }
 
-  private boolean isLatest(LeaderCallSchedule.Attempt attempt) {
-    synchronized (schedule) {
-      return schedule.isLatest(attempt);
-    }
-  }
-
   private void forget(Call call) {
     calls.remove(call.id());
     synchronized (schedule) {
--- a/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallScheduleTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallScheduleTest.java
@@ -29,7 +29,7 @@
     @Test
     public void callLeavesGoneVoterForLeader() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      assertEquals(schedule.open(1).target(), "gone");
+      assertEquals(schedule.open(1, true).target(), "gone");
       List<LeaderCallSchedule.Attempt> attempts = schedule.heard(leader("voter-2", 3, 0));
       assertEquals(attempts, List.of(new LeaderCallSchedule.Attempt(1, 2, "voter-2")));
     }
@@ -38,7 +38,7 @@
     @Test
     public void callLeavesItsDelayForLeader() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
       schedule.failed(first, 0);
       assertEquals(schedule.heard(leader("voter-2", 3, 0)).size(), 1);
       assertEquals(schedule.retry(first), Optional.empty());
@@ -49,7 +49,7 @@
     public void callAtTheLeaderIsNotRepeated() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
       schedule.heard(leader("voter-2", 3, 0));
-      assertEquals(schedule.open(1).target(), "voter-2");
+      assertEquals(schedule.open(1, true).target(), "voter-2");
       assertEquals(schedule.heard(leader("voter-2", 4, MILLISECOND)), List.of());
     }
 
@@ -59,14 +59,14 @@
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
       schedule.heard(leader("voter-2", 3, 0));
       assertEquals(schedule.heard(leader("voter-1", 2, 9 * MILLISECOND)), List.of());
-      assertEquals(schedule.open(1).target(), "voter-2");
+      assertEquals(schedule.open(1, true).target(), "voter-2");
     }
 
     /** Guards against a leader that refuses and is asked again with every feed. */
     @Test
     public void refusingLeaderIsAskedAtTheRateOfTheDelays() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt attempt = schedule.open(1);
+      LeaderCallSchedule.Attempt attempt = schedule.open(1, true);
       int attempts = 0;
       OptionalLong retryAtNanos = OptionalLong.empty();
       for (int millisecond = 1; millisecond <= 2_000; millisecond++) {
@@ -91,7 +91,7 @@
     public void leaderThatFailedIsAskedAgainAfterLaterNewsOnly() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
       schedule.heard(leader("voter-2", 3, 0));
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
       schedule.failed(first, 10 * MILLISECOND);
       schedule.heard(leader("voter-2", 3, 9 * MILLISECOND));
       LeaderCallSchedule.Attempt second = schedule.retry(first).get();
@@ -110,7 +110,7 @@
     public void laterNewsCountsMoreThanNameByOutdatedVoter() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
       schedule.heard(leader("voter-2", 3, 0));
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
       schedule.failed(first, 10 * MILLISECOND);
       LeaderCallSchedule.Attempt second = schedule.retry(first).get();
       assertEquals(second.target(), "voter-1");
@@ -123,20 +123,20 @@
     @Test
     public void lateFailureIsIgnored() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, false);
       final LeaderCallSchedule.Attempt second = schedule.heard(leader("voter-2", 3, 0)).get(0);
       assertEquals(schedule.failed(first, 0), OptionalLong.empty());
       assertEquals(schedule.redirected(first, "voter-1", 0), OptionalLong.empty());
-      assertFalse(schedule.isLatest(first));
-      assertTrue(schedule.isLatest(second));
-      assertEquals(schedule.open(2).target(), "voter-2");
+      assertFalse(schedule.closeIfNeverStarted(first));
+      assertTrue(schedule.closeIfNeverStarted(second));
+      assertEquals(schedule.open(2, true).target(), "voter-2");
     }
 
     /** Guards against a named leader that is asked late. */
     @Test
     public void namedLeaderIsAskedSoon() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
       assertEquals(schedule.redirected(first, "voter-2", 0), OptionalLong.of(50 * MILLISECOND));
       assertEquals(schedule.retry(first).get().target(), "voter-2");
     }
@@ -145,7 +145,7 @@
     @Test
     public void mutualNamingIsBounded() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt attempt = schedule.open(1);
+      LeaderCallSchedule.Attempt attempt = schedule.open(1, true);
       long now = 0;
       int attempts = 0;
       while (now < 2_000 * MILLISECOND) {
@@ -161,10 +161,50 @@
     @Test
     public void closedCallIsNotSent() {
       LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
-      LeaderCallSchedule.Attempt first = schedule.open(1);
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
       schedule.close(1);
       assertEquals(schedule.heard(leader("voter-2", 3, 0)), List.of());
       assertEquals(schedule.failed(first, 0), OptionalLong.empty());
     }
   }
+
+  /** Tests of leaders that reject an attempt. */
+  public static final class Rejections {
+
+    /**
+     * Guards against a rejection that is reported while an attempt at a new leader is under way.
+     */
+    @Test
+    public void callWithAnAttemptAtNewLeaderGoesOn() {
+      LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
+      LeaderCallSchedule.Attempt first = schedule.open(1, true);
+      assertEquals(schedule.heard(leader("voter-2", 3, 0)).size(), 1);
+      schedule.neverStarted(first);
+      assertFalse(schedule.closeIfNeverStarted(first));
+    }
+
+    /** Guards against a leader that is taken for lost since it rejects a command. */
+    @Test
+    public void rejectingLeaderStaysKnown() {
+      LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
+      schedule.open(1, true);
+      LeaderCallSchedule.Attempt second = schedule.heard(leader("voter-2", 3, 0)).get(0);
+      schedule.neverStarted(second);
+      assertFalse(schedule.closeIfNeverStarted(second));
+      assertEquals(
+          schedule.rejected(second, 0).orElseThrow(),
+          LeaderCallSchedule.retryDelayMilliseconds(Integer.MAX_VALUE) * MILLISECOND);
+      assertEquals(schedule.retry(second).orElseThrow().target(), "voter-2");
+    }
+
+    /** Guards against a rejected read that goes on, though it cannot take effect. */
+    @Test
+    public void rejectedReadEndsWhateverWasAskedBefore() {
+      LeaderCallSchedule schedule = new LeaderCallScheduleTest().schedule;
+      schedule.open(1, false);
+      LeaderCallSchedule.Attempt second = schedule.heard(leader("voter-2", 3, 0)).get(0);
+      schedule.neverStarted(second);
+      assertTrue(schedule.closeIfNeverStarted(second));
+    }
+  }
 }
--- a/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallsTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/replica/LeaderCallsTest.java
@@ -120,7 +120,7 @@
               settings, transport, new PeerAddresses(settings), MonotonicClock.SYSTEM, null);
       long deadline = MonotonicClock.SYSTEM.nowNanos() + TimeUnit.SECONDS.toNanos(30);
       CompletableFuture<LeaderAnswer> call =
-          calls.call(LeaderRequest.CONFIRM, new byte[0], deadline);
+          calls.call(LeaderRequest.PROPOSE, new byte[0], deadline);
       calls.heard(new KnownLeader("leader", 1, MonotonicClock.SYSTEM.nowNanos()));
       assertEquals(transport.called(), List.of(GONE, LEADER));
       return call;
