Copy more usage records than one part holds in the tests

Found by the review: with 400 records and parts of 512 no test sent a second part after a loss or a restart. 1,400 records in each; all five pass.

--- a/node/src/test/java/org/teaseltrestle/node/usage/UsageServiceTest.java
+++ b/node/src/test/java/org/teaseltrestle/node/usage/UsageServiceTest.java
@@ -40,7 +40,7 @@
 /** Tests of what is sent to the partner that holds copies, while no leader commits records. */
 public final class UsageServiceTest {
 
-  private static final int REQUESTS = 400;
+  private static final int REQUESTS = 1_400;
   private static final int MAXIMUM_BYTES_A_REQUEST = 200;
   private static final List<String> PARTNERS = List.of("entry-2", "entry-3");
 
