--- a/control/src/main/java/org/teaseltrestle/control/usage/CopyProgress.java
+++ b/control/src/main/java/org/teaseltrestle/control/usage/CopyProgress.java
@@ -19,7 +19,9 @@
   private Form form = Form.UNKNOWN;
   private long heldThrough;
 
-  /** What a partner reads. */
+  /**
+   * What a partner reads; one that has not answered yet is sent the first records in whole form.
+   */
   private enum Form {
     UNKNOWN,
     WHOLE,
@@ -32,8 +34,8 @@
     this.boot = boot;
   }
 
-  /** Returns the copy to send to a partner, which replaces the earlier one. */
-  public UsageCopy next(String chosenPartner, UsageJournal journal) {
+  /** Returns the copy to send to a partner; another one than before begins with nothing held. */
+  public UsageCopy copyFor(String chosenPartner, UsageJournal journal) {
     if (!chosenPartner.equals(partner)) {
       partner = chosenPartner;
       form = Form.UNKNOWN;
--- a/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
+++ b/node/src/main/java/org/teaseltrestle/node/usage/UsageService.java
@@ -213,7 +213,7 @@
     }
     copyRunning = true;
     partner = chosen.get();
-    UsageCopy copy = copyProgress.next(partner.value(), journal);
+    UsageCopy copy = copyProgress.copyFor(partner.value(), journal);
     transport
         .call(address.get(), NAME, COPY_KIND, copy.toByteArray(), now + COPY_TIMEOUT_NANOS)
         .whenComplete((body, failure) -> duty.offer(() -> onCopyResponse(body, failure)));
