--- a/review/standins-2/Site.java
+++ b/review/standins-2/Site.java
@@ -83,11 +83,7 @@
       int base = 20_000 + random.nextInt(9_000);
       boolean free = true;
       for (int port = base; free && port < base + 24; port++) {
-        try (ServerSocket socket = new ServerSocket()) {
-          socket.bind(new InetSocketAddress("0.0.0.0", port));
-        } catch (IOException e) {
-          free = false;
-        }
+        free = isFree(port);
       }
       if (free) {
         return new int[] {base, base + 1, base + 2, base + 8, base + 3};
@@ -96,6 +92,18 @@
     throw new IOException("no free ports");
   }
 
+  /** Whether no loopback address that a machine of the site may have uses the port. */
+  private boolean isFree(int port) {
+    for (int number = 1; number < 255; number++) {
+      try (ServerSocket socket = new ServerSocket()) {
+        socket.bind(new InetSocketAddress(ip(number), port));
+      } catch (IOException e) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   int replicaPort() {
     return controlPort + 4;
   }
